Set down the workspace and the core

The folders, the core types and the ports: classes and targets, the order of configuration versions, records of backend servers, the exchange between peers, routes, admission, retries and the reader of the platform. The core imports no transport, codec or file.

--- /dev/null
+++ b/mesh/announce/announcer.go
@@ -0,0 +1,116 @@
+// Package announce owns the record of this daemon's backend server.
+package announce
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fescuehoist.example/mesh/admit"
+	"fescuehoist.example/mesh/member"
+)
+
+// Backend is what a backend server says of itself.
+type Backend struct {
+	Service string
+	// Address takes the calls.
+	Address string
+	// Slots is the number of calls that it runs at once.
+	Slots int
+}
+
+// Publisher spreads the daemon's own record.
+type Publisher interface{ Announce(own member.Record) }
+
+// Callee is told where the backend server takes calls.
+type Callee interface{ SetAddress(address string) }
+
+// Announcer keeps the record in step with the backend server. An announcement
+// lapses unless the backend server repeats it.
+type Announcer struct {
+	publisher Publisher
+	callee    Callee
+	gate      *admit.Gate
+	lifetime  time.Duration
+
+	mu      sync.Mutex
+	own     member.Record
+	lapse   *time.Timer
+	leaving bool
+}
+
+// New returns an announcer for a record that holds the daemon's name, failure
+// domain and addresses, and publishes it as starting.
+func New(own member.Record, publisher Publisher, callee Callee, gate *admit.Gate, lifetime time.Duration) *Announcer {
+	own.State = member.Starting
+	own.Incarnation = uint64(time.Now().UnixMilli())
+	a := &Announcer{publisher: publisher, callee: callee, gate: gate, lifetime: lifetime, own: own}
+	publisher.Announce(own)
+	return a
+}
+
+// Announce takes an announcement and makes the backend server ready.
+func (a *Announcer) Announce(b Backend) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return
+	}
+	a.extend()
+	a.callee.SetAddress(b.Address)
+	if a.own.State == member.Ready && a.own.Service == b.Service && a.own.Slots == b.Slots {
+		return
+	}
+	a.gate.SetSlots(b.Slots)
+	a.own.State, a.own.Service, a.own.Slots = member.Ready, b.Service, b.Slots
+	a.publisher.Announce(a.own)
+}
+
+func (a *Announcer) extend() {
+	if a.lapse != nil {
+		a.lapse.Reset(a.lifetime)
+		return
+	}
+	a.lapse = time.AfterFunc(a.lifetime, a.lapsed)
+}
+
+// lapsed takes the backend server out of the routes until it announces again.
+func (a *Announcer) lapsed() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving || a.own.State != member.Ready {
+		return
+	}
+	a.own.State = member.Starting
+	a.publisher.Announce(a.own)
+}
+
+// Drain announces that the backend server leaves, waits for its calls to end,
+// and announces that it has left.
+func (a *Announcer) Drain(ctx context.Context) error {
+	a.set(member.Draining)
+	err := a.gate.Drain(ctx)
+	a.set(member.Left)
+	return err
+}
+
+func (a *Announcer) set(s member.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	if a.lapse != nil {
+		a.lapse.Stop()
+	}
+	if a.own.State >= s {
+		return
+	}
+	a.own.State = s
+	a.publisher.Announce(a.own)
+}
+
+// State returns the state announced last.
+func (a *Announcer) State() member.State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.own.State
+}
--- /dev/null
+++ b/mesh/call/call.go
@@ -0,0 +1,50 @@
+package call
+
+import (
+	"context"
+
+	"fescuehoist.example/mesh/target"
+)
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Request is a call on its way to a backend server. The deadline is that of
+// the context which accompanies it.
+type Request struct {
+	// Service is the service called, Client the caller's own name.
+	Service, Client string
+	// Key identifies a request that is not idempotent across repeats.
+	Key string
+	// Method and URI are those of HTTP; URI holds path and query.
+	Method, URI string
+	Header      []Field
+	Body        []byte
+	// Attempt counts the attempts made so far by the daemon that took the
+	// call.
+	Attempt int
+	// Class is set once the call is classified.
+	Class *target.Class
+	// ClassName names the class when another daemon classified the call.
+	ClassName string
+}
+
+// Load is what a daemon says of its backend server along with an answer.
+type Load struct {
+	// Running and Queued count calls; Limit is how many may run at once.
+	Running, Queued, Limit int
+}
+
+// Answer is a backend server's answer.
+type Answer struct {
+	Status int
+	Header []Field
+	Body   []byte
+	// Load is zero if the answer carried none.
+	Load Load
+}
+
+// Callee takes calls. An error is always a *Failure.
+type Callee interface {
+	Call(ctx context.Context, r *Request) (*Answer, error)
+}
--- /dev/null
+++ b/mesh/manifest/repository.go
@@ -0,0 +1,31 @@
+package manifest
+
+import (
+	"context"
+
+	"fescuehoist.example/mesh/target"
+)
+
+// Revision is the platform's own version of the head object; 0 means that the
+// object does not exist.
+type Revision uint64
+
+// Repository keeps configuration in the platform. Methods return ErrNotFound,
+// ErrConflict or ErrUnknown where these apply.
+type Repository interface {
+	// Head returns the head and its revision; an absent head is version 0.
+	Head(ctx context.Context) (*Head, Revision, error)
+	// WaitHead returns the head once its revision is above after, or
+	// ErrNotFound if the platform saw no change for a while.
+	WaitHead(ctx context.Context, after Revision) (*Head, Revision, error)
+	// CommitHead replaces the head if its revision is still expect.
+	CommitHead(ctx context.Context, h *Head, expect Revision) error
+	// Body returns the service stored under a digest.
+	Body(ctx context.Context, d target.Digest) (*target.Service, error)
+	// PutBody stores a service under its digest.
+	PutBody(ctx context.Context, s *target.Service) error
+	// Table returns a stored base table.
+	Table(ctx context.Context, ref TableRef) (*Table, error)
+	// PutTable stores a base table and returns its reference.
+	PutTable(ctx context.Context, t *Table) (TableRef, error)
+}
--- /dev/null
+++ b/mesh/proxy/inner.go
@@ -0,0 +1,60 @@
+// Package proxy takes calls through a daemon: Outer serves callers and chooses
+// backend servers, Inner admits calls to this daemon's own backend server.
+package proxy
+
+import (
+	"context"
+	"errors"
+
+	"fescuehoist.example/mesh/admit"
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/route"
+)
+
+var (
+	errNoService = errors.New("the service is not in the configuration")
+	errNoClass   = errors.New("the call matches no class of the service")
+	errNoServer  = errors.New("no backend server takes calls of the service")
+)
+
+// Inner runs calls at this daemon's backend server.
+type Inner struct {
+	Routes  *route.Router
+	Gate    *admit.Gate
+	Backend call.Callee
+}
+
+// Call admits the call and runs it. The answer carries the server's load.
+func (p *Inner) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	if err := classify(p.Routes.Table(), r); err != nil {
+		return nil, err
+	}
+	leave, err := p.Gate.Enter(ctx, r.Class)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	answer, err := p.Backend.Call(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	answer.Load = p.Gate.Load()
+	return answer, nil
+}
+
+// classify sets the class of a call.
+func classify(t *route.Table, r *call.Request) error {
+	if r.Class != nil {
+		return nil
+	}
+	s := t.Service(r.Service)
+	if s == nil {
+		return call.Refuse(call.NoRoute, errNoService)
+	}
+	r.Class = s.Config.Classify(r.Method, r.URI)
+	if r.Class == nil {
+		return call.Refuse(call.NoRoute, errNoClass)
+	}
+	r.ClassName = r.Class.Name
+	return nil
+}
--- /dev/null
+++ b/mesh/target/validate.go
@@ -0,0 +1,142 @@
+package target
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Limits on declared values.
+const (
+	MaxNameLength   = 63
+	MaxClasses      = 64
+	MaxRank         = 16
+	MaxPathLength   = 512
+	MaxTimeout      = time.Hour
+	MaxNotice       = 60 * 24 * time.Hour
+	MinLatency      = time.Millisecond
+	maxKeepTotalEps = 1e-9
+)
+
+// Problem is one reason why a declaration is refused.
+type Problem struct {
+	// Service and Class name where the problem is; Class may be empty.
+	Service, Class string
+	// Field is the declared key at fault; it may be empty.
+	Field string
+	// Text says what is wrong and what to write instead.
+	Text string
+}
+
+// Error formats the problem as one line.
+func (p Problem) Error() string {
+	where := "service " + quote(p.Service)
+	if p.Class != "" {
+		where += ", class " + quote(p.Class)
+	}
+	if p.Field != "" {
+		where += ", " + p.Field
+	}
+	return where + ": " + p.Text
+}
+
+func quote(s string) string { return fmt.Sprintf("%q", s) }
+
+// Validate returns every problem of the service; none means that it may be
+// applied.
+func (s *Service) Validate() []Problem {
+	v := validator{service: s.Name}
+	v.name("", "name", s.Name)
+	if len(s.Classes) == 0 {
+		v.add("", "class", "declare at least one class")
+	}
+	if len(s.Classes) > MaxClasses {
+		v.add("", "class", fmt.Sprintf("%d classes; declare at most %d", len(s.Classes), MaxClasses))
+	}
+	v.duplicates(s.Classes)
+	keep := 0.0
+	for i := range s.Classes {
+		v.class(&s.Classes[i])
+		keep += s.Classes[i].Keep
+	}
+	if keep > 1+maxKeepTotalEps {
+		v.add("", "keep", fmt.Sprintf("the classes keep %.2f of the capacity together; the sum must be at most 1", keep))
+	}
+	return v.problems
+}
+
+type validator struct {
+	service  string
+	problems []Problem
+}
+
+func (v *validator) add(class, field, text string) {
+	v.problems = append(v.problems, Problem{Service: v.service, Class: class, Field: field, Text: text})
+}
+
+func (v *validator) class(c *Class) {
+	v.name(c.Name, "name", c.Name)
+	if !strings.HasPrefix(c.Path, "/") || len(c.Path) > MaxPathLength {
+		v.add(c.Name, "path", fmt.Sprintf("%q; write a path that starts with / and has at most %d bytes", c.Path, MaxPathLength))
+	}
+	if c.Method != strings.ToUpper(c.Method) {
+		v.add(c.Name, "method", fmt.Sprintf("%q; write the method in capitals", c.Method))
+	}
+	if c.Rank < 1 || c.Rank > MaxRank {
+		v.add(c.Name, "rank", fmt.Sprintf("%d; write 1 (most urgent) to %d", c.Rank, MaxRank))
+	}
+	if c.Latency < MinLatency || c.Latency > MaxTimeout {
+		v.add(c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
+	}
+	if c.Timeout < c.Latency || c.Timeout > MaxTimeout {
+		v.add(c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, c.Latency, MaxTimeout))
+	}
+	if !(c.Success > 0 && c.Success < 1) {
+		v.add(c.Name, "success", fmt.Sprintf("%v; write a share above 0 and below 1", c.Success))
+	}
+	if !(c.Keep >= 0 && c.Keep <= 1) {
+		v.add(c.Name, "keep", fmt.Sprintf("%v; write a share from 0 to 1", c.Keep))
+	}
+	if c.Notice < 0 || c.Notice > MaxNotice {
+		v.add(c.Name, "notice", fmt.Sprintf("%s; write a duration from 0 to %s", c.Notice, MaxNotice))
+	}
+}
+
+func (v *validator) name(class, field, name string) {
+	if !ValidName(name) {
+		v.add(class, field, fmt.Sprintf("%q; write 1 to %d of a-z, 0-9 and -, with a letter first", name, MaxNameLength))
+	}
+}
+
+func (v *validator) duplicates(classes []Class) {
+	names := make(map[string]bool, len(classes))
+	matches := make(map[string]string, len(classes))
+	for i := range classes {
+		c := &classes[i]
+		if names[c.Name] {
+			v.add(c.Name, "name", "declared twice; rename one")
+		}
+		names[c.Name] = true
+		match := c.Method + " " + c.Path
+		if other, ok := matches[match]; ok {
+			v.add(c.Name, "path", fmt.Sprintf("matches the same calls as class %q; change method or path", other))
+		}
+		matches[match] = c.Name
+	}
+}
+
+// ValidName reports whether name may name a service, class or client.
+func ValidName(name string) bool {
+	if len(name) == 0 || len(name) > MaxNameLength {
+		return false
+	}
+	for i := 0; i < len(name); i++ {
+		c := name[i]
+		letter := c >= 'a' && c <= 'z'
+		other := (c >= '0' && c <= '9') || c == '-'
+		if !letter && (i == 0 || !other) {
+			return false
+		}
+	}
+	return true
+}
