--- /dev/null
+++ b/adapters/callhttp/forwarder.go
@@ -0,0 +1,77 @@
+package callhttp
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/adapters/httpconn"
+	"fescuehoist.example/mesh/call"
+)
+
+// Forwarder carries calls to other daemons.
+type Forwarder struct {
+	dial  httpconn.DialFunc
+	mu    sync.Mutex
+	pools map[string]*httpconn.Pool
+}
+
+// NewForwarder returns a forwarder. A nil dial uses plain TCP.
+func NewForwarder(dial httpconn.DialFunc) *Forwarder {
+	return &Forwarder{dial: dial, pools: map[string]*httpconn.Pool{}}
+}
+
+// Forward sends a call to the daemon at address and returns its answer.
+func (f *Forwarder) Forward(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	WriteRequest(ctx, r, req)
+	req.Header.Set(headerService, r.Service)
+	req.Header.Set(headerClass, r.ClassName)
+	req.Header.Set(headerAttempt, strconv.Itoa(r.Attempt))
+	if err := f.pool(address).Do(ctx, req, resp); err != nil {
+		return nil, err
+	}
+	return answerOf(resp)
+}
+
+var errNoVerdict = errors.New("the answer carries no verdict")
+
+// answerOf returns the answer or the failure that the other daemon reported.
+func answerOf(resp *fasthttp.Response) (*call.Answer, error) {
+	verdict, ok := call.ParseVerdict(string(resp.Header.Peek(HeaderVerdict)))
+	if !ok {
+		return nil, &call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut, Err: errNoVerdict}
+	}
+	if verdict != call.Ran {
+		reason := call.Reason(resp.Header.Peek(HeaderReason))
+		return nil, &call.Failure{Verdict: verdict, Reason: reason}
+	}
+	a := ReadAnswer(resp)
+	a.Load = parseLoad(string(resp.Header.Peek(headerLoad)))
+	return a, nil
+}
+
+func (f *Forwarder) pool(address string) *httpconn.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[address]
+	if p == nil {
+		p = httpconn.NewPool(address, f.dial)
+		f.pools[address] = p
+	}
+	return p
+}
+
+// Close closes all idle connections.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pools {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/adapters/callhttp/handler.go
@@ -0,0 +1,67 @@
+package callhttp
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/mesh/call"
+)
+
+// Callers answers requests from callers.
+type Callers struct{ Callee call.Callee }
+
+// Handle takes one request through.
+func (h *Callers) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	r := ReadRequest(req)
+	handle(ctx, h.Callee, r, req, resp)
+}
+
+// Daemons answers calls that other daemons forward.
+type Daemons struct{ Callee call.Callee }
+
+// Handle takes one forwarded call through.
+func (h *Daemons) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	r := ReadRequest(req)
+	r.Service = string(req.Header.Peek(headerService))
+	r.ClassName = string(req.Header.Peek(headerClass))
+	attempt, err := strconv.Atoi(string(req.Header.Peek(headerAttempt)))
+	if err != nil {
+		writeFailure(call.Refuse(call.BadRequest, err), resp)
+		return
+	}
+	r.Attempt = attempt
+	handle(ctx, h.Callee, r, req, resp)
+}
+
+func handle(ctx context.Context, callee call.Callee, r *call.Request, req *fasthttp.Request, resp *fasthttp.Response) {
+	timeout, ok, err := timeoutOf(req)
+	if err != nil {
+		writeFailure(call.Refuse(call.BadRequest, err), resp)
+		return
+	}
+	if ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	answer, err := callee.Call(ctx, r)
+	if err != nil {
+		writeFailure(asFailure(err), resp)
+		return
+	}
+	writeAnswer(answer, resp)
+	if answer.Load.Limit > 0 {
+		resp.Header.Set(headerLoad, formatLoad(answer.Load))
+	}
+}
+
+func asFailure(err error) *call.Failure {
+	var f *call.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut, Err: err}
+}
--- /dev/null
+++ b/adapters/callhttp/header.go
@@ -0,0 +1,165 @@
+// Package callhttp carries calls over HTTP: from callers to a daemon, and from
+// one daemon to another.
+package callhttp
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/mesh/call"
+)
+
+// Header fields that callers see.
+const (
+	// HeaderVerdict says on every answer whether the request may have run.
+	HeaderVerdict = "Fescuehoist-Verdict"
+	// HeaderReason names why a request got no answer from a backend server.
+	HeaderReason = "Fescuehoist-Reason"
+	// HeaderClient names the client on whose behalf a caller calls.
+	HeaderClient = "Fescuehoist-Client"
+	// HeaderTimeout is the time left for the answer, in milliseconds.
+	HeaderTimeout = "Fescuehoist-Timeout"
+	// HeaderKey identifies a request that may not run twice.
+	HeaderKey = "Idempotency-Key"
+)
+
+// Header fields between daemons.
+const (
+	headerPrefix  = "Fescuehoist-"
+	headerService = "Fescuehoist-Service"
+	headerClass   = "Fescuehoist-Class"
+	headerAttempt = "Fescuehoist-Attempt"
+	headerLoad    = "Fescuehoist-Load"
+)
+
+// hopByHop lists the fields that describe a connection rather than a message.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true, "Expect": true,
+}
+
+func passes(name string) bool {
+	return !hopByHop[name] && !strings.HasPrefix(name, headerPrefix)
+}
+
+// ReadRequest returns the call that a request from a caller describes.
+func ReadRequest(req *fasthttp.Request) *call.Request {
+	host := string(req.Host())
+	if i := strings.IndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	r := &call.Request{
+		Service: host,
+		Client:  string(req.Header.Peek(HeaderClient)),
+		Key:     string(req.Header.Peek(HeaderKey)),
+		Method:  string(req.Header.Method()),
+		URI:     string(req.Header.RequestURI()),
+		Body:    req.Body(),
+	}
+	for name, value := range req.Header.All() {
+		if n := string(name); passes(n) {
+			r.Header = append(r.Header, call.Field{Name: n, Value: string(value)})
+		}
+	}
+	return r
+}
+
+// WriteRequest writes a call as a request to its backend server.
+func WriteRequest(ctx context.Context, r *call.Request, req *fasthttp.Request) {
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(r.Method)
+	req.Header.SetRequestURI(r.URI)
+	req.SetHost(r.Service)
+	for _, f := range r.Header {
+		req.Header.Add(f.Name, f.Value)
+	}
+	if r.Client != "" {
+		req.Header.Set(HeaderClient, r.Client)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	if len(r.Body) > 0 {
+		req.SetBodyRaw(r.Body)
+	}
+}
+
+// ReadAnswer copies an answer out of a response.
+func ReadAnswer(resp *fasthttp.Response) *call.Answer {
+	a := &call.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	for name, value := range resp.Header.All() {
+		if n := string(name); passes(n) {
+			a.Header = append(a.Header, call.Field{Name: n, Value: string(value)})
+		}
+	}
+	return a
+}
+
+// writeAnswer writes an answer as a response.
+func writeAnswer(a *call.Answer, resp *fasthttp.Response) {
+	resp.SetStatusCode(a.Status)
+	for _, f := range a.Header {
+		if f.Name == "Content-Type" {
+			resp.Header.SetContentType(f.Value)
+			continue
+		}
+		resp.Header.Add(f.Name, f.Value)
+	}
+	resp.SetBodyRaw(a.Body)
+	resp.Header.Set(HeaderVerdict, call.Ran.String())
+}
+
+// writeFailure writes a failure as a response.
+func writeFailure(f *call.Failure, resp *fasthttp.Response) {
+	resp.SetStatusCode(statusOf(f))
+	resp.Header.Set(HeaderVerdict, f.Verdict.String())
+	resp.Header.Set(HeaderReason, string(f.Reason))
+	resp.Header.SetContentType("text/plain; charset=utf-8")
+	resp.SetBodyString(f.Error() + "\n")
+}
+
+func statusOf(f *call.Failure) int {
+	switch f.Reason {
+	case call.NoRoute:
+		return fasthttp.StatusNotFound
+	case call.BadRequest:
+		return fasthttp.StatusBadRequest
+	case call.Deadline:
+		return fasthttp.StatusGatewayTimeout
+	}
+	if f.Verdict == call.NotRun {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
+// timeoutOf returns the time left that a request declares; false if none.
+func timeoutOf(req *fasthttp.Request) (time.Duration, bool, error) {
+	text := string(req.Header.Peek(HeaderTimeout))
+	if text == "" {
+		return 0, false, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return 0, false, fmt.Errorf("%s is %q; write a whole number of milliseconds above 0", HeaderTimeout, text)
+	}
+	return time.Duration(ms) * time.Millisecond, true, nil
+}
+
+func formatLoad(l call.Load) string {
+	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Queued) + " " + strconv.Itoa(l.Limit)
+}
+
+func parseLoad(text string) call.Load {
+	var l call.Load
+	if _, err := fmt.Sscanf(text, "%d %d %d", &l.Running, &l.Queued, &l.Limit); err != nil {
+		return call.Load{}
+	}
+	return l
+}
--- /dev/null
+++ b/adapters/httpconn/quiet.go
@@ -0,0 +1,30 @@
+package httpconn
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func quiet(c net.Conn) bool {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/adapters/peergrpc/server.go
@@ -0,0 +1,55 @@
+package peergrpc
+
+import (
+	"context"
+	"net"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"fescuehoist.example/adapters/peergrpc/peerpb"
+	"fescuehoist.example/mesh/spread"
+)
+
+// Handler runs an accepted stream until it ends.
+type Handler interface {
+	Serve(ctx context.Context, link spread.Link) error
+}
+
+// Server accepts streams from other daemons.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	handler Handler
+	creds   credentials.TransportCredentials
+}
+
+// NewServer returns a server that gives each stream to the handler.
+func NewServer(handler Handler, creds credentials.TransportCredentials) *Server {
+	return &Server{handler: handler, creds: creds}
+}
+
+// Exchange runs one stream.
+func (s *Server) Exchange(stream peerpb.Peer_ExchangeServer) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	closed := make(chan error, 1)
+	l := &link{stream: stream, close: func() { closed <- nil }}
+	go func() { closed <- s.handler.Serve(ctx, l) }()
+	return <-closed
+}
+
+// Run accepts streams on the listener until ctx ends.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	server := grpc.NewServer(grpc.Creds(s.creds),
+		grpc.MaxRecvMsgSize(MaxMessageSize), grpc.MaxSendMsgSize(MaxMessageSize))
+	peerpb.RegisterPeerServer(server, s)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return server.Serve(ln) })
+	g.Go(func() error {
+		<-ctx.Done()
+		server.Stop()
+		return nil
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/adapters/platformhttp/repository.go
@@ -0,0 +1,221 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/target"
+)
+
+// Keys of configuration in the platform.
+const (
+	headKey     = "config/head"
+	bodyPrefix  = "config/body/"
+	tablePrefix = "config/table/"
+)
+
+// Repository keeps configuration in the platform.
+type Repository struct{ Client *Client }
+
+type headJSON struct {
+	Version     uint64       `json:"version"`
+	BaseVersion uint64       `json:"base_version"`
+	BaseDigest  string       `json:"base_digest"`
+	Changes     []changeJSON `json:"changes"`
+}
+
+type changeJSON struct {
+	Version uint64    `json:"version"`
+	EditID  string    `json:"edit_id"`
+	Author  string    `json:"author"`
+	At      time.Time `json:"at"`
+	Updated []refJSON `json:"updated,omitempty"`
+	Removed []string  `json:"removed,omitempty"`
+}
+
+type refJSON struct {
+	Service string `json:"service"`
+	Digest  string `json:"digest"`
+}
+
+type tableJSON struct {
+	Version uint64    `json:"version"`
+	Refs    []refJSON `json:"refs"`
+}
+
+type serviceJSON struct {
+	Name    string      `json:"name"`
+	Classes []classJSON `json:"classes"`
+}
+
+type classJSON struct {
+	Name       string  `json:"name"`
+	Method     string  `json:"method,omitempty"`
+	Path       string  `json:"path"`
+	Rank       int     `json:"rank"`
+	Latency    string  `json:"latency"`
+	Success    float64 `json:"success"`
+	Keep       float64 `json:"keep"`
+	Timeout    string  `json:"timeout"`
+	Idempotent bool    `json:"idempotent"`
+	Internal   bool    `json:"internal"`
+	Notice     string  `json:"notice"`
+}
+
+// Head reads the head; an absent one is version 0.
+func (r *Repository) Head(ctx context.Context) (*manifest.Head, manifest.Revision, error) {
+	o, err := r.Client.Get(ctx, headKey)
+	return head(o, err, true)
+}
+
+// WaitHead waits for a head whose revision is above after.
+func (r *Repository) WaitHead(ctx context.Context, after manifest.Revision) (*manifest.Head, manifest.Revision, error) {
+	o, err := r.Client.Watch(ctx, headKey, uint64(after))
+	return head(o, err, false)
+}
+
+// CommitHead replaces the head if its revision is still expect.
+func (r *Repository) CommitHead(ctx context.Context, h *manifest.Head, expect manifest.Revision) error {
+	out := headJSON{Version: uint64(h.Version), BaseVersion: uint64(h.Base.Version), BaseDigest: string(h.Base.Digest)}
+	for i := range h.Changes {
+		c := &h.Changes[i]
+		out.Changes = append(out.Changes, changeJSON{
+			Version: uint64(c.Version), EditID: c.EditID, Author: c.Author, At: c.At,
+			Updated: refsToJSON(c.Updated), Removed: c.Removed,
+		})
+	}
+	_, err := r.Client.Put(ctx, headKey, out, uint64(expect))
+	return err
+}
+
+// Body reads the service stored under a digest.
+func (r *Repository) Body(ctx context.Context, d target.Digest) (*target.Service, error) {
+	o, err := r.Client.Get(ctx, bodyPrefix+string(d))
+	if err != nil {
+		return nil, err
+	}
+	s, err := serviceFromJSON(o.Value)
+	if err != nil {
+		return nil, &manifest.Malformed{Object: o.Key, Err: err}
+	}
+	if s.Digest() != d {
+		return nil, &manifest.Malformed{Object: o.Key, Err: fmt.Errorf("its content has digest %s", s.Digest())}
+	}
+	return s, nil
+}
+
+// PutBody stores a service under its digest.
+func (r *Repository) PutBody(ctx context.Context, s *target.Service) error {
+	_, err := r.Client.Put(ctx, bodyPrefix+string(s.Digest()), serviceToJSON(s), 0)
+	return err
+}
+
+// Table reads a base table.
+func (r *Repository) Table(ctx context.Context, ref manifest.TableRef) (*manifest.Table, error) {
+	o, err := r.Client.Get(ctx, tablePrefix+string(ref.Digest))
+	if err != nil {
+		return nil, err
+	}
+	var in tableJSON
+	if err := json.Unmarshal(o.Value, &in); err != nil {
+		return nil, &manifest.Malformed{Object: o.Key, Err: err}
+	}
+	t := &manifest.Table{Version: manifest.Version(in.Version), Refs: refsFromJSON(in.Refs)}
+	if t.Digest() != ref.Digest || t.Version != ref.Version {
+		return nil, &manifest.Malformed{Object: o.Key, Err: fmt.Errorf("its content has digest %s", t.Digest())}
+	}
+	return t, nil
+}
+
+// PutTable stores a base table under its digest.
+func (r *Repository) PutTable(ctx context.Context, t *manifest.Table) (manifest.TableRef, error) {
+	ref := manifest.TableRef{Version: t.Version, Digest: t.Digest()}
+	out := tableJSON{Version: uint64(t.Version), Refs: refsToJSON(t.Refs)}
+	_, err := r.Client.Put(ctx, tablePrefix+string(ref.Digest), out, 0)
+	return ref, err
+}
+
+func head(o *Object, err error, absentIsZero bool) (*manifest.Head, manifest.Revision, error) {
+	if absentIsZero && isNotFound(err) {
+		return &manifest.Head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var in headJSON
+	if err := json.Unmarshal(o.Value, &in); err != nil {
+		return nil, 0, &manifest.Malformed{Object: headKey, Err: err}
+	}
+	h := &manifest.Head{
+		Version: manifest.Version(in.Version),
+		Base:    manifest.TableRef{Version: manifest.Version(in.BaseVersion), Digest: target.Digest(in.BaseDigest)},
+	}
+	for _, c := range in.Changes {
+		h.Changes = append(h.Changes, manifest.Change{
+			Version: manifest.Version(c.Version), EditID: c.EditID, Author: c.Author, At: c.At,
+			Updated: refsFromJSON(c.Updated), Removed: c.Removed,
+		})
+	}
+	if err := h.Check(); err != nil {
+		return nil, 0, &manifest.Malformed{Object: headKey, Err: err}
+	}
+	return h, manifest.Revision(o.Version), nil
+}
+
+func refsToJSON(refs []manifest.Ref) []refJSON {
+	out := make([]refJSON, len(refs))
+	for i, r := range refs {
+		out[i] = refJSON{Service: r.Service, Digest: string(r.Digest)}
+	}
+	return out
+}
+
+func refsFromJSON(in []refJSON) []manifest.Ref {
+	refs := make([]manifest.Ref, len(in))
+	for i, r := range in {
+		refs[i] = manifest.Ref{Service: r.Service, Digest: target.Digest(r.Digest)}
+	}
+	return refs
+}
+
+func serviceToJSON(s *target.Service) serviceJSON {
+	out := serviceJSON{Name: s.Name}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		out.Classes = append(out.Classes, classJSON{
+			Name: c.Name, Method: c.Method, Path: c.Path, Rank: c.Rank,
+			Latency: c.Latency.String(), Success: c.Success, Keep: c.Keep, Timeout: c.Timeout.String(),
+			Idempotent: c.Idempotent, Internal: c.Internal, Notice: c.Notice.String(),
+		})
+	}
+	return out
+}
+
+func serviceFromJSON(raw []byte) (*target.Service, error) {
+	var in serviceJSON
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, err
+	}
+	s := &target.Service{Name: in.Name}
+	for _, c := range in.Classes {
+		class := target.Class{
+			Name: c.Name, Method: c.Method, Path: c.Path, Rank: c.Rank, Success: c.Success, Keep: c.Keep,
+			Idempotent: c.Idempotent, Internal: c.Internal,
+		}
+		for _, f := range []struct {
+			name, text string
+			to         *time.Duration
+		}{{"latency", c.Latency, &class.Latency}, {"timeout", c.Timeout, &class.Timeout}, {"notice", c.Notice, &class.Notice}} {
+			d, err := time.ParseDuration(f.text)
+			if err != nil {
+				return nil, fmt.Errorf("class %s: %s: %w", c.Name, f.name, err)
+			}
+			*f.to = d
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s, nil
+}
