Build one path from end to end

Cause: nothing ran yet.

The first test run found a data race in the generator's random numbers; they are drawn under the lock now.

--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,249 @@
+// Package load drives calls at a scheduled rate, whether or not earlier ones
+// have been answered, checks each answer, and counts what became of each call.
+package load
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/adapters/callhttp"
+	"fescuehoist.example/adapters/httpconn"
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/standin/backend"
+)
+
+// Stream is one kind of call at one rate.
+type Stream struct {
+	// Service, Method and Path make up the call; Class is its expected class.
+	Service, Class, Method, Path string
+	// Clients are the names that calls are made in turn for.
+	Clients []string
+	// Rate is the number of calls a second.
+	Rate float64
+	// Latency is the class's target.
+	Latency time.Duration
+	// Idempotent says whether a call may run more than once.
+	Idempotent bool
+	// BodySize is the number of bytes sent with a call.
+	BodySize int
+}
+
+// Report counts what became of the calls of a stream.
+type Report struct {
+	Stream                       Stream
+	Offered, Answered, Good      int
+	NotRun, MayHaveRun, Mistaken int
+	// Latency is measured from the intended time of each call, in
+	// microseconds, of the calls that were answered.
+	Latency *hdrhistogram.Histogram
+	// Late is by how much the generator itself sent late, in microseconds.
+	Late *hdrhistogram.Histogram
+	// Reasons counts the reasons of failed calls.
+	Reasons map[string]int
+}
+
+// Fate is what a caller was told of one request.
+type Fate struct {
+	Stream  int
+	Verdict call.Verdict
+}
+
+// Generator drives streams of calls into daemons.
+type Generator struct {
+	streams []Stream
+	rng     *rand.Rand
+
+	mu      sync.Mutex
+	targets []string
+	pools   map[string]*httpconn.Pool
+	reports []*Report
+	fates   map[string]Fate
+	calls   sync.WaitGroup
+}
+
+// maxLatency is the largest latency that a histogram holds, in microseconds.
+const maxLatency = 60_000_000
+
+// New returns a generator that calls the daemons at targets in random turns.
+func New(seed uint64, targets []string, streams []Stream) *Generator {
+	g := &Generator{
+		streams: streams, targets: targets, rng: rand.New(rand.NewPCG(seed, seed)),
+		pools: map[string]*httpconn.Pool{}, fates: map[string]Fate{},
+	}
+	for _, s := range streams {
+		g.reports = append(g.reports, &Report{
+			Stream: s, Reasons: map[string]int{},
+			Latency: hdrhistogram.New(1, maxLatency, 3), Late: hdrhistogram.New(1, maxLatency, 3),
+		})
+	}
+	return g
+}
+
+// SetTargets replaces the daemons that new calls go to.
+func (g *Generator) SetTargets(targets []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.targets = targets
+}
+
+// Run offers the calls of all streams until ctx ends, then waits for the last
+// answers.
+func (g *Generator) Run(ctx context.Context) {
+	var streams sync.WaitGroup
+	start := time.Now()
+	offsets := g.offsets()
+	for i := range g.streams {
+		streams.Go(func() { g.offer(ctx, i, start.Add(offsets[i])) })
+	}
+	streams.Wait()
+	g.calls.Wait()
+	for _, p := range g.pools {
+		p.Close()
+	}
+}
+
+// offsets returns a random part of the interval of each stream, so that the
+// streams do not start in step.
+func (g *Generator) offsets() []time.Duration {
+	offsets := make([]time.Duration, len(g.streams))
+	for i := range g.streams {
+		offsets[i] = time.Duration(g.rng.Float64() / g.streams[i].Rate * float64(time.Second))
+	}
+	return offsets
+}
+
+// offer starts the calls of one stream on schedule.
+func (g *Generator) offer(ctx context.Context, i int, start time.Time) {
+	s := &g.streams[i]
+	interval := time.Duration(float64(time.Second) / s.Rate)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		due := start.Add(time.Duration(n) * interval)
+		timer.Reset(time.Until(due))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		g.calls.Go(func() { g.call(context.WithoutCancel(ctx), i, n, due) })
+	}
+}
+
+func (g *Generator) call(ctx context.Context, i, n int, due time.Time) {
+	s := &g.streams[i]
+	id := fmt.Sprintf("%s-%d-%d", s.Class, i, n)
+	late := time.Since(due)
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(s.Method)
+	req.SetRequestURI(s.Path)
+	req.SetHost(s.Service)
+	req.Header.Set(callhttp.HeaderClient, s.Clients[n%len(s.Clients)])
+	req.Header.Set(backend.HeaderRequest, id)
+	if !s.Idempotent {
+		req.Header.Set(callhttp.HeaderKey, id)
+	}
+	if s.BodySize > 0 {
+		req.SetBodyRaw(bytes.Repeat([]byte("b"), s.BodySize))
+	}
+	err := g.pool().Do(ctx, req, resp)
+	g.note(i, id, late, time.Since(due), resp, err)
+}
+
+func (g *Generator) pool() *httpconn.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	address := g.targets[g.rng.IntN(len(g.targets))]
+	p := g.pools[address]
+	if p == nil {
+		p = httpconn.NewPool(address, nil)
+		g.pools[address] = p
+	}
+	return p
+}
+
+func (g *Generator) note(i int, id string, late, took time.Duration, resp *fasthttp.Response, err error) {
+	verdict, reason := outcome(resp, err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.reports[i]
+	r.Offered++
+	_ = r.Late.RecordValue(max(late.Microseconds(), 1))
+	g.fates[id] = Fate{Stream: i, Verdict: verdict}
+	switch verdict {
+	case call.NotRun:
+		r.NotRun++
+		r.Reasons[reason]++
+	case call.MayHaveRun:
+		r.MayHaveRun++
+		r.Reasons[reason]++
+	case call.Ran:
+		r.Answered++
+		_ = r.Latency.RecordValue(max(took.Microseconds(), 1))
+		if !whole(id, resp) {
+			r.Mistaken++
+			return
+		}
+		if took <= r.Stream.Latency {
+			r.Good++
+		}
+	}
+}
+
+// outcome returns what a caller learns of its request.
+func outcome(resp *fasthttp.Response, err error) (call.Verdict, string) {
+	var f *call.Failure
+	if errors.As(err, &f) {
+		return f.Verdict, "caller: " + string(f.Reason)
+	}
+	verdict, ok := call.ParseVerdict(string(resp.Header.Peek(callhttp.HeaderVerdict)))
+	if !ok {
+		return call.MayHaveRun, "no verdict"
+	}
+	return verdict, string(resp.Header.Peek(callhttp.HeaderReason))
+}
+
+// whole reports whether the answer is the whole one to the request id.
+func whole(id string, resp *fasthttp.Response) bool {
+	body := resp.Body()
+	sum := sha256.Sum256(body)
+	return resp.StatusCode() == fasthttp.StatusOK &&
+		bytes.HasPrefix(body, []byte(id+" ")) &&
+		string(resp.Header.Peek(backend.HeaderChecksum)) == hex.EncodeToString(sum[:])
+}
+
+// Reports returns the counts of each stream.
+func (g *Generator) Reports() []*Report { return g.reports }
+
+// Violations compares what callers were told with the number of times that
+// each request ran, summed over all backend servers.
+func (g *Generator) Violations(runs map[string]int) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []string
+	for id, fate := range g.fates {
+		n := runs[id]
+		s := &g.streams[fate.Stream]
+		switch {
+		case fate.Verdict == call.NotRun && n > 0:
+			found = append(found, fmt.Sprintf("%s was reported as not run but ran %d times", id, n))
+		case fate.Verdict == call.Ran && n == 0:
+			found = append(found, fmt.Sprintf("%s was answered but did not run", id))
+		case !s.Idempotent && n > 1:
+			found = append(found, fmt.Sprintf("%s is not idempotent but ran %d times", id, n))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/fescuehoist/demo/demo_test.go
@@ -0,0 +1,34 @@
+package demo_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/fescuehoist/demo"
+)
+
+func TestInvariantsHoldWhileTheDeploymentChanges(t *testing.T) {
+	for _, deployment := range []string{"nuqta", "trinacria"} {
+		t.Run(deployment, func(t *testing.T) {
+			services, err := targetfile.Load("../../examples/" + deployment + "/targets.toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			result, err := demo.Run(context.Background(), demo.Options{
+				Deployment: deployment, Seed: 1, Duration: 6 * time.Second,
+				Targets: services, Out: io.Discard,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, i := range result.Invariants {
+				if !i.Holds {
+					t.Errorf("%s: %v", i.Name, i.Details)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fescuehoistd/daemon/daemon.go
@@ -0,0 +1,238 @@
+// Package daemon wires one daemon together: its stores, its decisions and its
+// adapters, and the order in which they start and stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"fescuehoist.example/adapters/adminhttp"
+	"fescuehoist.example/adapters/backendhttp"
+	"fescuehoist.example/adapters/callhttp"
+	"fescuehoist.example/adapters/httpconn"
+	"fescuehoist.example/adapters/peergrpc"
+	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/admit"
+	"fescuehoist.example/mesh/announce"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/proxy"
+	"fescuehoist.example/mesh/reader"
+	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/spread"
+)
+
+// farewellPeriod is how long a leaving daemon stays to spread that it left.
+const farewellPeriod = 200 * time.Millisecond
+
+// ErrAborted, as the cause of the end of Run's context, ends the daemon at once
+// as a fault would: without draining and without telling anyone.
+var ErrAborted = errors.New("the daemon is aborted")
+
+// Config holds the settings of a daemon's parts.
+type Config struct {
+	Settings *settings.Settings
+	Spread   spread.Config
+	Reader   reader.Config
+	Log      *logrus.Logger
+}
+
+// DefaultConfig returns the defaults for the given settings.
+func DefaultConfig(s *settings.Settings, log *logrus.Logger) Config {
+	return Config{Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Log: log}
+}
+
+// Listeners are the open sockets of a daemon.
+type Listeners struct{ Callers, Calls, Peers, Admin net.Listener }
+
+// Listen opens the sockets that the settings name.
+func Listen(s *settings.Settings) (*Listeners, error) {
+	l := &Listeners{}
+	for _, socket := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"callers", s.Callers, &l.Callers}, {"calls", s.Calls, &l.Calls},
+		{"peers", s.Peers, &l.Peers}, {"admin", s.Admin, &l.Admin},
+	} {
+		ln, err := net.Listen("tcp", socket.address)
+		if err != nil {
+			l.Close()
+			return nil, oops.In("daemon").Wrapf(err, "listen.%s", socket.name)
+		}
+		*socket.to = ln
+	}
+	return l, nil
+}
+
+// Close closes the sockets that are open.
+func (l *Listeners) Close() {
+	for _, ln := range []net.Listener{l.Callers, l.Calls, l.Peers, l.Admin} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// Daemon is one daemon.
+type Daemon struct {
+	cfg       Config
+	listeners *Listeners
+
+	members   *member.Table
+	log       *manifest.Log
+	node      *spread.Node
+	reader    *reader.Reader
+	router    *route.Router
+	gate      *admit.Gate
+	backend   *backendhttp.Client
+	announcer *announce.Announcer
+	forwarder *callhttp.Forwarder
+	platform  *platformhttp.Client
+	figures   *telemetry.Telemetry
+	inner     *proxy.Inner
+	outer     *proxy.Outer
+}
+
+// New builds a daemon on open sockets; Run starts it.
+func New(cfg Config, l *Listeners) (*Daemon, error) {
+	figures, err := telemetry.New()
+	if err != nil {
+		return nil, oops.In("daemon").Wrapf(err, "telemetry")
+	}
+	s := cfg.Settings
+	self := member.ServerID(s.Server)
+	d := &Daemon{
+		cfg: cfg, listeners: l, figures: figures,
+		members:   member.NewTable(self),
+		log:       manifest.NewLog(),
+		gate:      admit.NewGate(0),
+		backend:   &backendhttp.Client{},
+		forwarder: callhttp.NewForwarder(nil),
+		platform:  platformhttp.NewClient(s.Platform),
+	}
+	d.buildControl(self)
+	d.buildCalls(self)
+	return d, nil
+}
+
+func (d *Daemon) buildControl(self member.ServerID) {
+	s := d.cfg.Settings
+	dialer := &peergrpc.Dialer{Credentials: insecure.NewCredentials()}
+	d.node = spread.NewNode(d.cfg.Spread, self, s.Domain, s.Seeds, dialer, d.members, d.log, d.prefixed("spread"))
+	d.reader = reader.New(d.cfg.Reader, self, s.Domain, &platformhttp.Repository{Client: d.platform},
+		platformhttp.NewLeases(d.platform), d.members, d.log, d.prefixed("reader"))
+	own := member.Record{
+		Server: self, Domain: s.Domain,
+		CallAddress: d.listeners.Calls.Addr().String(), PeerAddress: d.listeners.Peers.Addr().String(),
+	}
+	d.announcer = announce.New(own, d.node, d.backend, d.gate, s.AnnounceLifetime)
+}
+
+func (d *Daemon) buildCalls(self member.ServerID) {
+	d.router = route.NewRouter(d.log, d.members)
+	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: d.backend}
+	d.outer = &proxy.Outer{
+		Self: self, Routes: d.router, Picker: route.NewPicker(d.cfg.Settings.Domain),
+		Budget: retry.NewBudget(), Remote: d.forwarder, Local: d.inner, Observe: d.figures,
+	}
+}
+
+// prefixed returns a logger whose messages start with the name of a part.
+func (d *Daemon) prefixed(part string) *logrus.Entry {
+	return d.cfg.Log.WithField("part", part).WithField("server", d.cfg.Settings.Server)
+}
+
+// Run runs the daemon until ctx ends, then drains it: the backend server
+// leaves, running calls end, and the peers are told before the streams close.
+func (d *Daemon) Run(ctx context.Context) error {
+	out := d.prefixed("daemon")
+	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	calls, stopCalls := context.WithCancel(control)
+	defer stopCalls()
+
+	g, control := errgroup.WithContext(control)
+	callers := httpconn.NewServer((&callhttp.Callers{Callee: d.outer}).Handle)
+	forwarded := httpconn.NewServer((&callhttp.Daemons{Callee: d.inner}).Handle)
+	var serving errgroup.Group
+	serving.Go(func() error { return callers.Run(calls, d.listeners.Callers) })
+	serving.Go(func() error { return forwarded.Run(calls, d.listeners.Calls) })
+	g.Go(serving.Wait)
+	g.Go(func() error { return d.node.Run(control) })
+	g.Go(func() error { return d.reader.Run(control) })
+	g.Go(func() error { return d.router.Run(control) })
+	g.Go(func() error {
+		return peergrpc.NewServer(d.node, insecure.NewCredentials()).Run(control, d.listeners.Peers)
+	})
+	g.Go(func() error { return d.admin().Run(control, d.listeners.Admin) })
+	g.Go(func() error {
+		defer stopControl()
+		select {
+		case <-ctx.Done():
+		case <-control.Done():
+			return nil
+		}
+		if errors.Is(context.Cause(ctx), ErrAborted) {
+			stopCalls()
+			callers.Abort()
+			forwarded.Abort()
+			return nil
+		}
+		out.Info("draining")
+		d.drain(control, stopCalls, serving.Wait)
+		out.Info("left")
+		return nil
+	})
+	out.Infof("started in failure domain %s", d.cfg.Settings.Domain)
+	err := g.Wait()
+	d.close()
+	return oops.In("daemon").Wrap(err)
+}
+
+// drain leaves in order: no new calls, the running ones end, then the peers
+// learn that the server has left.
+func (d *Daemon) drain(ctx context.Context, stopCalls func(), served func() error) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.DrainTimeout)
+	defer cancel()
+	if err := d.announcer.Drain(ctx); err != nil {
+		d.prefixed("daemon").Warn("the drain timeout passed while calls ran")
+	}
+	stopCalls()
+	done := make(chan struct{})
+	go func() {
+		_ = served()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	time.Sleep(farewellPeriod)
+}
+
+func (d *Daemon) close() {
+	d.forwarder.Close()
+	d.backend.Close()
+	d.platform.Close()
+	_ = d.figures.Close(context.Background())
+}
+
+func (d *Daemon) admin() *adminhttp.Server {
+	return &adminhttp.Server{
+		Announcer: d.announcer,
+		Figures:   d.figures.Handler(),
+		State:     func() any { return d.State() },
+		Ready:     func() bool { return d.log.Snapshot().Version() > 0 },
+	}
+}
--- /dev/null
+++ b/fescuehoistd/daemon/state.go
@@ -0,0 +1,52 @@
+package daemon
+
+import "fescuehoist.example/mesh/manifest"
+
+// State is the read-only picture of a daemon that its admin address serves.
+type State struct {
+	Server  string           `json:"server"`
+	Domain  string           `json:"domain"`
+	State   string           `json:"state"`
+	InForce manifest.Version `json:"version_in_force"`
+	Known   manifest.Version `json:"version_known"`
+	// Refused says why the known version is not in force; empty if it is.
+	Refused string   `json:"refused,omitempty"`
+	Peers   int      `json:"peers"`
+	Members []Member `json:"members"`
+	Running int      `json:"calls_running"`
+	Queued  int      `json:"calls_queued"`
+	Limit   int      `json:"calls_limit"`
+}
+
+// Member is one backend server as the daemon sees it.
+type Member struct {
+	Server      string `json:"server"`
+	Service     string `json:"service"`
+	Domain      string `json:"domain"`
+	State       string `json:"state"`
+	Health      string `json:"health"`
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+}
+
+// State returns the daemon's current state.
+func (d *Daemon) State() State {
+	load := d.gate.Load()
+	s := State{
+		Server: d.cfg.Settings.Server, Domain: d.cfg.Settings.Domain,
+		State:   d.announcer.State().String(),
+		InForce: d.log.Snapshot().Version(), Known: d.log.Known(),
+		Peers: d.node.Peers(), Running: load.Running, Queued: load.Queued, Limit: load.Limit,
+	}
+	if r := d.log.Refusal(); r != nil {
+		s.Refused = r.Error()
+	}
+	for _, r := range d.members.View().All() {
+		s.Members = append(s.Members, Member{
+			Server: string(r.Server), Service: r.Service, Domain: r.Domain,
+			State: r.State.String(), Health: r.Health.String(),
+			Incarnation: r.Incarnation, Sequence: r.Sequence,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/fescuehoistd/main.go
@@ -0,0 +1,85 @@
+// Command fescuehoistd is the daemon beside each backend server.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"fescuehoist.example/adapters/logging"
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/adapters/tomlfile"
+	"fescuehoist.example/fescuehoistd/daemon"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitBadInput = 2
+)
+
+type arguments struct {
+	Config  string           `short:"c" required:"" type:"path" placeholder:"FILE" help:"Settings file (TOML; see docs/settings.md)."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+const description = `Runs the daemon beside one backend server. It takes calls from callers,
+routes them, admits calls to its backend server, and keeps the configuration
+and the view of all backend servers up to date.
+
+SIGTERM drains the backend server and then ends the daemon.
+Exit codes: 0 stopped as planned, 1 failure, 2 bad settings or arguments.`
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("fescuehoistd"), kong.Description(description),
+		kong.Vars{"version": Version}, kong.Exit(exit))
+	if err := run(args.Config); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(codeOf(err))
+	}
+}
+
+// exit maps kong's code for bad arguments to the documented one.
+func exit(code int) {
+	if code != 0 {
+		code = exitBadInput
+	}
+	os.Exit(code)
+}
+
+func codeOf(err error) int {
+	var problems tomlfile.Problems
+	if errors.As(err, &problems) || errors.Is(err, os.ErrNotExist) {
+		return exitBadInput
+	}
+	return exitFailure
+}
+
+func run(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	log := logging.New(os.Stderr, s.LogLevel)
+	listeners, err := daemon.Listen(s)
+	if err != nil {
+		return err
+	}
+	defer listeners.Close()
+	d, err := daemon.New(daemon.DefaultConfig(s, log), listeners)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,210 @@
+// Package backend is a stand-in for a backend server: it runs as many requests
+// at once as it has slots, takes a given time for each, announces itself to
+// the daemon beside it, and remembers what it ran.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// HeaderRequest carries the caller's id of a request; the answer's body starts
+// with it.
+const HeaderRequest = "X-Request-Id"
+
+// HeaderChecksum is the SHA-256 of an answer's body, in hexadecimal.
+const HeaderChecksum = "X-Checksum"
+
+// HeaderCrash makes the server crash when it runs the request.
+const HeaderCrash = "X-Crash"
+
+// announceInterval is how often the server announces itself.
+const announceInterval = 500 * time.Millisecond
+
+// Config describes one backend server.
+type Config struct {
+	// Service is the name of the service.
+	Service string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Work returns how long a request takes.
+	Work func(method, path string) time.Duration
+	// AnswerSize is the number of bytes of filler in an answer.
+	AnswerSize int
+	// Admin is the admin address of the daemon beside it.
+	Admin string
+}
+
+// Backend is one stand-in.
+type Backend struct {
+	cfg     Config
+	address string
+	crash   context.CancelFunc
+
+	mu       sync.Mutex
+	running  int
+	peak     int
+	runs     map[string]int
+	canceled int
+	shedding bool
+}
+
+// New returns a backend server; Run starts it.
+func New(cfg Config) *Backend { return &Backend{cfg: cfg, runs: map[string]int{}} }
+
+// SetShedding makes the server refuse every request as not run.
+func (b *Backend) SetShedding(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shedding = on
+}
+
+// Runs returns how often each request id was run.
+func (b *Backend) Runs() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int, len(b.runs))
+	for id, n := range b.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Canceled returns the number of requests whose callers left while they ran.
+func (b *Backend) Canceled() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.canceled
+}
+
+// Peak returns the most requests that ran at once.
+func (b *Backend) Peak() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peak
+}
+
+// Run serves requests on the listener and announces the server until ctx ends,
+// which closes all connections at once.
+func (b *Backend) Run(ctx context.Context, ln net.Listener) error {
+	ctx, b.crash = context.WithCancel(ctx)
+	defer b.crash()
+	b.address = ln.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(b.serve)}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return server.Serve(ln) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	g.Go(func() error { return b.announce(ctx) })
+	if err := g.Wait(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Crash ends the server at once, as a fault would.
+func (b *Backend) Crash() { b.crash() }
+
+func (b *Backend) announce(ctx context.Context) error {
+	tick := time.NewTicker(announceInterval)
+	defer tick.Stop()
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for {
+		b.announceOnce(ctx, client)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// announceOnce ignores failures: the next announcement makes up for them.
+func (b *Backend) announceOnce(ctx context.Context, client *http.Client) {
+	body, err := json.Marshal(map[string]any{"service": b.cfg.Service, "address": b.address, "slots": b.cfg.Slots})
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, "PUT", "http://"+b.cfg.Admin+"/v1/backend", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(HeaderRequest)
+	if !b.enter(id) {
+		w.Header().Set("Fescuehoist-Verdict", "not-run")
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+		return
+	}
+	defer b.leave()
+	if r.Header.Get(HeaderCrash) != "" {
+		b.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !b.work(r) {
+		return
+	}
+	answer := fmt.Appendf(nil, "%s %d ", id, len(body))
+	answer = append(answer, bytes.Repeat([]byte("."), b.cfg.AnswerSize)...)
+	sum := sha256.Sum256(answer)
+	w.Header().Set(HeaderChecksum, hex.EncodeToString(sum[:]))
+	_, _ = w.Write(answer)
+}
+
+func (b *Backend) enter(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shedding || b.running >= b.cfg.Slots {
+		return false
+	}
+	b.running++
+	b.peak = max(b.peak, b.running)
+	b.runs[id]++
+	return true
+}
+
+func (b *Backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+}
+
+// work takes the request's time and reports whether its caller stayed.
+func (b *Backend) work(r *http.Request) bool {
+	t := time.NewTimer(b.cfg.Work(r.Method, r.URL.Path))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.canceled++
+		return false
+	}
+}
