--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -29,6 +29,9 @@
 // HeaderCrash makes the server crash when it runs the request.
 const HeaderCrash = "X-Crash"
 
+// RunsPath returns how often each request id was run, as JSON.
+const RunsPath = "/standin/runs"
+
 // announceInterval is how often the server announces itself.
 const announceInterval = 500 * time.Millisecond
 
@@ -151,6 +154,10 @@
 }
 
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == RunsPath {
+		_ = json.NewEncoder(w).Encode(b.Runs())
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
