--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -81,8 +81,8 @@
 func Parse(name string, data []byte) (*Settings, error) {
 	var in fileTOML
 	f := tomlfile.Decode(name, data, &in)
-	if err := f.Err(); err != nil {
-		return nil, err
+	if f.Broken() {
+		return nil, f.Err()
 	}
 	s := &Settings{
 		Server:   checkName(f, "server.name", in.Server.Name),
--- a/adapters/targetfile/targetfile.go
+++ b/adapters/targetfile/targetfile.go
@@ -52,8 +52,8 @@
 func Parse(name string, data []byte) ([]*target.Service, error) {
 	var in fileTOML
 	f := tomlfile.Decode(name, data, &in)
-	if err := f.Err(); err != nil {
-		return nil, err
+	if f.Broken() {
+		return nil, f.Err()
 	}
 	if len(in.Service) == 0 {
 		f.Add("", "declares no service; add [[service]]")
@@ -75,18 +75,25 @@
 	return services, nil
 }
 
-// note adds the problems that the service's own check finds.
+// note adds the problems that the service's own check finds, except with values
+// that could not be read in the first place.
 func note(f *tomlfile.File, i int, s *target.Service) {
-	index := map[string]int{}
+	index, unread := map[string]int{}, map[string]bool{}
 	for j := range s.Classes {
 		index[s.Classes[j].Name] = j
+		for _, field := range []string{"latency", "timeout", "notice"} {
+			k := key(i, j, field)
+			unread[k] = f.Has(k)
+		}
 	}
 	for _, p := range s.Validate() {
 		j, ok := index[p.Class]
 		if !ok || p.Class == "" {
 			j = -1
 		}
-		f.Add(key(i, j, p.Field), p.Text)
+		if k := key(i, j, p.Field); !unread[k] {
+			f.Add(k, p.Text)
+		}
 	}
 }
 
--- a/adapters/tomlfile/tomlfile.go
+++ b/adapters/tomlfile/tomlfile.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -58,6 +59,7 @@
 	Name     string
 	lines    map[string]int
 	problems Problems
+	broken   bool
 }
 
 // Decode reads data into out. Syntax and type faults, and all unknown keys,
@@ -65,6 +67,7 @@
 func Decode(name string, data []byte, out any) *File {
 	f := &File{Name: name, lines: map[string]int{}}
 	if len(data) > MaxFileSize {
+		f.broken = true
 		f.Add("", fmt.Sprintf("the file has %d bytes; at most %d are read", len(data), MaxFileSize))
 		return f
 	}
@@ -81,14 +84,25 @@
 			f.add(line, strings.Join(e.Key(), "."), "unknown key; remove it or correct its name")
 		}
 	case errors.As(err, &bad):
+		f.broken = true
 		line, _ := bad.Position()
 		f.add(line, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: "))
 	default:
+		f.broken = true
 		f.add(0, "", strings.TrimPrefix(err.Error(), "toml: "))
 	}
 	return f
 }
 
+// Broken reports whether the file could not be read to its end, so that its
+// values cannot be checked. Unknown keys alone do not make it so.
+func (f *File) Broken() bool { return f.broken }
+
+// Has reports whether a problem with the value at a key was noted.
+func (f *File) Has(key string) bool {
+	return slices.ContainsFunc(f.problems, func(p *Problem) bool { return p.Key == key })
+}
+
 // Add notes a problem with the value at a key.
 func (f *File) Add(key, text string) { f.add(f.Line(key), key, text) }
 
@@ -134,9 +148,8 @@
 			f.note(p, table, e)
 		case unstable.ArrayTable:
 			path := f.resolve(counts, e)
-			path = strings.TrimSuffix(path, "]")
-			if i := strings.LastIndexByte(path, '['); i >= 0 && counts[path[:i]] > 0 {
-				path = path[:i]
+			if strings.HasSuffix(path, "]") {
+				path = path[:strings.LastIndexByte(path, '[')]
 			}
 			table = path + "[" + strconv.Itoa(counts[path]) + "]"
 			counts[path]++
--- a/mesh/manifest/editor.go
+++ b/mesh/manifest/editor.go
@@ -101,7 +101,7 @@
 		return nil, nil
 	}
 	for _, s := range edit.Update {
-		if err := e.Repo.PutBody(ctx, s); err != nil && !errors.Is(err, ErrConflict) {
+		if err := e.putBody(ctx, s); err != nil {
 			return nil, err
 		}
 	}
@@ -116,6 +116,21 @@
 	return e.resolve(ctx, change, err)
 }
 
+// putBody stores a body. A body is named by its content, so one that may have
+// been stored is stored again, and one that is there already is the same.
+func (e *Editor) putBody(ctx context.Context, s *target.Service) error {
+	for range e.ResolveAttempts {
+		err := e.Repo.PutBody(ctx, s)
+		if err == nil || errors.Is(err, ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, ErrUnknown) || wait.For(ctx, e.ResolveDelay) != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("service %s: %w", s.Name, ErrUnknown)
+}
+
 // plan returns the change that the edit makes to the table, or nil.
 func plan(edit *Edit, table *Table) *Change {
 	c := &Change{Version: table.Version + 1, EditID: edit.ID, Author: edit.Author, At: time.Now()}
