Measure calls under load: bench-calls

Cause: the policy of calls under load had no figures.

Change: bench-calls runs both deployments at their real sizes under open-loop load: calm, floods of the least and the most urgent class and of both, a lost failure domain, a flood by one client, and servers that lie. Bounds come from the declared targets: a class within its entitlement must meet its success, a flooded most urgent class must turn 90% of its entitlement into good calls, the others must get the share that they keep. Four baselines run beside it: no admission, first come first served, round robin, retries without a budget. The stand-in holds waiting requests up to its connections and may announce more slots than it has; connections between failure domains are delayed; answers to callers carry the number of attempts. Service times: 40 ms for the urgent class, 60 ms for submissions, transfers and internal work, 200 ms for bulk work. The 8 ms between clients and servers are left out.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 
 PACKAGES := ./adapters/... ./bench/... ./fescuehoist/... ./fescuehoistd/... ./mesh/... ./standin/... ./tools/...
 DEMO_FLAGS ?=
+BENCH_FLAGS ?=
 
 .PHONY: demo test trial check generate build
 
@@ -18,6 +19,13 @@
 trial:
 	tools/trial/processes.sh
 
+.PHONY: bench bench-calls
+bench: bench-calls
+
+# What each class of work gets under load and faults.
+bench-calls:
+	go run ./bench/cmd/bench-calls $(BENCH_FLAGS)
+
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet $(PACKAGES)
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -17,6 +17,7 @@
 func (h *Callers) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := ReadRequest(req)
 	handle(ctx, h.Callee, r, req, resp)
+	resp.Header.Set(HeaderAttempts, strconv.Itoa(r.Attempt))
 }
 
 // Daemons answers calls that other daemons forward.
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -24,6 +24,8 @@
 	HeaderClient = "Fescuehoist-Client"
 	// HeaderTimeout is the time left for the answer, in milliseconds.
 	HeaderTimeout = "Fescuehoist-Timeout"
+	// HeaderAttempts is the number of attempts made for a call.
+	HeaderAttempts = "Fescuehoist-Attempts"
 	// HeaderKey identifies a request that may not run twice.
 	HeaderKey = "Idempotency-Key"
 )
--- /dev/null
+++ b/bench/baseline/baseline.go
@@ -0,0 +1,152 @@
+// Package baseline holds simple policies to compare the project's with.
+package baseline
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/route"
+)
+
+// OpenGate lets every call through.
+type OpenGate struct{ running atomic.Int64 }
+
+// Enter lets the call through.
+func (g *OpenGate) Enter(context.Context, *call.Request) (func(error), error) {
+	g.running.Add(1)
+	return func(error) { g.running.Add(-1) }, nil
+}
+
+// Load returns the number of calls that run.
+func (g *OpenGate) Load() call.Load { return call.Load{Running: int(g.running.Load())} }
+
+// SetSlots does nothing.
+func (g *OpenGate) SetSlots(int) {}
+
+// Drain does nothing.
+func (g *OpenGate) Drain(context.Context) error { return nil }
+
+// FIFOGate runs as many calls at once as there are slots, first come first
+// served. A call waits until its deadline.
+type FIFOGate struct {
+	mu      sync.Mutex
+	slots   int
+	running int
+	waiting []*waiter
+}
+
+type waiter struct {
+	admitted chan struct{}
+	gone     bool
+}
+
+// Enter waits for a slot.
+func (g *FIFOGate) Enter(ctx context.Context, _ *call.Request) (func(error), error) {
+	w := g.join()
+	select {
+	case <-w.admitted:
+		return g.leave, nil
+	case <-ctx.Done():
+	}
+	if !g.abandon(w) {
+		g.leave(nil)
+	}
+	return nil, call.Refuse(call.Deadline, ctx.Err())
+}
+
+func (g *FIFOGate) join() *waiter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := &waiter{admitted: make(chan struct{})}
+	g.waiting = append(g.waiting, w)
+	g.admit()
+	return w
+}
+
+// abandon reports whether the waiter was not admitted yet.
+func (g *FIFOGate) abandon(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-w.admitted:
+		return false
+	default:
+		w.gone = true
+		return true
+	}
+}
+
+func (g *FIFOGate) leave(error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.admit()
+}
+
+func (g *FIFOGate) admit() {
+	for g.running < g.slots && len(g.waiting) > 0 {
+		w := g.waiting[0]
+		g.waiting = g.waiting[1:]
+		if w.gone {
+			continue
+		}
+		g.running++
+		close(w.admitted)
+	}
+}
+
+// Load returns the gate's load.
+func (g *FIFOGate) Load() call.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return call.Load{Running: g.running, Queued: len(g.waiting), Limit: g.slots}
+}
+
+// SetSlots sets the number of slots.
+func (g *FIFOGate) SetSlots(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots = slots
+	g.admit()
+}
+
+// Drain does nothing.
+func (g *FIFOGate) Drain(context.Context) error { return nil }
+
+// RoundRobin takes the servers of a service in turn.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Pick returns the next server that was not tried.
+func (p *RoundRobin) Pick(s *route.Service, tried []member.ServerID) *member.Record {
+	for range s.Servers {
+		r := s.Servers[p.next.Add(1)%uint64(len(s.Servers))]
+		if !contains(tried, r.Server) {
+			return r
+		}
+	}
+	return nil
+}
+
+func contains(tried []member.ServerID, server member.ServerID) bool {
+	for _, t := range tried {
+		if t == server {
+			return true
+		}
+	}
+	return false
+}
+
+// Done does nothing.
+func (p *RoundRobin) Done(member.ServerID, call.Load, bool) {}
+
+// Unlimited allows every retry.
+type Unlimited struct{}
+
+// First does nothing.
+func (Unlimited) First() {}
+
+// Take allows a retry.
+func (Unlimited) Take() bool { return true }
--- /dev/null
+++ b/bench/calls/result.go
@@ -0,0 +1,178 @@
+package calls
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fescuehoist.example/bench/load"
+)
+
+// Bounds that do not depend on a target.
+const (
+	// maxAttempts bounds the attempts per call.
+	maxAttempts = 1.1
+	// floodedGood is the share of its entitlement that a flooded most urgent
+	// class must turn into good calls.
+	floodedGood = 0.9
+)
+
+// Figure is one measured value with its bound.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	Bound float64 `json:"bound"`
+	// AtLeast says that the bound is a least value rather than a greatest.
+	AtLeast bool `json:"at_least"`
+	OK      bool `json:"ok"`
+}
+
+// String returns the figure's line.
+func (f *Figure) String() string {
+	state := "over"
+	if f.OK {
+		state = "ok"
+	}
+	return fmt.Sprintf("bench: %s %.3f %s bound %.3f %s", f.Name, f.Value, f.Unit, f.Bound, state)
+}
+
+// Row is what became of the calls of one stream.
+type Row struct {
+	Class   string `json:"class"`
+	Clients int    `json:"clients"`
+	Offered int    `json:"offered"`
+	Good    int    `json:"good"`
+	// GoodShare is the share of the offered calls that were good.
+	GoodShare  float64 `json:"good_share"`
+	NotRun     int     `json:"not_run"`
+	MayHaveRun int     `json:"may_have_run"`
+	Wasted     int     `json:"wasted"`
+	// Attempts is per call.
+	Attempts float64 `json:"attempts"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	P999MS   float64 `json:"p999_ms"`
+	// LateP99MS is by how much the generator itself was late.
+	LateP99MS float64        `json:"late_p99_ms"`
+	Reasons   map[string]int `json:"reasons"`
+}
+
+// Result is the outcome of one scenario.
+type Result struct {
+	Name       string    `json:"name"`
+	Rows       []*Row    `json:"rows"`
+	Figures    []*Figure `json:"figures"`
+	Violations []string  `json:"violations,omitempty"`
+}
+
+// Holds reports whether every figure keeps its bound.
+func (r *Result) Holds() bool {
+	for _, f := range r.Figures {
+		if !f.OK {
+			return false
+		}
+	}
+	return true
+}
+
+func newResult(s Scenario, o Options, p *plan, g *load.Generator, violations []string) *Result {
+	r := &Result{Name: o.Deployment + "." + s.Name, Violations: violations}
+	reports := g.Reports()
+	for _, report := range reports {
+		r.Rows = append(r.Rows, newRow(report))
+	}
+	for _, m := range p.demands {
+		r.bound(s, o, m, reports)
+	}
+	r.atMost("violations", float64(len(violations)), "calls", 0)
+	if !s.LoseDomain {
+		r.atMost("cut", float64(cut(reports)), "calls", 0)
+	}
+	return r
+}
+
+// bound adds the figures of one class.
+func (r *Result) bound(s Scenario, o Options, m *demand, reports []*load.Report) {
+	var offered, good, attempts int
+	for _, i := range m.streams {
+		offered += reports[i].Offered
+		good += reports[i].Good
+		attempts += reports[i].Attempts
+	}
+	r.atMost(m.class.Name+".attempts", share(attempts, offered), "attempts/call", maxAttempts)
+	first := reports[m.streams[0]]
+	if s.OneClient && len(m.streams) > 1 {
+		r.atLeast(m.class.Name+".others.good", 100*share(first.Good, first.Offered), "%", 100*m.class.Success)
+	}
+	perSecond := float64(good) / o.Duration.Seconds()
+	switch {
+	case m.entitled >= m.offered:
+		r.atLeast(m.class.Name+".good", 100*share(good, offered), "%", 100*m.class.Success)
+	case m.class == mostUrgent(m.service):
+		r.atLeast(m.class.Name+".good", perSecond, "calls/s", floodedGood*m.entitled/m.seconds)
+	default:
+		r.atLeast(m.class.Name+".keep", perSecond, "calls/s", m.class.Success*m.reserved/m.seconds)
+	}
+}
+
+func (r *Result) atMost(name string, value float64, unit string, bound float64) {
+	r.Figures = append(r.Figures, &Figure{Name: r.Name + "." + name, Value: value, Unit: unit, Bound: bound, OK: value <= bound})
+}
+
+func (r *Result) atLeast(name string, value float64, unit string, bound float64) {
+	r.Figures = append(r.Figures, &Figure{
+		Name: r.Name + "." + name, Value: value, Unit: unit, Bound: bound, AtLeast: true, OK: value >= bound,
+	})
+}
+
+func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
+
+// cut counts the calls whose answers were cut or wrong.
+func cut(reports []*load.Report) int {
+	n := 0
+	for _, r := range reports {
+		n += r.Mistaken + r.Reasons["cut"] + r.Reasons["caller: cut"] + r.Reasons["no verdict"]
+	}
+	return n
+}
+
+func newRow(r *load.Report) *Row {
+	return &Row{
+		Class: r.Stream.Service + "/" + r.Stream.Class, Clients: len(r.Stream.Clients),
+		Offered: r.Offered, Good: r.Good, GoodShare: share(r.Good, r.Offered),
+		NotRun: r.NotRun, MayHaveRun: r.MayHaveRun, Wasted: r.Wasted, Attempts: share(r.Attempts, r.Offered),
+		P50MS: quantile(r.Latency, 50), P99MS: quantile(r.Latency, 99), P999MS: quantile(r.Latency, 99.9),
+		LateP99MS: quantile(r.Late, 99), Reasons: r.Reasons,
+	}
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// Print writes the figures and a table of all streams.
+func (r *Result) Print(w io.Writer) {
+	for _, f := range r.Figures {
+		fmt.Fprintln(w, f)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, r.Name+"\toffered\tgood\tgood %\tNotRun\tMayHaveRun\twasted\tattempts\tp50 ms\tp99 ms\tp99.9 ms\tgenerator late p99 ms\t")
+	for _, row := range r.Rows {
+		fmt.Fprintf(t, "%s (%d clients)\t%d\t%d\t%.2f\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", row.Class, row.Clients,
+			row.Offered, row.Good, 100*row.GoodShare, row.NotRun, row.MayHaveRun, row.Wasted, row.Attempts,
+			row.P50MS, row.P99MS, row.P999MS, row.LateP99MS)
+	}
+	_ = t.Flush()
+	for i, v := range r.Violations {
+		if i == maxViolations {
+			break
+		}
+		fmt.Fprintln(w, "  "+v)
+	}
+}
+
+// maxViolations bounds the violations that are printed.
+const maxViolations = 5
--- a/bench/fleet/deployment.go
+++ b/bench/fleet/deployment.go
@@ -11,6 +11,11 @@
 type Server struct {
 	Name, Service, Domain string
 	Slots                 int
+	// Announced is the number of slots that the server claims to have; 0
+	// means Slots.
+	Announced int
+	// Slowdown multiplies the time for each request; 0 means 1.
+	Slowdown int
 }
 
 // Deployment describes the backend servers of one user.
@@ -19,19 +24,23 @@
 	Servers []Server
 	// Work returns how long a backend server takes for a request.
 	Work func(method, path string) time.Duration
+	// Crossing is the time from one failure domain to another, one way.
+	Crossing time.Duration
+	// Connections is the number of requests that a server holds at once.
+	Connections int
 }
 
 // Service times of the stand-in backend servers.
 const (
-	urgentWork     = 20 * time.Millisecond
-	submissionWork = 40 * time.Millisecond
-	internalWork   = 30 * time.Millisecond
-	bulkWork       = 120 * time.Millisecond
+	urgentWork     = 40 * time.Millisecond
+	submissionWork = 60 * time.Millisecond
+	internalWork   = 60 * time.Millisecond
+	bulkWork       = 200 * time.Millisecond
 )
 
 // Nuqta returns the deployment of Nuqta Atlas in Cairo.
 func Nuqta() *Deployment {
-	d := &Deployment{Name: "nuqta", Work: nuqtaWork}
+	d := &Deployment{Name: "nuqta", Work: nuqtaWork, Crossing: time.Millisecond, Connections: 110}
 	d.add("lookup", "cairo", 5, 12)
 	d.add("archive", "cairo", 3, 12)
 	return d
@@ -39,7 +48,7 @@
 
 // Trinacria returns the deployment of Commutamento Trinacria in Palermo.
 func Trinacria() *Deployment {
-	d := &Deployment{Name: "trinacria", Work: trinacriaWork}
+	d := &Deployment{Name: "trinacria", Work: trinacriaWork, Crossing: 1500 * time.Microsecond, Connections: 130}
 	d.add("sportello", "palermo", 8, 13)
 	d.add("archivio", "palermo", 4, 13)
 	return d
@@ -55,6 +64,17 @@
 	}
 }
 
+// Capacity returns the number of slots of a service.
+func (d *Deployment) Capacity(service string) int {
+	n := 0
+	for _, s := range d.Servers {
+		if s.Service == service {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
 func nuqtaWork(_, path string) time.Duration {
 	switch path {
 	case "/search":
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -27,12 +27,13 @@
 	PlatformAddress string
 	Members         []*Member
 
-	stop  context.CancelFunc
-	tasks *errgroup.Group
-	ctx   context.Context
-	log   *logrus.Logger
-	tune  func(*daemon.Config)
-	work  func(method, path string) time.Duration
+	stop       context.CancelFunc
+	tasks      *errgroup.Group
+	ctx        context.Context
+	log        *logrus.Logger
+	tune       func(*daemon.Config)
+	deployment *Deployment
+	domains    *domains
 }
 
 // Member is one backend server with its daemon.
@@ -64,8 +65,8 @@
 	ctx, stop := context.WithCancel(ctx)
 	tasks, ctx := errgroup.WithContext(ctx)
 	f := &Fleet{
-		Platform: platform.New(), stop: stop, tasks: tasks, ctx: ctx, tune: o.Tune, work: d.Work,
-		log: logging.New(o.Log, logrus.InfoLevel),
+		Platform: platform.New(), stop: stop, tasks: tasks, ctx: ctx, tune: o.Tune, deployment: d,
+		domains: newDomains(d.Crossing), log: logging.New(o.Log, logrus.InfoLevel),
 	}
 	ln, err := net.Listen("tcp", loopback)
 	if err != nil {
@@ -95,6 +96,8 @@
 		return nil, err
 	}
 	cfg := daemon.DefaultConfig(set, f.log)
+	cfg.Dial = f.domains.dialFrom(s.Domain)
+	f.domains.add(listeners.Calls.Addr().String(), s.Domain)
 	if f.tune != nil {
 		f.tune(&cfg)
 	}
@@ -111,12 +114,32 @@
 		Callers: listeners.Callers.Addr().String(), Peers: listeners.Peers.Addr().String(),
 		Admin: listeners.Admin.Addr().String(),
 	}
-	m.Backend = backend.New(backend.Config{Service: s.Service, Slots: s.Slots, Work: f.work, Admin: m.Admin})
+	m.Backend = backend.New(backend.Config{
+		Service: s.Service, Slots: s.Slots, Announced: s.Announced, Connections: f.deployment.Connections,
+		Work: slowed(f.deployment.Work, s.Slowdown), Admin: m.Admin,
+	})
 	f.run(m, backendListener)
 	f.Members = append(f.Members, m)
 	return m, nil
 }
 
+func slowed(work func(method, path string) time.Duration, factor int) func(method, path string) time.Duration {
+	return func(method, path string) time.Duration {
+		return work(method, path) * time.Duration(max(factor, 1))
+	}
+}
+
+// Runs returns how often each request ran, over all backend servers.
+func (f *Fleet) Runs() map[string]int {
+	runs := map[string]int{}
+	for _, m := range f.Members {
+		for id, n := range m.Backend.Runs() {
+			runs[id] += n
+		}
+	}
+	return runs
+}
+
 func (f *Fleet) run(m *Member, ln net.Listener) {
 	daemonCtx, endDaemon := context.WithCancelCause(f.ctx)
 	backendCtx, endBackend := context.WithCancel(context.WithoutCancel(f.ctx))
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	Stream                       Stream
 	Offered, Answered, Good      int
 	NotRun, MayHaveRun, Mistaken int
+	// Attempts counts the attempts that the daemons made; Wasted counts calls
+	// that ran without being answered in time.
+	Attempts, Wasted int
 	// Latency is measured from the intended time of each call, in
 	// microseconds, of the calls that were answered.
 	Latency *hdrhistogram.Histogram
@@ -56,10 +60,18 @@
 type Fate struct {
 	Stream  int
 	Verdict call.Verdict
+	// Good says that the whole answer came in time; Counted that the call is
+	// in the stream's report.
+	Good, Counted bool
 }
 
 // Generator drives streams of calls into daemons.
 type Generator struct {
+	// Warmup is the time from the start whose calls are left out of reports;
+	// they are still checked.
+	Warmup time.Duration
+
+	started time.Time
 	streams []Stream
 	rng     *rand.Rand
 
@@ -100,10 +112,10 @@
 // answers.
 func (g *Generator) Run(ctx context.Context) {
 	var streams sync.WaitGroup
-	start := time.Now()
+	g.started = time.Now()
 	offsets := g.offsets()
 	for i := range g.streams {
-		streams.Go(func() { g.offer(ctx, i, start.Add(offsets[i])) })
+		streams.Go(func() { g.offer(ctx, i, g.started.Add(offsets[i])) })
 	}
 	streams.Wait()
 	g.calls.Wait()
@@ -159,7 +171,7 @@
 		req.SetBodyRaw(bytes.Repeat([]byte("b"), s.BodySize))
 	}
 	err := g.pool().Do(ctx, req, resp)
-	g.note(i, id, late, time.Since(due), resp, err)
+	g.note(&outcome{stream: i, id: id, due: due, late: late, took: time.Since(due)}, resp, err)
 }
 
 func (g *Generator) pool() *httpconn.Pool {
@@ -174,14 +186,32 @@
 	return p
 }
 
-func (g *Generator) note(i int, id string, late, took time.Duration, resp *fasthttp.Response, err error) {
-	verdict, reason := outcome(resp, err)
+// outcome is what the generator saw of one call.
+type outcome struct {
+	stream     int
+	id         string
+	due        time.Time
+	late, took time.Duration
+}
+
+func (g *Generator) note(o *outcome, resp *fasthttp.Response, err error) {
+	verdict, reason := verdictOf(resp, err)
+	good := verdict == call.Ran && whole(o.id, resp) && o.took <= g.streams[o.stream].Latency
+	counted := o.due.Sub(g.started) >= g.Warmup
+	attempts, _ := strconv.Atoi(string(resp.Header.Peek(callhttp.HeaderAttempts)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.reports[i]
+	g.fates[o.id] = Fate{Stream: o.stream, Verdict: verdict, Good: good, Counted: counted}
+	r := g.reports[o.stream]
+	if verdict == call.Ran && !whole(o.id, resp) {
+		r.Mistaken++
+	}
+	if !counted {
+		return
+	}
 	r.Offered++
-	_ = r.Late.RecordValue(max(late.Microseconds(), 1))
-	g.fates[id] = Fate{Stream: i, Verdict: verdict}
+	r.Attempts += attempts
+	_ = r.Late.RecordValue(max(o.late.Microseconds(), 1))
 	switch verdict {
 	case call.NotRun:
 		r.NotRun++
@@ -191,19 +221,26 @@
 		r.Reasons[reason]++
 	case call.Ran:
 		r.Answered++
-		_ = r.Latency.RecordValue(max(took.Microseconds(), 1))
-		if !whole(id, resp) {
-			r.Mistaken++
-			return
-		}
-		if took <= r.Stream.Latency {
-			r.Good++
+		_ = r.Latency.RecordValue(max(o.took.Microseconds(), 1))
+	}
+	if good {
+		r.Good++
+	}
+}
+
+// Settle counts the wasted calls, given how often each request ran.
+func (g *Generator) Settle(runs map[string]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, fate := range g.fates {
+		if fate.Counted && !fate.Good && runs[id] > 0 {
+			g.reports[fate.Stream].Wasted++
 		}
 	}
 }
 
-// outcome returns what a caller learns of its request.
-func outcome(resp *fasthttp.Response, err error) (call.Verdict, string) {
+// verdictOf returns what a caller learns of its request.
+func verdictOf(resp *fasthttp.Response, err error) (call.Verdict, string) {
 	var f *call.Failure
 	if errors.As(err, &f) {
 		return f.Verdict, "caller: " + string(f.Reason)
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -21,13 +21,11 @@
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/adapters/telemetry"
-	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/reader"
-	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/spread"
 )
@@ -45,11 +43,15 @@
 	Spread   spread.Config
 	Reader   reader.Config
 	Log      *logrus.Logger
+	// Dial opens connections to other daemons for calls; nil uses plain TCP.
+	Dial httpconn.DialFunc
+	// Policy decides about calls under load.
+	Policy Policy
 }
 
 // DefaultConfig returns the defaults for the given settings.
 func DefaultConfig(s *settings.Settings, log *logrus.Logger) Config {
-	return Config{Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Log: log}
+	return Config{Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Log: log, Policy: DefaultPolicy(s)}
 }
 
 // Listeners are the open sockets of a daemon.
@@ -94,7 +96,7 @@
 	node      *spread.Node
 	reader    *reader.Reader
 	router    *route.Router
-	gate      *admit.Gate
+	gate      Gate
 	backend   *backendhttp.Client
 	announcer *announce.Announcer
 	forwarder *callhttp.Forwarder
@@ -116,9 +118,9 @@
 		cfg: cfg, listeners: l, figures: figures,
 		members:   member.NewTable(self),
 		log:       manifest.NewLog(),
-		gate:      admit.NewGate(0),
+		gate:      cfg.Policy.Gate,
 		backend:   &backendhttp.Client{},
-		forwarder: callhttp.NewForwarder(nil),
+		forwarder: callhttp.NewForwarder(cfg.Dial),
 		platform:  platformhttp.NewClient(s.Platform),
 	}
 	d.buildControl(self)
@@ -143,8 +145,8 @@
 	d.router = route.NewRouter(d.log, d.members)
 	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: d.backend}
 	d.outer = &proxy.Outer{
-		Self: self, Routes: d.router, Picker: route.NewPicker(d.cfg.Settings.Domain),
-		Budget: retry.NewBudget(), Remote: d.forwarder, Local: d.inner, Observe: d.figures,
+		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
+		Budget: d.cfg.Policy.Budget, Remote: d.forwarder, Local: d.inner, Observe: d.figures,
 	}
 }
 
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -53,7 +53,8 @@
 
 // Enter waits for a slot. The caller must call the returned function when the
 // call has ended. An error is a *call.Failure with verdict NotRun.
-func (g *Gate) Enter(ctx context.Context, class *target.Class) (func(), error) {
+func (g *Gate) Enter(ctx context.Context, r *call.Request) (func(error), error) {
+	class := r.Class
 	w, err := g.enqueue(ctx, class)
 	if err != nil {
 		return nil, err
@@ -127,7 +128,7 @@
 	return false
 }
 
-func (g *Gate) leave() {
+func (g *Gate) leave(error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/member"
 )
 
@@ -22,6 +21,12 @@
 // Publisher spreads the daemon's own record.
 type Publisher interface{ Announce(own member.Record) }
 
+// Gate admits calls to the backend server.
+type Gate interface {
+	SetSlots(slots int)
+	Drain(ctx context.Context) error
+}
+
 // Callee is told where the backend server takes calls.
 type Callee interface{ SetAddress(address string) }
 
@@ -30,7 +35,7 @@
 type Announcer struct {
 	publisher Publisher
 	callee    Callee
-	gate      *admit.Gate
+	gate      Gate
 	lifetime  time.Duration
 
 	mu      sync.Mutex
@@ -41,7 +46,7 @@
 
 // New returns an announcer for a record that holds the daemon's name, failure
 // domain and addresses, and publishes it as starting.
-func New(own member.Record, publisher Publisher, callee Callee, gate *admit.Gate, lifetime time.Duration) *Announcer {
+func New(own member.Record, publisher Publisher, callee Callee, gate Gate, lifetime time.Duration) *Announcer {
 	own.State = member.Starting
 	own.Incarnation = uint64(time.Now().UnixMilli())
 	a := &Announcer{publisher: publisher, callee: callee, gate: gate, lifetime: lifetime, own: own}
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 
-	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/route"
 )
@@ -17,10 +16,19 @@
 	errNoServer  = errors.New("no backend server takes calls of the service")
 )
 
+// Gate admits calls to this daemon's backend server.
+type Gate interface {
+	// Enter waits until the call may run. The returned function takes the
+	// call's error and ends it. An error of Enter is a *call.Failure with
+	// verdict NotRun.
+	Enter(ctx context.Context, r *call.Request) (func(error), error)
+	Load() call.Load
+}
+
 // Inner runs calls at this daemon's backend server.
 type Inner struct {
 	Routes  *route.Router
-	Gate    *admit.Gate
+	Gate    Gate
 	Backend call.Callee
 }
 
@@ -29,12 +37,12 @@
 	if err := classify(p.Routes.Table(), r); err != nil {
 		return nil, err
 	}
-	leave, err := p.Gate.Enter(ctx, r.Class)
+	leave, err := p.Gate.Enter(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	defer leave()
 	answer, err := p.Backend.Call(ctx, r)
+	leave(err)
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -21,12 +21,26 @@
 	Called(r *call.Request, took time.Duration, err error)
 }
 
+// Picker chooses a backend server for each call and learns from its outcome.
+type Picker interface {
+	// Pick returns a server of the service that was not tried yet, or nil.
+	Pick(s *route.Service, tried []member.ServerID) *member.Record
+	// Done ends a call that Pick started.
+	Done(server member.ServerID, load call.Load, refused bool)
+}
+
+// Budget bounds retries.
+type Budget interface {
+	First()
+	Take() bool
+}
+
 // Outer serves callers. It owns the retries of the calls that it took.
 type Outer struct {
 	Self    member.ServerID
 	Routes  *route.Router
-	Picker  *route.Picker
-	Budget  *retry.Budget
+	Picker  Picker
+	Budget  Budget
 	Remote  Forwarder
 	Local   call.Callee
 	Observe Observer
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -41,6 +41,11 @@
 	Service string
 	// Slots is the number of requests that it runs at once.
 	Slots int
+	// Announced is the number of slots that it announces; 0 means Slots.
+	Announced int
+	// Connections is the number of requests that it holds at once, those that
+	// wait for a slot included; 0 means Slots. It refuses the rest as not run.
+	Connections int
 	// Work returns how long a request takes.
 	Work func(method, path string) time.Duration
 	// AnswerSize is the number of bytes of filler in an answer.
@@ -55,7 +60,9 @@
 	address string
 	crash   context.CancelFunc
 
+	slots    chan struct{}
 	mu       sync.Mutex
+	held     int
 	running  int
 	peak     int
 	runs     map[string]int
@@ -64,7 +71,13 @@
 }
 
 // New returns a backend server; Run starts it.
-func New(cfg Config) *Backend { return &Backend{cfg: cfg, runs: map[string]int{}} }
+func New(cfg Config) *Backend {
+	if cfg.Announced == 0 {
+		cfg.Announced = cfg.Slots
+	}
+	cfg.Connections = max(cfg.Connections, cfg.Slots)
+	return &Backend{cfg: cfg, slots: make(chan struct{}, cfg.Slots), runs: map[string]int{}}
+}
 
 // SetShedding makes the server refuse every request as not run.
 func (b *Backend) SetShedding(on bool) {
@@ -138,7 +151,7 @@
 
 // announceOnce ignores failures: the next announcement makes up for them.
 func (b *Backend) announceOnce(ctx context.Context, client *http.Client) {
-	body, err := json.Marshal(map[string]any{"service": b.cfg.Service, "address": b.address, "slots": b.cfg.Slots})
+	body, err := json.Marshal(map[string]any{"service": b.cfg.Service, "address": b.address, "slots": b.cfg.Announced})
 	if err != nil {
 		return
 	}
@@ -163,11 +176,15 @@
 		return
 	}
 	id := r.Header.Get(HeaderRequest)
-	if !b.enter(id) {
+	if !b.hold() {
 		w.Header().Set("Fescuehoist-Verdict", "not-run")
 		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
 		return
 	}
+	defer b.release()
+	if !b.enter(r.Context(), id) {
+		return
+	}
 	defer b.leave()
 	if r.Header.Get(HeaderCrash) != "" {
 		b.crash()
@@ -183,12 +200,32 @@
 	_, _ = w.Write(answer)
 }
 
-func (b *Backend) enter(id string) bool {
+// hold reports whether the server takes one more request.
+func (b *Backend) hold() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.shedding || b.held >= b.cfg.Connections {
+		return false
+	}
+	b.held++
+	return true
+}
+
+func (b *Backend) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.shedding || b.running >= b.cfg.Slots {
+	b.held--
+}
+
+// enter waits for a slot and reports whether the caller stayed until then.
+func (b *Backend) enter(ctx context.Context, id string) bool {
+	select {
+	case b.slots <- struct{}{}:
+	case <-ctx.Done():
 		return false
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.running++
 	b.peak = max(b.peak, b.running)
 	b.runs[id]++
@@ -199,6 +236,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	<-b.slots
 }
 
 // work takes the request's time and reports whether its caller stayed.
