--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -102,7 +102,7 @@
 		c := &u.Changes[i]
 		out.Changes = append(out.Changes, &peerpb.Change{
 			Version: uint64(c.Version), EditId: c.EditID, Author: c.Author,
-			AtUnixNano: c.At.UnixNano(), Updated: encodeRefs(c.Updated), Removed: c.Removed,
+			AtUnixNano: c.At.UnixNano(), Updated: encodeRefs(c.Updated), Removed: c.Removed, Table: string(c.Table),
 		})
 	}
 	for i := range u.Bodies {
@@ -125,6 +125,7 @@
 		u.Changes = append(u.Changes, manifest.Change{
 			Version: manifest.Version(c.GetVersion()), EditID: c.GetEditId(), Author: c.GetAuthor(),
 			At: time.Unix(0, c.GetAtUnixNano()), Updated: decodeRefs(c.GetUpdated()), Removed: c.GetRemoved(),
+			Table: target.Digest(c.GetTable()),
 		})
 	}
 	for _, b := range in.GetBodies() {
--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -35,8 +35,13 @@
 // Client calls the platform.
 type Client struct{ pool *httpconn.Pool }
 
-// NewClient returns a client of the platform at an address.
-func NewClient(address string) *Client { return &Client{pool: httpconn.NewPool(address, nil)} }
+// NewClient returns a client of the platform at an address, over plain TCP.
+func NewClient(address string) *Client { return NewClientWithDial(address, nil) }
+
+// NewClientWithDial returns a client whose connections dial opens.
+func NewClientWithDial(address string, dial httpconn.DialFunc) *Client {
+	return &Client{pool: httpconn.NewPool(address, dial)}
+}
 
 // Close closes all idle connections.
 func (c *Client) Close() { c.pool.Close() }
@@ -47,7 +52,7 @@
 }
 
 // Watch waits until an object's version is above after and returns it, or
-// manifest.ErrNotFound if that did not happen within WatchTimeout.
+// manifest.ErrUnchanged if that did not happen within WatchTimeout.
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (*Object, error) {
 	uri := fmt.Sprintf("/v1/watch?key=%s&after=%d&timeout_ms=%d", url.QueryEscape(key), after, WatchTimeout.Milliseconds())
 	return c.object(ctx, WatchTimeout+CallTimeout, "GET", uri, nil, "")
@@ -120,8 +125,10 @@
 
 func decode(method, uri string, resp *fasthttp.Response, out any) error {
 	switch status := resp.StatusCode(); {
-	case status == fasthttp.StatusNotFound || status == fasthttp.StatusNotModified:
+	case status == fasthttp.StatusNotFound:
 		return fmt.Errorf("%s %s: %w", method, uri, manifest.ErrNotFound)
+	case status == fasthttp.StatusNotModified:
+		return fmt.Errorf("%s %s: %w", method, uri, manifest.ErrUnchanged)
 	case status == fasthttp.StatusPreconditionFailed:
 		return fmt.Errorf("%s %s: %w", method, uri, manifest.ErrConflict)
 	case status >= 500 && method == "PUT":
@@ -129,7 +136,11 @@
 	case status != fasthttp.StatusOK && status != fasthttp.StatusCreated:
 		return fmt.Errorf("%s %s: status %d", method, uri, status)
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	err := json.Unmarshal(resp.Body(), out)
+	switch {
+	case err != nil && method == "PUT":
+		return fmt.Errorf("%s %s: %w: %w", method, uri, manifest.ErrUnknown, err)
+	case err != nil:
 		return &manifest.Malformed{Object: uri, Err: err}
 	}
 	return nil
--- a/adapters/platformhttp/leases.go
+++ b/adapters/platformhttp/leases.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"fescuehoist.example/mesh/manifest"
@@ -13,17 +14,23 @@
 
 const leasePrefix = "lease/"
 
+// MaxLeaseTTL bounds the time that a stored lease may claim.
+const MaxLeaseTTL = time.Minute
+
 // Leases keeps leases in the platform. A lease lapses by the clock of the
 // daemon that wants it: after it saw the object unchanged for the lease's time.
 type Leases struct {
 	Client *Client
-	seen   map[string]sighting
+
+	mu   sync.Mutex
+	seen map[string]sighting
 }
 
-// sighting is when a holder's version of a lease was first seen.
+// sighting is the last known version of a lease and when it was first seen.
 type sighting struct {
 	version uint64
 	at      time.Time
+	own     bool
 }
 
 type leaseJSON struct {
@@ -34,23 +41,38 @@
 // NewLeases returns leases kept through a client.
 func NewLeases(c *Client) *Leases { return &Leases{Client: c, seen: map[string]sighting{}} }
 
-// Acquire takes or renews a lease, or returns reader.ErrHeld.
+// Acquire takes or renews a lease, or returns reader.ErrHeld. A renewal is one
+// call as long as nobody else wrote the lease.
 func (l *Leases) Acquire(ctx context.Context, name string, holder member.ServerID, ttl time.Duration) error {
+	if s := l.sighting(name); s.own {
+		err := l.write(ctx, name, holder, ttl, s.version)
+		if !errors.Is(err, reader.ErrHeld) {
+			return err
+		}
+	}
 	o, err := l.Client.Get(ctx, leasePrefix+name)
-	if err != nil && !isNotFound(err) {
+	if isNotFound(err) {
+		return l.write(ctx, name, holder, ttl, 0)
+	}
+	if err != nil {
 		return err
 	}
-	var version uint64
-	if err == nil {
-		version = o.Version
-		if l.heldByOther(name, o, holder) {
-			return reader.ErrHeld
-		}
+	if l.heldByOther(name, o, holder) {
+		return reader.ErrHeld
 	}
-	_, err = l.Client.Put(ctx, leasePrefix+name, leaseJSON{Holder: string(holder), TTL: ttl.String()}, version)
+	return l.write(ctx, name, holder, ttl, o.Version)
+}
+
+// write stores the lease for holder if its version is still the expected one.
+func (l *Leases) write(ctx context.Context, name string, holder member.ServerID, ttl time.Duration, expect uint64) error {
+	version, err := l.Client.Put(ctx, leasePrefix+name, leaseJSON{Holder: string(holder), TTL: ttl.String()}, expect)
 	if errors.Is(err, manifest.ErrConflict) {
+		l.forget(name)
 		return reader.ErrHeld
 	}
+	if err == nil {
+		l.note(name, sighting{version: version, own: true})
+	}
 	return err
 }
 
@@ -64,11 +86,30 @@
 	if err != nil {
 		return false
 	}
-	if s := l.seen[name]; s.version != o.Version {
-		l.seen[name] = sighting{version: o.Version, at: time.Now()}
+	s := l.sighting(name)
+	if s.version != o.Version {
+		l.note(name, sighting{version: o.Version, at: time.Now()})
 		return true
 	}
-	return time.Since(l.seen[name].at) < ttl
+	return time.Since(s.at) < min(ttl, MaxLeaseTTL)
+}
+
+func (l *Leases) sighting(name string) sighting {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen[name]
+}
+
+func (l *Leases) note(name string, s sighting) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[name] = s
+}
+
+func (l *Leases) forget(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.seen, name)
 }
 
 // Release gives up a lease that holder has.
@@ -81,6 +122,7 @@
 	if err := json.Unmarshal(o.Value, &have); err != nil || have.Holder != string(holder) {
 		return reader.ErrHeld
 	}
+	l.forget(name)
 	_, err = l.Client.Put(ctx, leasePrefix+name, leaseJSON{}, o.Version)
 	return err
 }
--- a/adapters/platformhttp/repository.go
+++ b/adapters/platformhttp/repository.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -34,6 +35,7 @@
 	At      time.Time `json:"at"`
 	Updated []refJSON `json:"updated,omitempty"`
 	Removed []string  `json:"removed,omitempty"`
+	Table   string    `json:"table"`
 }
 
 type refJSON struct {
@@ -84,7 +86,7 @@
 		c := &h.Changes[i]
 		out.Changes = append(out.Changes, changeJSON{
 			Version: uint64(c.Version), EditID: c.EditID, Author: c.Author, At: c.At,
-			Updated: refsToJSON(c.Updated), Removed: c.Removed,
+			Updated: refsToJSON(c.Updated), Removed: c.Removed, Table: string(c.Table),
 		})
 	}
 	_, err := r.Client.Put(ctx, headKey, out, uint64(expect))
@@ -97,47 +99,84 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeBody(o, d)
+}
+
+// PutBody stores a service under its digest.
+func (r *Repository) PutBody(ctx context.Context, s *target.Service) error {
+	d := s.Digest()
+	return r.putContent(ctx, bodyPrefix+string(d), serviceToJSON(s), func(o *Object) error {
+		_, err := decodeBody(o, d)
+		return err
+	})
+}
+
+func decodeBody(o *Object, d target.Digest) (*target.Service, error) {
 	s, err := serviceFromJSON(o.Value)
 	if err != nil {
-		return nil, &manifest.Malformed{Object: o.Key, Err: err}
+		return nil, malformed(o.Key, err)
 	}
 	if s.Digest() != d {
-		return nil, &manifest.Malformed{Object: o.Key, Err: fmt.Errorf("its content has digest %s", s.Digest())}
+		return nil, malformed(o.Key, fmt.Errorf("its content has digest %s", s.Digest()))
 	}
 	return s, nil
 }
 
-// PutBody stores a service under its digest.
-func (r *Repository) PutBody(ctx context.Context, s *target.Service) error {
-	_, err := r.Client.Put(ctx, bodyPrefix+string(s.Digest()), serviceToJSON(s), 0)
-	return err
-}
-
 // Table reads a base table.
 func (r *Repository) Table(ctx context.Context, ref manifest.TableRef) (*manifest.Table, error) {
 	o, err := r.Client.Get(ctx, tablePrefix+string(ref.Digest))
 	if err != nil {
 		return nil, err
 	}
+	return decodeTable(o, ref)
+}
+
+// PutTable stores a base table under its digest.
+func (r *Repository) PutTable(ctx context.Context, t *manifest.Table) (manifest.TableRef, error) {
+	ref := manifest.TableRef{Version: t.Version, Digest: t.Digest()}
+	out := tableJSON{Version: uint64(t.Version), Refs: refsToJSON(t.Refs)}
+	err := r.putContent(ctx, tablePrefix+string(ref.Digest), out, func(o *Object) error {
+		_, err := decodeTable(o, ref)
+		return err
+	})
+	return ref, err
+}
+
+func decodeTable(o *Object, ref manifest.TableRef) (*manifest.Table, error) {
 	var in tableJSON
 	if err := json.Unmarshal(o.Value, &in); err != nil {
-		return nil, &manifest.Malformed{Object: o.Key, Err: err}
+		return nil, malformed(o.Key, err)
 	}
 	t := &manifest.Table{Version: manifest.Version(in.Version), Refs: refsFromJSON(in.Refs)}
+	if err := t.Check(); err != nil {
+		return nil, malformed(o.Key, err)
+	}
 	if t.Digest() != ref.Digest || t.Version != ref.Version {
-		return nil, &manifest.Malformed{Object: o.Key, Err: fmt.Errorf("its content has digest %s", t.Digest())}
+		return nil, malformed(o.Key, fmt.Errorf("its content is version %d with digest %s", t.Version, t.Digest()))
 	}
 	return t, nil
 }
 
-// PutTable stores a base table under its digest.
-func (r *Repository) PutTable(ctx context.Context, t *manifest.Table) (manifest.TableRef, error) {
-	ref := manifest.TableRef{Version: t.Version, Digest: t.Digest()}
-	out := tableJSON{Version: uint64(t.Version), Refs: refsToJSON(t.Refs)}
-	_, err := r.Client.Put(ctx, tablePrefix+string(ref.Digest), out, 0)
-	return ref, err
+// putContent stores content under a key that names it. An object that is there
+// already stays if it is good and is replaced if it is not.
+func (r *Repository) putContent(ctx context.Context, key string, value any, check func(*Object) error) error {
+	_, err := r.Client.Put(ctx, key, value, 0)
+	if !errors.Is(err, manifest.ErrConflict) {
+		return err
+	}
+	o, err := r.Client.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if check(o) == nil {
+		return nil
+	}
+	_, err = r.Client.Put(ctx, key, value, o.Version)
+	return err
 }
 
+func malformed(key string, err error) error { return &manifest.Malformed{Object: key, Err: err} }
+
 func head(o *Object, err error, absentIsZero bool) (*manifest.Head, manifest.Revision, error) {
 	if absentIsZero && isNotFound(err) {
 		return &manifest.Head{}, 0, nil
@@ -147,7 +186,7 @@
 	}
 	var in headJSON
 	if err := json.Unmarshal(o.Value, &in); err != nil {
-		return nil, 0, &manifest.Malformed{Object: headKey, Err: err}
+		return nil, manifest.Revision(o.Version), malformed(headKey, err)
 	}
 	h := &manifest.Head{
 		Version: manifest.Version(in.Version),
@@ -156,11 +195,11 @@
 	for _, c := range in.Changes {
 		h.Changes = append(h.Changes, manifest.Change{
 			Version: manifest.Version(c.Version), EditID: c.EditID, Author: c.Author, At: c.At,
-			Updated: refsFromJSON(c.Updated), Removed: c.Removed,
+			Updated: refsFromJSON(c.Updated), Removed: c.Removed, Table: target.Digest(c.Table),
 		})
 	}
 	if err := h.Check(); err != nil {
-		return nil, 0, &manifest.Malformed{Object: headKey, Err: err}
+		return nil, manifest.Revision(o.Version), malformed(headKey, err)
 	}
 	return h, manifest.Revision(o.Version), nil
 }
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -33,6 +33,14 @@
 // farewellPeriod is how long a leaving daemon stays to spread that it left.
 const farewellPeriod = 200 * time.Millisecond
 
+// A starting daemon puts its first version in force once it has heard from
+// joinSources peers, or all seeds if there are fewer, or from the platform, and
+// at the latest after joinLimit.
+const (
+	joinSources = 3
+	joinLimit   = 2 * time.Second
+)
+
 // ErrAborted, as the cause of the end of Run's context, ends the daemon at once
 // as a fault would: without draining and without telling anyone.
 var ErrAborted = errors.New("the daemon is aborted")
@@ -130,6 +138,9 @@
 
 func (d *Daemon) buildControl(self member.ServerID) {
 	s := d.cfg.Settings
+	if len(s.Seeds) == 0 {
+		d.cfg.Reader.JoinLimit = 0
+	}
 	dialer := &peergrpc.Dialer{Credentials: insecure.NewCredentials()}
 	d.node = spread.NewNode(d.cfg.Spread, self, s.Domain, s.Seeds, dialer, d.members, d.log, d.prefixed("spread"))
 	d.reader = reader.New(d.cfg.Reader, self, s.Domain, &platformhttp.Repository{Client: d.platform},
@@ -171,6 +182,9 @@
 	serving.Go(func() error { return callers.Run(calls, d.listeners.Callers) })
 	serving.Go(func() error { return forwarded.Run(calls, d.listeners.Calls) })
 	g.Go(serving.Wait)
+	d.log.Join(min(joinSources, len(d.cfg.Settings.Seeds)))
+	release := time.AfterFunc(joinLimit, d.log.Release)
+	defer release.Stop()
 	g.Go(func() error { return d.node.Run(control) })
 	g.Go(func() error { return d.reader.Run(control) })
 	g.Go(func() error { return d.router.Run(control) })
--- a/mesh/manifest/editor.go
+++ b/mesh/manifest/editor.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/mesh/wait"
 )
@@ -40,21 +43,24 @@
 // Editor publishes edits through the repository.
 type Editor struct {
 	Repo Repository
-	// ResolveAttempts bounds how often an unknown outcome is read again.
-	ResolveAttempts int
-	// ResolveDelay is the pause between those reads.
-	ResolveDelay time.Duration
+	// Attempts bounds how often a step whose outcome is unknown is repeated.
+	Attempts int
+	// Delay is the pause between those attempts.
+	Delay time.Duration
 }
 
-// Defaults for resolving an unknown outcome.
+// Defaults for steps whose outcome is unknown.
 const (
-	DefaultResolveAttempts = 10
-	DefaultResolveDelay    = 200 * time.Millisecond
+	DefaultAttempts = 10
+	DefaultDelay    = 200 * time.Millisecond
 )
 
+// bodyWriters is the number of bodies that are stored at the same time.
+const bodyWriters = 4
+
 // NewEditor returns an editor with default limits.
 func NewEditor(repo Repository) *Editor {
-	return &Editor{Repo: repo, ResolveAttempts: DefaultResolveAttempts, ResolveDelay: DefaultResolveDelay}
+	return &Editor{Repo: repo, Attempts: DefaultAttempts, Delay: DefaultDelay}
 }
 
 // Current returns the head and the table of its version.
@@ -76,63 +82,65 @@
 		}
 		table = base
 	}
-	for i := range head.Changes {
-		next, err := table.Apply(&head.Changes[i])
-		if err != nil {
-			return nil, err
-		}
-		table = next
-	}
-	return table, nil
+	return table.ApplyAll(head.Changes)
 }
 
 // Publish makes the edit the next version and returns the change. An edit that
-// changes nothing returns a nil change.
+// changes nothing returns a nil change, one that was accepted before returns
+// its change again. The error is an *Invalid or a *Conflict if the edit was not
+// accepted for that reason, and matches ErrUnknown if it may have been.
 func (e *Editor) Publish(ctx context.Context, edit *Edit) (*Change, error) {
+	if err := edit.check(); err != nil {
+		return nil, err
+	}
 	head, table, rev, err := e.Current(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if c := head.find(edit.ID); c != nil {
+		return c, nil
+	}
 	if edit.Expect != 0 && edit.Expect != head.Version {
 		return nil, conflict(edit.Expect, head)
 	}
-	change := plan(edit, table)
-	if change == nil {
-		return nil, nil
+	change, err := plan(edit, table)
+	if change == nil || err != nil {
+		return nil, err
 	}
-	for _, s := range edit.Update {
-		if err := e.putBody(ctx, s); err != nil {
-			return nil, err
-		}
+	if err := e.putBodies(ctx, edit.Update); err != nil {
+		return nil, err
 	}
-	next, err := e.extend(ctx, head, table, change)
+	next, err := e.extend(ctx, head, change)
 	if err != nil {
 		return nil, err
 	}
-	err = e.Repo.CommitHead(ctx, next, rev)
-	if err == nil {
-		return change, nil
-	}
-	return e.resolve(ctx, change, err)
+	return e.commit(ctx, next, rev, change)
 }
 
-// putBody stores a body. A body is named by its content, so one that may have
-// been stored is stored again, and one that is there already is the same.
-func (e *Editor) putBody(ctx context.Context, s *target.Service) error {
-	for range e.ResolveAttempts {
-		err := e.Repo.PutBody(ctx, s)
-		if err == nil || errors.Is(err, ErrConflict) {
-			return nil
+// check returns an *Invalid if the edit cannot become a good version.
+func (edit *Edit) check() error {
+	var problems []target.Problem
+	names := make(map[string]bool, len(edit.Update))
+	for _, s := range edit.Update {
+		problems = append(problems, s.Validate()...)
+		if names[s.Name] {
+			problems = append(problems, target.Problem{Service: s.Name, Text: "is in the edit twice; leave one out"})
 		}
-		if !errors.Is(err, ErrUnknown) || wait.For(ctx, e.ResolveDelay) != nil {
-			return err
+		names[s.Name] = true
+	}
+	for _, name := range edit.Remove {
+		if names[name] {
+			problems = append(problems, target.Problem{Service: name, Text: "is both changed and removed; leave one out"})
 		}
 	}
-	return fmt.Errorf("service %s: %w", s.Name, ErrUnknown)
+	if len(problems) > 0 {
+		return &Invalid{Problems: problems}
+	}
+	return nil
 }
 
 // plan returns the change that the edit makes to the table, or nil.
-func plan(edit *Edit, table *Table) *Change {
+func plan(edit *Edit, table *Table) (*Change, error) {
 	c := &Change{Version: table.Version + 1, EditID: edit.ID, Author: edit.Author, At: time.Now()}
 	for _, s := range edit.Update {
 		d := s.Digest()
@@ -147,65 +155,164 @@
 		}
 	}
 	if len(c.Updated)+len(c.Removed) == 0 {
-		return nil
+		return nil, nil
+	}
+	next, err := table.Apply(c)
+	if err != nil {
+		return nil, err
 	}
-	return c
+	c.Table = next.Digest()
+	err = c.Check()
+	if err == nil {
+		err = next.Check()
+	}
+	if err != nil {
+		return nil, &Invalid{Problems: []target.Problem{{Text: err.Error()}}}
+	}
+	return c, nil
 }
 
-// extend returns the head after the change, on a new base when the list of
-// changes is full.
-func (e *Editor) extend(ctx context.Context, head *Head, table *Table, c *Change) (*Head, error) {
-	next := &Head{Version: c.Version, Base: head.Base, Changes: append([]Change(nil), head.Changes...)}
-	if len(next.Changes) >= MaxHeadChanges {
-		base, err := e.Repo.PutTable(ctx, table)
-		if err != nil {
-			return nil, err
+// putBodies stores the content before any version refers to it.
+func (e *Editor) putBodies(ctx context.Context, services []*target.Service) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(bodyWriters)
+	for _, s := range services {
+		g.Go(func() error {
+			return e.store(ctx, func() error { return e.Repo.PutBody(ctx, s) })
+		})
+	}
+	return g.Wait()
+}
+
+// store repeats a write of content-addressed data, which may be done again,
+// while its outcome is unknown. Its failure never leaves the edit's own outcome
+// unknown, since no version refers to the data yet.
+func (e *Editor) store(ctx context.Context, put func() error) error {
+	var err error
+	for range e.Attempts {
+		err = put()
+		if !errors.Is(err, ErrUnknown) {
+			return err
+		}
+		if wait.For(ctx, e.Delay) != nil {
+			break
 		}
-		next.Base, next.Changes = base, nil
 	}
-	next.Changes = append(next.Changes, *c)
-	return next, nil
+	return fmt.Errorf("the edit was not accepted: its content could not be stored: %v", err)
 }
 
-// resolve finds out whether the edit was accepted after a failed commit.
-func (e *Editor) resolve(ctx context.Context, c *Change, cause error) (*Change, error) {
-	if !errors.Is(cause, ErrConflict) && !errors.Is(cause, ErrUnknown) {
-		return nil, cause
+// extend returns the head after the change, with the older changes folded into
+// a new base when the list is full.
+func (e *Editor) extend(ctx context.Context, head *Head, c *Change) (*Head, error) {
+	next := &Head{Version: c.Version, Base: head.Base, Changes: append(slices.Clone(head.Changes), *c)}
+	n := next.fold()
+	if n == 0 {
+		return next, nil
 	}
-	for range e.ResolveAttempts {
-		head, _, err := e.Repo.Head(ctx)
-		if err == nil {
-			return settle(head, c)
+	table, err := e.table(ctx, &Head{Base: head.Base, Changes: next.Changes[:n]})
+	if err != nil {
+		return nil, err
+	}
+	err = e.store(ctx, func() error {
+		next.Base, err = e.Repo.PutTable(ctx, table)
+		return err
+	})
+	next.Changes = next.Changes[n:]
+	return next, err
+}
+
+// fold returns how many of the oldest changes go into a new base: none while
+// the limits of the head hold.
+func (h *Head) fold() int {
+	if len(h.Changes) <= MaxHeadChanges && refs(h.Changes) <= MaxHeadRefs {
+		return 0
+	}
+	n := max(len(h.Changes)-KeptHeadChanges, 0)
+	for n < len(h.Changes)-1 && refs(h.Changes[n:]) > MaxHeadRefs/2 {
+		n++
+	}
+	return n
+}
+
+// refs counts the services that the changes touch.
+func refs(changes []Change) int {
+	n := 0
+	for i := range changes {
+		n += len(changes[i].Updated) + len(changes[i].Removed)
+	}
+	return n
+}
+
+// commit replaces the head. While the outcome is unknown it reads the head
+// and, if that is still the old one, sends the same conditional update again:
+// the condition lets at most one of them take effect, and a late one fails once
+// any other has. So an edit is called not accepted only when it cannot be
+// accepted any more.
+func (e *Editor) commit(ctx context.Context, next *Head, rev Revision, c *Change) (*Change, error) {
+	err := e.Repo.CommitHead(ctx, next, rev)
+	for range e.Attempts {
+		switch {
+		case err == nil:
+			return c, nil
+		case !errors.Is(err, ErrConflict) && !errors.Is(err, ErrUnknown):
+			return nil, err
 		}
-		if wait.For(ctx, e.ResolveDelay) != nil {
+		found, settled, cause := e.resolve(ctx, c, rev)
+		if settled {
+			return found, cause
+		}
+		if wait.For(ctx, e.Delay) != nil {
 			break
 		}
+		if cause == nil {
+			err = e.again(ctx, next, rev)
+		}
+	}
+	if err == nil {
+		return c, nil
 	}
 	return nil, fmt.Errorf("edit %s: %w", c.EditID, ErrUnknown)
 }
 
-// settle compares the head found after a failed commit with the change.
-func settle(head *Head, c *Change) (*Change, error) {
-	for i := range head.Changes {
-		if head.Changes[i].EditID == c.EditID {
-			return &head.Changes[i], nil
-		}
+// again repeats the update of the head. A failure that is not known to be a
+// conflict leaves the outcome of the first attempt as unknown as it was.
+func (e *Editor) again(ctx context.Context, next *Head, rev Revision) error {
+	err := e.Repo.CommitHead(ctx, next, rev)
+	if err == nil || errors.Is(err, ErrConflict) {
+		return err
 	}
-	if head.Base.Version >= c.Version {
-		return nil, fmt.Errorf("edit %s: %w: its version is older than the changes kept", c.EditID, ErrUnknown)
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
+
+// resolve reads the head to find out what became of the change. The outcome is
+// settled unless the head cannot be read or is still the one at rev.
+func (e *Editor) resolve(ctx context.Context, c *Change, rev Revision) (found *Change, settled bool, cause error) {
+	head, now, err := e.Repo.Head(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	if found := head.find(c.EditID); found != nil {
+		return found, true, nil
 	}
-	if head.Version < c.Version {
-		return nil, fmt.Errorf("edit %s was not accepted", c.EditID)
+	if now == rev {
+		return nil, false, nil
+	}
+	if head.Base.Version >= c.Version {
+		return nil, true, fmt.Errorf("edit %s: %w: its version is older than the changes kept", c.EditID, ErrUnknown)
 	}
-	return nil, conflict(c.Version-1, head)
+	return nil, true, conflict(c.Version-1, head)
 }
 
-func conflict(expected Version, head *Head) *Conflict {
-	c := &Conflict{Expected: expected, Found: head.Version}
-	for i := range head.Changes {
-		if head.Changes[i].Version > expected {
-			c.Changes = append(c.Changes, head.Changes[i])
+// find returns the change of an edit, or nil.
+func (h *Head) find(editID string) *Change {
+	for i := range h.Changes {
+		if h.Changes[i].EditID == editID {
+			return &h.Changes[i]
 		}
 	}
-	return c
+	return nil
+}
+
+func conflict(expected Version, head *Head) *Conflict {
+	return &Conflict{Expected: expected, Found: head.Version, Changes: slices.Clone(After(head.Changes, expected))}
 }
--- a/mesh/manifest/errors.go
+++ b/mesh/manifest/errors.go
@@ -13,6 +13,13 @@
 	// ErrGap says that changes between the known version and the received
 	// ones are missing.
 	ErrGap = errors.New("changes are missing")
+	// ErrForked says that a received version does not follow from the known
+	// one: two histories have the same numbers.
+	ErrForked = errors.New("the history differs from the known one")
+	// ErrMalformed says that an update breaks a limit or is not well formed.
+	ErrMalformed = errors.New("the update is malformed")
+	// ErrUnchanged says that a watch ended without a change.
+	ErrUnchanged = errors.New("no change yet")
 	// ErrIncomplete says that an update lacks a body that it refers to.
 	ErrIncomplete = errors.New("a body is missing from the update")
 	// ErrConflict says that another edit was accepted first.
@@ -25,6 +32,7 @@
 
 // Refusal says why a version is not put in force. The version before it stays.
 type Refusal struct {
+	// Version is 0 if the version cannot be told.
 	Version  Version
 	EditID   string
 	Problems []target.Problem
@@ -36,7 +44,28 @@
 	for i, p := range r.Problems {
 		lines[i] = p.Error()
 	}
-	return fmt.Sprintf("version %d refused: %s", r.Version, strings.Join(lines, "; "))
+	which := fmt.Sprintf("version %d", r.Version)
+	if r.Version == 0 {
+		which = "the newest version"
+	}
+	return fmt.Sprintf("%s refused: %s", which, strings.Join(lines, "; "))
+}
+
+// Refuse returns a refusal of a version as a whole.
+func Refuse(v Version, editID, format string, args ...any) *Refusal {
+	return &Refusal{Version: v, EditID: editID, Problems: []target.Problem{{Text: fmt.Sprintf(format, args...)}}}
+}
+
+// Invalid says that an edit would lead to a version that daemons refuse.
+type Invalid struct{ Problems []target.Problem }
+
+// Error lists the problems, one a line.
+func (e *Invalid) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
 }
 
 // Malformed says that a stored object cannot be decoded.
--- a/mesh/manifest/log.go
+++ b/mesh/manifest/log.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -13,42 +14,33 @@
 // up to date without sending the whole table.
 const MaxLogChanges = 256
 
-// Update brings a peer from one version to a later one. With a Base it stands
-// alone; without, its first change follows the receiver's version.
-type Update struct {
-	Base    *Table
-	Changes []Change
-	Bodies  []Body
-}
-
-// Target returns the version that the update leads to.
-func (u *Update) Target() Version {
-	if n := len(u.Changes); n > 0 {
-		return u.Changes[n-1].Version
-	}
-	if u.Base != nil {
-		return u.Base.Version
-	}
-	return 0
-}
+// maxSpareContents is the number of bodies that are kept although no service
+// of the known version refers to them, until they are dropped together.
+const maxSpareContents = 256
 
 // Log holds the versions that a daemon knows and the one that it has in force.
 // The version known may be ahead of the one in force when it was refused.
 type Log struct {
-	mu      sync.Mutex
-	known   *Table
-	changes []Change
-	bodies  map[target.Digest]*Body
-	refusal *Refusal
-	changed chan struct{}
+	mu       sync.Mutex
+	known    *Table
+	changes  []Change
+	contents map[target.Digest]*content
+	// good is the newest version that passed its check.
+	good *Snapshot
+	// refusal says why the known version is not good, rejected why a later
+	// one was not taken up at all.
+	refusal, rejected *Refusal
+	join              *join
+	changed           chan struct{}
 
 	inForce atomic.Pointer[Snapshot]
 }
 
 // NewLog returns a log at version 0.
 func NewLog() *Log {
-	l := &Log{known: &Table{}, bodies: map[target.Digest]*Body{}, changed: make(chan struct{})}
-	l.inForce.Store(&Snapshot{services: map[string]*target.Service{}})
+	empty := &Snapshot{services: map[string]*target.Service{}}
+	l := &Log{known: &Table{}, contents: map[target.Digest]*content{}, good: empty, changed: make(chan struct{})}
+	l.inForce.Store(empty)
 	return l
 }
 
@@ -62,14 +54,26 @@
 	return l.known.Version
 }
 
-// Refusal returns why the known version is not in force, or nil.
+// Table returns the table of the highest version known.
+func (l *Log) Table() *Table {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
+// Refusal returns why the newest version that the daemon heard of is not in
+// force, or nil.
 func (l *Log) Refusal() *Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.rejected != nil {
+		return l.rejected
+	}
 	return l.refusal
 }
 
-// Changed returns a channel that is closed when the known version next grows.
+// Changed returns a channel that is closed when the known version or the one
+// in force next changes.
 func (l *Log) Changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -83,24 +87,67 @@
 	return slices.Clone(l.changes)
 }
 
-// Receive takes an update in whole or not at all. It reports whether the known
-// version grew. A known version that fails its check is kept as refused and
-// the snapshot in force stays.
+// Reject notes that a version was not taken up, until a later one is.
+func (l *Log) Reject(r *Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rejected = r
+}
+
+// Accept takes back what Reject noted.
+func (l *Log) Accept() { l.Reject(nil) }
+
+// Lacks returns the digests, among those given, whose good content the log
+// does not have.
+func (l *Log) Lacks(refs []Ref) []target.Digest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lacks []target.Digest
+	seen := map[target.Digest]bool{}
+	for _, ref := range refs {
+		c := l.contents[ref.Digest]
+		if seen[ref.Digest] || (c != nil && c.body.Fault == "") {
+			continue
+		}
+		seen[ref.Digest] = true
+		lacks = append(lacks, ref.Digest)
+	}
+	return lacks
+}
+
+// Faulty returns the digests of the known version whose content is a fault,
+// and the version from which a peer would have to send it again.
+func (l *Log) Faulty() ([]target.Digest, Version) {
+	if l.Refusal() == nil {
+		return nil, 0
+	}
+	return l.Lacks(l.Table().Refs), l.Snapshot().Version()
+}
+
+// Receive takes an update in whole or not at all. It reports whether anything
+// new was taken up. A version that fails its check becomes known as refused
+// and the snapshot in force stays.
 func (l *Log) Receive(u *Update) (bool, error) {
+	if err := u.Check(); err != nil {
+		return false, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if u.Target() <= l.known.Version {
+	switch v := u.Target(); {
+	case v < l.known.Version:
 		return false, nil
+	case v == l.known.Version:
+		return l.repair(u.Bodies)
 	}
 	table, applied, err := l.advance(u)
 	if err != nil {
-		return false, err
+		return false, l.noteFork(u, err)
 	}
-	bodies, err := l.collect(table, u.Bodies)
+	fresh, err := l.collect(table, u.Bodies)
 	if err != nil {
 		return false, err
 	}
-	l.commit(table, applied, u.Base != nil, bodies)
+	l.commit(table, applied, u.Base != nil, fresh)
 	return true, nil
 }
 
@@ -110,47 +157,57 @@
 	if u.Base != nil && u.Base.Version > table.Version {
 		table = u.Base
 	}
-	var applied []Change
-	for i := range u.Changes {
-		c := &u.Changes[i]
-		if c.Version <= table.Version {
-			continue
-		}
-		next, err := table.Apply(c)
-		if err != nil {
-			return nil, nil, err
+	start := table.Version
+	table, err := table.ApplyAll(u.Changes)
+	if err != nil {
+		return nil, nil, err
+	}
+	return table, slices.Clone(After(u.Changes, start)), nil
+}
+
+// After returns the changes whose versions are above v.
+func After(changes []Change, v Version) []Change {
+	for i := range changes {
+		if changes[i].Version > v {
+			return changes[i:]
 		}
-		table = next
-		applied = append(applied, *c)
 	}
-	return table, applied, nil
+	return nil
 }
 
-// collect returns the bodies that the table refers to.
-func (l *Log) collect(table *Table, received []Body) (map[target.Digest]*Body, error) {
-	fresh := make(map[target.Digest]*Body, len(received))
+// noteFork keeps a fork to be shown.
+func (l *Log) noteFork(u *Update, err error) error {
+	if errors.Is(err, ErrForked) {
+		l.rejected = Refuse(u.Target(), u.Changes[len(u.Changes)-1].EditID,
+			"it does not follow from version %d as known here: the history of versions was replaced", l.known.Version)
+	}
+	return err
+}
+
+// collect checks the received bodies and returns those that the table needs.
+func (l *Log) collect(table *Table, received []Body) (map[target.Digest]*content, error) {
+	fresh := make(map[target.Digest]*content, len(received))
 	for i := range received {
-		b := received[i]
-		if b.Fault == "" && (b.Service == nil || b.Service.Digest() != b.Digest) {
-			return nil, fmt.Errorf("%w: the content of %s does not match", ErrIncomplete, b.Digest)
+		b := &received[i]
+		if have := l.contents[b.Digest]; have != nil && (have.body.Fault == "" || b.Fault != "") {
+			continue
 		}
-		fresh[b.Digest] = &b
-	}
-	bodies := make(map[target.Digest]*Body, len(table.Refs))
-	for _, ref := range table.Refs {
-		b := l.bodies[ref.Digest]
-		if f := fresh[ref.Digest]; f != nil && (b == nil || b.Fault != "") {
-			b = f
+		c, err := newContent(b)
+		if err != nil {
+			return nil, err
 		}
-		if b == nil {
-			return nil, fmt.Errorf("%w: service %q, digest %s", ErrIncomplete, ref.Service, ref.Digest)
+		fresh[b.Digest] = c
+	}
+	for i := range table.Refs {
+		d := table.Refs[i].Digest
+		if l.contents[d] == nil && fresh[d] == nil {
+			return nil, fmt.Errorf("%w: service %q, digest %s", ErrIncomplete, table.Refs[i].Service, d)
 		}
-		bodies[ref.Digest] = b
 	}
-	return bodies, nil
+	return fresh, nil
 }
 
-func (l *Log) commit(table *Table, applied []Change, rebased bool, bodies map[target.Digest]*Body) {
+func (l *Log) commit(table *Table, applied []Change, rebased bool, fresh map[target.Digest]*content) {
 	if rebased && (len(applied) == 0 || len(l.changes) == 0 || applied[0].Version != l.changes[len(l.changes)-1].Version+1) {
 		l.changes = nil
 	}
@@ -159,61 +216,64 @@
 		l.changes = slices.Delete(l.changes, 0, extra)
 	}
 	l.known = table
-	l.bodies = bodies
-	editID := ""
-	if n := len(applied); n > 0 {
-		editID = applied[n-1].EditID
-	}
-	snapshot, refusal := check(table, editID, func(d target.Digest) *Body { return bodies[d] })
-	l.refusal = refusal
-	if refusal == nil {
-		l.inForce.Store(snapshot)
-	}
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.rejected = nil
+	l.add(fresh)
+	l.settle()
+	l.signal()
 }
 
-// Since returns the update that brings a peer from version v to the known one,
-// or nil if the peer is not behind.
-func (l *Log) Since(v Version) *Update {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if v >= l.known.Version {
-		return nil
+// add takes up contents and drops those that are no longer of use.
+func (l *Log) add(fresh map[target.Digest]*content) {
+	for d, c := range fresh {
+		l.contents[d] = c
 	}
-	if len(l.changes) > 0 && l.changes[0].Version <= v+1 {
-		return l.delta(v)
+	if len(l.contents) <= len(l.known.Refs)+maxSpareContents {
+		return
 	}
-	u := &Update{Base: l.known}
-	u.Bodies = l.bodiesOf(l.known.Refs)
-	return u
+	used := make(map[target.Digest]*content, len(l.known.Refs))
+	for i := range l.known.Refs {
+		d := l.known.Refs[i].Digest
+		used[d] = l.contents[d]
+	}
+	l.contents = used
 }
 
-func (l *Log) delta(v Version) *Update {
-	u := &Update{}
-	var refs []Ref
-	for i := range l.changes {
-		c := &l.changes[i]
-		if c.Version <= v {
-			continue
-		}
-		u.Changes = append(u.Changes, *c)
-		refs = append(refs, c.Updated...)
+// settle checks the known version and puts it in force if it is good.
+func (l *Log) settle() {
+	editID := ""
+	if n := len(l.changes); n > 0 {
+		editID = l.changes[n-1].EditID
+	}
+	snapshot, refusal := build(l.known, editID, l.contents)
+	l.refusal = refusal
+	if refusal == nil {
+		l.good = snapshot
+		l.publish()
 	}
-	u.Bodies = l.bodiesOf(refs)
-	return u
 }
 
-func (l *Log) bodiesOf(refs []Ref) []Body {
-	seen := make(map[target.Digest]bool, len(refs))
-	var bodies []Body
-	for _, ref := range refs {
-		b := l.bodies[ref.Digest]
-		if b == nil || seen[ref.Digest] {
+// repair replaces faults of the known version by good content that was heard
+// later, so that all daemons come to the same decision on it.
+func (l *Log) repair(received []Body) (bool, error) {
+	if l.refusal == nil {
+		return false, nil
+	}
+	fresh := map[target.Digest]*content{}
+	for i := range received {
+		have := l.contents[received[i].Digest]
+		if have == nil || have.body.Fault == "" || received[i].Fault != "" {
 			continue
 		}
-		seen[ref.Digest] = true
-		bodies = append(bodies, *b)
+		c, err := newContent(&received[i])
+		if err != nil {
+			return false, err
+		}
+		fresh[c.body.Digest] = c
+	}
+	if len(fresh) == 0 {
+		return false, nil
 	}
-	return bodies
+	l.add(fresh)
+	l.settle()
+	return true, nil
 }
--- a/mesh/manifest/manifest.go
+++ b/mesh/manifest/manifest.go
@@ -35,6 +35,9 @@
 	Updated []Ref
 	// Removed lists services that were removed.
 	Removed []string
+	// Table is the digest of the table that the change produced. It tells a
+	// history that forked apart from the one that a daemon knows.
+	Table target.Digest
 }
 
 // TableRef points at a stored table.
@@ -43,10 +46,6 @@
 	Digest  target.Digest
 }
 
-// MaxHeadChanges is the number of changes after which an edit stores a new
-// base table and starts the list again.
-const MaxHeadChanges = 64
-
 // Head is the one object whose conditional update accepts an edit. The table
 // of its version is the base table with the changes applied in order.
 type Head struct {
@@ -55,21 +54,6 @@
 	Changes []Change
 }
 
-// Check reports whether the head is consistent in itself.
-func (h *Head) Check() error {
-	next := h.Base.Version + 1
-	for i := range h.Changes {
-		if h.Changes[i].Version != next {
-			return fmt.Errorf("head %d: change %d where %d was expected", h.Version, h.Changes[i].Version, next)
-		}
-		next++
-	}
-	if h.Version != next-1 {
-		return fmt.Errorf("head %d: its changes end at version %d", h.Version, next-1)
-	}
-	return nil
-}
-
 // Table lists every service of one version, sorted by name.
 type Table struct {
 	Version Version
@@ -96,21 +80,49 @@
 	if c.Version != t.Version+1 {
 		return nil, fmt.Errorf("%w: change %d on table %d", ErrGap, c.Version, t.Version)
 	}
-	next := &Table{Version: c.Version, Refs: slices.Clone(t.Refs)}
+	next := &Table{Version: t.Version, Refs: slices.Clone(t.Refs)}
+	next.apply(c)
+	return next, nil
+}
+
+// ApplyAll returns the table that results from those changes that are above
+// the table's version, or ErrForked if it is not the one that they state.
+func (t *Table) ApplyAll(changes []Change) (*Table, error) {
+	changes = After(changes, t.Version)
+	if len(changes) == 0 {
+		return t, nil
+	}
+	next := &Table{Version: t.Version, Refs: slices.Clone(t.Refs)}
+	for i := range changes {
+		if changes[i].Version != next.Version+1 {
+			return nil, fmt.Errorf("%w: change %d on table %d", ErrGap, changes[i].Version, next.Version)
+		}
+		next.apply(&changes[i])
+	}
+	if len(next.Refs) > MaxServices {
+		return nil, fmt.Errorf("%w: version %d has %d services; at most %d are allowed", ErrMalformed, next.Version, len(next.Refs), MaxServices)
+	}
+	if next.Digest() != changes[len(changes)-1].Table {
+		return nil, fmt.Errorf("%w: version %d", ErrForked, next.Version)
+	}
+	return next, nil
+}
+
+func (t *Table) apply(c *Change) {
+	t.Version = c.Version
 	for _, r := range c.Updated {
-		i, ok := next.find(r.Service)
+		i, ok := t.find(r.Service)
 		if ok {
-			next.Refs[i] = r
+			t.Refs[i] = r
 			continue
 		}
-		next.Refs = slices.Insert(next.Refs, i, r)
+		t.Refs = slices.Insert(t.Refs, i, r)
 	}
 	for _, name := range c.Removed {
-		if i, ok := next.find(name); ok {
-			next.Refs = slices.Delete(next.Refs, i, i+1)
+		if i, ok := t.find(name); ok {
+			t.Refs = slices.Delete(t.Refs, i, i+1)
 		}
 	}
-	return next, nil
 }
 
 // Digest identifies the content of the table.
--- /dev/null
+++ b/mesh/manifest/since.go
@@ -0,0 +1,42 @@
+package manifest
+
+import "fescuehoist.example/mesh/target"
+
+// Since returns the update that brings a peer from version v to the known one,
+// or nil if the peer is not behind.
+func (l *Log) Since(v Version) *Update {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v >= l.known.Version {
+		return nil
+	}
+	if len(l.changes) > 0 && l.changes[0].Version <= v+1 {
+		return l.delta(v)
+	}
+	return &Update{Base: l.known, Bodies: l.bodiesOf(l.known.Refs)}
+}
+
+func (l *Log) delta(v Version) *Update {
+	first := int(v + 1 - l.changes[0].Version)
+	u := &Update{Changes: append([]Change(nil), l.changes[first:]...)}
+	var refs []Ref
+	for i := range u.Changes {
+		refs = append(refs, u.Changes[i].Updated...)
+	}
+	u.Bodies = l.bodiesOf(refs)
+	return u
+}
+
+func (l *Log) bodiesOf(refs []Ref) []Body {
+	seen := make(map[target.Digest]bool, len(refs))
+	bodies := make([]Body, 0, len(refs))
+	for _, ref := range refs {
+		c := l.contents[ref.Digest]
+		if c == nil || seen[ref.Digest] {
+			continue
+		}
+		seen[ref.Digest] = true
+		bodies = append(bodies, c.body)
+	}
+	return bodies
+}
--- a/mesh/manifest/snapshot.go
+++ b/mesh/manifest/snapshot.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "fescuehoist.example/mesh/target"
+import (
+	"fmt"
+
+	"fescuehoist.example/mesh/target"
+)
 
 // Snapshot is the checked, immutable configuration of one version.
 type Snapshot struct {
@@ -33,33 +37,50 @@
 	Fault   string
 }
 
-// check builds the snapshot of a table, or says why the table is refused.
-// Bodies that prev already holds under the same digest are not checked again.
-func check(table *Table, editID string, body func(target.Digest) *Body) (*Snapshot, *Refusal) {
+// content is a body together with the problems of its service, found once.
+type content struct {
+	body     Body
+	problems []target.Problem
+}
+
+// newContent checks a body. It returns ErrIncomplete if the service is not the
+// one that the digest names.
+func newContent(b *Body) (*content, error) {
+	if b.Fault != "" {
+		return &content{body: Body{Digest: b.Digest, Fault: b.Fault}}, nil
+	}
+	if b.Service == nil || b.Service.Digest() != b.Digest {
+		return nil, fmt.Errorf("%w: the content of %s does not match", ErrIncomplete, b.Digest)
+	}
+	return &content{body: *b, problems: b.Service.Validate()}, nil
+}
+
+// problemsAs returns why the content cannot be the configuration of a service.
+func (c *content) problemsAs(service string) []target.Problem {
+	if c.body.Fault != "" {
+		return []target.Problem{{Service: service, Text: c.body.Fault}}
+	}
+	if c.body.Service.Name != service {
+		return []target.Problem{{Service: service, Text: fmt.Sprintf("its body names service %.80q", c.body.Service.Name)}}
+	}
+	return c.problems
+}
+
+// build returns the snapshot of a table, or why the table is refused.
+func build(table *Table, editID string, contents map[target.Digest]*content) (*Snapshot, *Refusal) {
 	s := &Snapshot{version: table.Version, services: make(map[string]*target.Service, len(table.Refs))}
 	var problems []target.Problem
-	for _, ref := range table.Refs {
-		b := body(ref.Digest)
-		if ps := checkBody(ref, b); len(ps) > 0 {
+	for i := range table.Refs {
+		ref := &table.Refs[i]
+		c := contents[ref.Digest]
+		if ps := c.problemsAs(ref.Service); len(ps) > 0 {
 			problems = append(problems, ps...)
 			continue
 		}
-		s.services[ref.Service] = b.Service
+		s.services[ref.Service] = c.body.Service
 	}
 	if len(problems) > 0 {
 		return nil, &Refusal{Version: table.Version, EditID: editID, Problems: problems}
 	}
 	return s, nil
 }
-
-func checkBody(ref Ref, b *Body) []target.Problem {
-	switch {
-	case b == nil:
-		return []target.Problem{{Service: ref.Service, Text: "its body is missing"}}
-	case b.Fault != "":
-		return []target.Problem{{Service: ref.Service, Text: b.Fault}}
-	case b.Service.Name != ref.Service:
-		return []target.Problem{{Service: ref.Service, Text: "its body names service " + b.Service.Name}}
-	}
-	return b.Service.Validate()
-}
--- a/mesh/reader/reader.go
+++ b/mesh/reader/reader.go
@@ -14,7 +14,6 @@
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
-	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/mesh/wait"
 )
 
@@ -35,6 +34,13 @@
 	PerDomain int
 	// LeaseTTL is how long a lease lasts without renewal.
 	LeaseTTL time.Duration
+	// JoinLimit is how long a starting daemon waits to hear of other daemons
+	// before it reads. Without it a herd of starting daemons, each of which
+	// knows nobody yet, would all turn to the platform.
+	JoinLimit time.Duration
+	// WatchRate and WatchBurst bound the watch's calls, per second and at once.
+	WatchRate  float64
+	WatchBurst int
 	// RetryBase and RetryMax bound the jittered exponential delay between
 	// failed calls to the platform.
 	RetryBase, RetryMax time.Duration
@@ -42,9 +48,16 @@
 
 // DefaultConfig returns the settings for a fleet of any size.
 func DefaultConfig() Config {
-	return Config{PerDomain: 2, LeaseTTL: 10 * time.Second, RetryBase: 100 * time.Millisecond, RetryMax: 5 * time.Second}
+	return Config{
+		PerDomain: 2, LeaseTTL: 10 * time.Second, JoinLimit: 3 * time.Second,
+		WatchRate: 5, WatchBurst: 5,
+		RetryBase: 100 * time.Millisecond, RetryMax: 5 * time.Second,
+	}
 }
 
+// releaseTimeout bounds the release of a lease by a daemon that stops reading.
+const releaseTimeout = time.Second
+
 // Logger takes short messages about reading.
 type Logger interface {
 	Infof(format string, args ...any)
@@ -71,6 +84,9 @@
 // Run reads while this daemon is among the first of its failure domain by
 // hash, until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
+	if r.join(ctx) != nil {
+		return nil
+	}
 	for {
 		changed := r.members.Changed()
 		if place := r.place(); place < r.cfg.PerDomain {
@@ -84,6 +100,25 @@
 	}
 }
 
+// join waits until this daemon knows another one, or for JoinLimit.
+func (r *Reader) join(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, r.cfg.JoinLimit)
+	defer cancel()
+	for {
+		changed := r.members.Changed()
+		for _, m := range r.members.View().All() {
+			if m.Server != r.self {
+				return nil
+			}
+		}
+		select {
+		case <-limit.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
 // place counts the live daemons of the failure domain that come before this
 // one in hash order.
 func (r *Reader) place() int {
@@ -150,7 +185,7 @@
 	g.Go(func() error { return r.watch(ctx) })
 	_ = g.Wait()
 	if ctx.Err() != nil {
-		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.cfg.RetryMax)
+		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
 		_ = r.leases.Release(release, lease, r.self)
 	}
@@ -171,95 +206,6 @@
 	}
 }
 
-// watch takes up each new head.
-func (r *Reader) watch(ctx context.Context) error {
-	delay := r.delay()
-	var revision manifest.Revision
-	for {
-		head, rev, err := r.repo.WaitHead(ctx, revision)
-		if err == nil {
-			err = r.take(ctx, head)
-		}
-		if err == nil {
-			revision = rev
-			delay.Reset()
-			continue
-		}
-		if errors.Is(err, manifest.ErrNotFound) {
-			delay.Reset()
-		}
-		if ctx.Err() == nil && !errors.Is(err, manifest.ErrNotFound) {
-			r.out.Infof("cannot read the configuration: %v", err)
-		}
-		if err := wait.For(ctx, delay.NextBackOff()); err != nil {
-			return err
-		}
-	}
-}
-
-// take fetches what the head refers to and gives it to the log.
-func (r *Reader) take(ctx context.Context, head *manifest.Head) error {
-	if err := head.Check(); err != nil {
-		return err
-	}
-	known := r.log.Known()
-	if head.Version <= known {
-		return nil
-	}
-	u := &manifest.Update{}
-	if known < head.Base.Version {
-		base, err := r.repo.Table(ctx, head.Base)
-		if err != nil {
-			return err
-		}
-		u.Base = base
-	}
-	for i := range head.Changes {
-		if head.Changes[i].Version > known {
-			u.Changes = append(u.Changes, head.Changes[i])
-		}
-	}
-	bodies, err := r.bodies(ctx, u)
-	if err != nil {
-		return err
-	}
-	u.Bodies = bodies
-	_, err = r.log.Receive(u)
-	return err
-}
-
-// bodies fetches the bodies of an update. One that the platform lacks or that
-// cannot be decoded makes the version a bad one.
-func (r *Reader) bodies(ctx context.Context, u *manifest.Update) ([]manifest.Body, error) {
-	refs := map[target.Digest]bool{}
-	if u.Base != nil {
-		for _, ref := range u.Base.Refs {
-			refs[ref.Digest] = true
-		}
-	}
-	for i := range u.Changes {
-		for _, ref := range u.Changes[i].Updated {
-			refs[ref.Digest] = true
-		}
-	}
-	var bodies []manifest.Body
-	for d := range refs {
-		s, err := r.repo.Body(ctx, d)
-		var bad *manifest.Malformed
-		switch {
-		case errors.Is(err, manifest.ErrNotFound):
-			bodies = append(bodies, manifest.Body{Digest: d, Fault: "the platform has no body " + string(d)})
-		case errors.As(err, &bad):
-			bodies = append(bodies, manifest.Body{Digest: d, Fault: bad.Error()})
-		case err != nil:
-			return nil, err
-		default:
-			bodies = append(bodies, manifest.Body{Digest: d, Service: s})
-		}
-	}
-	return bodies, nil
-}
-
 func (r *Reader) delay() *backoff.ExponentialBackOff {
 	d := backoff.NewExponentialBackOff()
 	d.InitialInterval, d.MaxInterval = r.cfg.RetryBase, r.cfg.RetryMax
--- a/mesh/spread/peer.go
+++ b/mesh/spread/peer.go
@@ -86,6 +86,7 @@
 		return errSelf
 	}
 	p.id, p.version = hello.From, hello.Version
+	n.log.Heard(string(hello.From), hello.Version)
 	return nil
 }
 
@@ -129,6 +130,10 @@
 		p.reply(&Hello{From: n.self, Version: n.log.Known()})
 		return nil
 	}
+	if errors.Is(err, manifest.ErrForked) {
+		n.out.Infof("configuration of peer %s not taken up: %v", p.id, err)
+		return nil
+	}
 	return err
 }
 
@@ -176,6 +181,7 @@
 		case <-heartbeat.C:
 			m = &Heartbeat{Version: n.log.Known()}
 		case <-exchange.C:
+			n.askAgain(p)
 			m = &Hashes{Hashes: n.table.Hashes()}
 		}
 		if err := p.link.Send(m); err != nil {
@@ -184,6 +190,14 @@
 	}
 }
 
+// askAgain asks the peer for the known version again while a part of it could
+// not be read from the platform: the peer may have heard it whole.
+func (n *Node) askAgain(p *peer) {
+	if faulty, from := n.log.Faulty(); len(faulty) > 0 {
+		p.reply(&Hello{From: n.self, Version: from})
+	}
+}
+
 // flush sends the configuration that the peer lacks and the pending records.
 func (n *Node) flush(p *peer) error {
 	if u := n.log.Since(p.lacks()); u != nil {
--- a/mesh/target/validate.go
+++ b/mesh/target/validate.go
@@ -12,6 +12,7 @@
 	MaxClasses      = 64
 	MaxRank         = 16
 	MaxPathLength   = 512
+	MaxMethodLength = 16
 	MaxTimeout      = time.Hour
 	MaxNotice       = 60 * 24 * time.Hour
 	MinLatency      = time.Millisecond
@@ -20,7 +21,8 @@
 
 // Problem is one reason why a declaration is refused.
 type Problem struct {
-	// Service and Class name where the problem is; Class may be empty.
+	// Service and Class name where the problem is. An empty Service means the
+	// version as a whole, an empty Class the service as a whole.
 	Service, Class string
 	// Field is the declared key at fault; it may be empty.
 	Field string
@@ -30,6 +32,9 @@
 
 // Error formats the problem as one line.
 func (p Problem) Error() string {
+	if p.Service == "" {
+		return p.Text
+	}
 	where := "service " + quote(p.Service)
 	if p.Class != "" {
 		where += ", class " + quote(p.Class)
@@ -76,11 +81,11 @@
 
 func (v *validator) class(c *Class) {
 	v.name(c.Name, "name", c.Name)
-	if !strings.HasPrefix(c.Path, "/") || len(c.Path) > MaxPathLength {
-		v.add(c.Name, "path", fmt.Sprintf("%q; write a path that starts with / and has at most %d bytes", c.Path, MaxPathLength))
+	if !validPath(c.Path) {
+		v.add(c.Name, "path", fmt.Sprintf("%.80q; write a path that starts with /, has at most %d bytes, and no space, ? or #", c.Path, MaxPathLength))
 	}
-	if c.Method != strings.ToUpper(c.Method) {
-		v.add(c.Name, "method", fmt.Sprintf("%q; write the method in capitals", c.Method))
+	if !validMethod(c.Method) {
+		v.add(c.Name, "method", fmt.Sprintf("%.80q; write an HTTP method in capitals, such as GET, or leave it out to match any", c.Method))
 	}
 	if c.Rank < 1 || c.Rank > MaxRank {
 		v.add(c.Name, "rank", fmt.Sprintf("%d; write 1 (most urgent) to %d", c.Rank, MaxRank))
@@ -88,8 +93,8 @@
 	if c.Latency < MinLatency || c.Latency > MaxTimeout {
 		v.add(c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
 	}
-	if c.Timeout < c.Latency || c.Timeout > MaxTimeout {
-		v.add(c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, c.Latency, MaxTimeout))
+	if c.Timeout < max(c.Latency, MinLatency) || c.Timeout > MaxTimeout {
+		v.add(c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, max(c.Latency, MinLatency), MaxTimeout))
 	}
 	if !(c.Success > 0 && c.Success < 1) {
 		v.add(c.Name, "success", fmt.Sprintf("%v; write a share above 0 and below 1", c.Success))
@@ -104,7 +109,7 @@
 
 func (v *validator) name(class, field, name string) {
 	if !ValidName(name) {
-		v.add(class, field, fmt.Sprintf("%q; write 1 to %d of a-z, 0-9 and -, with a letter first", name, MaxNameLength))
+		v.add(class, field, fmt.Sprintf("%.80q; write 1 to %d of a-z, 0-9 and -, with a letter first", name, MaxNameLength))
 	}
 }
 
@@ -125,6 +130,30 @@
 	}
 }
 
+func validPath(path string) bool {
+	if !strings.HasPrefix(path, "/") || len(path) > MaxPathLength {
+		return false
+	}
+	for i := 0; i < len(path); i++ {
+		if c := path[i]; c <= ' ' || c > '~' || c == '?' || c == '#' {
+			return false
+		}
+	}
+	return true
+}
+
+func validMethod(method string) bool {
+	if len(method) > MaxMethodLength {
+		return false
+	}
+	for i := 0; i < len(method); i++ {
+		if method[i] < 'A' || method[i] > 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
 // ValidName reports whether name may name a service, class or client.
 func ValidName(name string) bool {
 	if len(name) == 0 || len(name) > MaxNameLength {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -31,13 +31,25 @@
 	Delay time.Duration
 	// LoseAnswers cuts the connection of a write after it took effect.
 	LoseAnswers bool
+	// LateWrites cuts the connection of a write at once and lets the write
+	// arrive this much later.
+	LateWrites time.Duration
+	// Writes names the writes that LoseAnswers and LateWrites hit by the start
+	// of their keys; empty means all of them.
+	Writes string
 }
 
 // Counts are the calls seen so far.
-type Counts struct{ Gets, Puts, Lists, Watches int }
+type Counts struct {
+	Gets, Puts, Lists, Watches int
+	// Refused counts the calls of all kinds that an outage refused.
+	Refused int
+	// Peak is the largest number of calls within one second of the clock.
+	Peak int
+}
 
 // Total returns the number of calls, a waiting watch counted as one.
-func (c Counts) Total() int { return c.Gets + c.Puts + c.Lists + c.Watches }
+func (c Counts) Total() int { return c.Gets + c.Puts + c.Lists + c.Watches + c.Refused }
 
 type object struct {
 	Key     string          `json:"key"`
@@ -55,6 +67,9 @@
 	objects map[string]object
 	faults  Faults
 	counts  Counts
+	// second is the second of the clock whose calls are being counted.
+	second  int64
+	within  int
 	changed chan struct{}
 }
 
@@ -86,6 +101,13 @@
 	p.wake()
 }
 
+// Remove deletes an object past the API. Stored again, it starts at version 1.
+func (p *Platform) Remove(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.objects, key)
+}
+
 // Load returns an object's value past the API.
 func (p *Platform) Load(key string) ([]byte, bool) {
 	p.mu.Lock()
@@ -129,14 +151,12 @@
 	return mux
 }
 
-// faulty applies outages and delays before a call.
+// faulty counts a call and applies outages and delays before it.
 func (p *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		f := p.faults
-		p.mu.Unlock()
+		f := p.begin()
 		if f.Delay > 0 {
-			time.Sleep(f.Delay)
+			pause(r.Context(), f.Delay)
 		}
 		if f.Outage {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
@@ -146,6 +166,37 @@
 	}
 }
 
+// begin counts a call and returns the faults that it meets.
+func (p *Platform) begin() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.within = now, 0
+	}
+	p.within++
+	p.counts.Peak = max(p.counts.Peak, p.within)
+	if p.faults.Outage {
+		p.counts.Refused++
+	}
+	return p.faults
+}
+
+// ResetCounts starts counting again.
+func (p *Platform) ResetCounts() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts, p.within = Counts{}, 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.counts.Gets++
@@ -170,29 +221,44 @@
 		http.Error(w, "If-Match must be a version and the value JSON", http.StatusBadRequest)
 		return
 	}
-	o, accepted, lose := p.commit(key, value, expect)
+	lose, late := p.writeFaults(key)
+	if late > 0 {
+		time.AfterFunc(late, func() { p.commit(key, value, expect) })
+		panic(http.ErrAbortHandler)
+	}
+	o, accepted := p.commit(key, value, expect)
 	switch {
-	case !accepted:
-		http.Error(w, "the version differs", http.StatusPreconditionFailed)
 	case lose:
 		panic(http.ErrAbortHandler)
+	case !accepted:
+		http.Error(w, "the version differs", http.StatusPreconditionFailed)
 	default:
 		answer(w, http.StatusOK, o)
 	}
 }
 
-func (p *Platform) commit(key string, value []byte, expect uint64) (object, bool, bool) {
+// writeFaults returns the faults that hit a write to a key.
+func (p *Platform) writeFaults(key string) (lose bool, late time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !strings.HasPrefix(key, p.faults.Writes) {
+		return false, 0
+	}
+	return p.faults.LoseAnswers, p.faults.LateWrites
+}
+
+func (p *Platform) commit(key string, value []byte, expect uint64) (object, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Puts++
 	have := p.objects[key]
 	if have.Version != expect {
-		return object{}, false, false
+		return object{}, false
 	}
 	o := object{Key: key, Version: expect + 1, Value: value}
 	p.objects[key] = o
 	p.wake()
-	return o, true, p.faults.LoseAnswers
+	return o, true
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
