Gather status along a tree and carry out planned stops

Cause: operators saw one daemon at a time, and nothing carried out a planned stop. Change: each daemon measures the calls that it took and the time its backend server took; reports are added up along a tree of 16 within the failure domain, split by service into shards, and the first daemon of each tree writes one summary an interval. The replies carry the planned stops down; the daemon of a stopped server suspends it at the start and resumes it after the end. fescuehoist status reads the summaries. Conclusion: TestStatusReachesThePlatform counts every call, daemon and version through trees of depth 4, and sees a server drain and come back.

--- a/Makefile
+++ b/Makefile
@@ -35,4 +35,5 @@
 	go build -o bin/ ./fescuehoist ./fescuehoistd
 
 generate:
-	tools/generate.sh adapters/peergrpc/peerpb
+	tools/generate.sh adapters/peergrpc/peerpb/peer.proto adapters/peergrpc/peerpb
+	tools/generate.sh adapters/statusgrpc/statuspb/status.proto adapters/statusgrpc/statuspb
--- a/adapters/peergrpc/server.go
+++ b/adapters/peergrpc/server.go
@@ -39,11 +39,17 @@
 	return <-closed
 }
 
+// Service is a further service on the same listener.
+type Service interface{ Register(grpc.ServiceRegistrar) }
+
 // Run accepts streams on the listener until ctx ends.
-func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+func (s *Server) Run(ctx context.Context, ln net.Listener, others ...Service) error {
 	server := grpc.NewServer(grpc.Creds(s.creds),
 		grpc.MaxRecvMsgSize(MaxMessageSize), grpc.MaxSendMsgSize(MaxMessageSize))
 	peerpb.RegisterPeerServer(server, s)
+	for _, other := range others {
+		other.Register(server)
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return server.Serve(ln) })
 	g.Go(func() error {
--- /dev/null
+++ b/adapters/platformhttp/status.go
@@ -0,0 +1,255 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/status"
+)
+
+// statusPrefix starts the keys of summaries.
+const statusPrefix = "status/"
+
+type summaryJSON struct {
+	Domain     string             `json:"domain"`
+	Shard      int                `json:"shard"`
+	At         time.Time          `json:"at"`
+	By         string             `json:"by"`
+	WindowMS   int64              `json:"window_ms"`
+	Expected   int                `json:"daemons_expected,omitempty"`
+	Silent     []member.ServerID  `json:"silent,omitempty"`
+	Presence   *presenceJSON      `json:"presence,omitempty"`
+	Classes    []classSummaryJSON `json:"classes"`
+	ServerList []serverJSON       `json:"servers"`
+}
+
+type presenceJSON struct {
+	Versions []versionJSON `json:"versions"`
+	Behind   []laggardJSON `json:"behind,omitempty"`
+	Refusals []refusalJSON `json:"refusals,omitempty"`
+}
+
+type versionJSON struct {
+	Version uint64 `json:"version"`
+	Daemons int    `json:"daemons"`
+}
+
+type laggardJSON struct {
+	Server  string `json:"server"`
+	Version uint64 `json:"version"`
+}
+
+type refusalJSON struct {
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason"`
+	Daemons int    `json:"daemons"`
+}
+
+type classSummaryJSON struct {
+	Service    string       `json:"service"`
+	Class      string       `json:"class"`
+	Offered    uint64       `json:"offered"`
+	Good       uint64       `json:"good"`
+	Answered   uint64       `json:"answered"`
+	NotRun     uint64       `json:"not_run"`
+	MayHaveRun uint64       `json:"may_have_run"`
+	Met        bool         `json:"met"`
+	Since      time.Time    `json:"since"`
+	LatencyUS  barsJSON     `json:"latency_us,omitempty"`
+	ServiceUS  barsJSON     `json:"service_us,omitempty"`
+	Clients    []clientJSON `json:"clients,omitempty"`
+	Shape      []hourJSON   `json:"hours,omitempty"`
+}
+
+// barsJSON lists pairs of a duration in microseconds and a count.
+type barsJSON [][2]int64
+
+type clientJSON struct {
+	Name    string `json:"name"`
+	Offered uint64 `json:"offered"`
+	Good    uint64 `json:"good"`
+}
+
+type hourJSON struct {
+	Hour int64   `json:"hour"`
+	Rate float64 `json:"rate"`
+}
+
+type serverJSON struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+// StatusStore keeps summaries and planned stops in the platform.
+type StatusStore struct{ Client *Client }
+
+func summaryKey(domain string, shard int) string {
+	return fmt.Sprintf("%s%s/%d", statusPrefix, domain, shard)
+}
+
+// Summary reads a summary; nil if there is none.
+func (s *StatusStore) Summary(ctx context.Context, domain string, shard int) (*status.Summary, uint64, error) {
+	o, err := s.Client.Get(ctx, summaryKey(domain, shard))
+	if isNotFound(err) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	summary, err := summaryFromJSON(o)
+	if err != nil {
+		return nil, o.Version, nil
+	}
+	return summary, o.Version, nil
+}
+
+// SaveSummary replaces a summary if its revision is still expect.
+func (s *StatusStore) SaveSummary(ctx context.Context, summary *status.Summary, expect uint64) (uint64, error) {
+	return s.Client.Put(ctx, summaryKey(summary.Domain, summary.Shard), summaryToJSON(summary), expect)
+}
+
+// Summaries reads all summaries. Objects that cannot be decoded are returned
+// by key as unreadable.
+func (s *StatusStore) Summaries(ctx context.Context) (summaries []*status.Summary, unreadable []string, err error) {
+	objects, err := s.Client.List(ctx, statusPrefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	for i := range objects {
+		summary, err := summaryFromJSON(&objects[i])
+		if err != nil {
+			unreadable = append(unreadable, objects[i].Key)
+			continue
+		}
+		summaries = append(summaries, summary)
+	}
+	return summaries, unreadable, nil
+}
+
+func summaryToJSON(s *status.Summary) *summaryJSON {
+	out := &summaryJSON{
+		Domain: s.Domain, Shard: s.Shard, At: s.At, By: string(s.By), WindowMS: s.Window.Milliseconds(),
+		Expected: s.Expected, Silent: s.Silent,
+	}
+	if s.Presence != nil {
+		out.Presence = presenceToJSON(s.Presence)
+	}
+	for i := range s.Classes {
+		out.Classes = append(out.Classes, classToJSON(&s.Classes[i]))
+	}
+	for _, r := range s.Servers {
+		out.ServerList = append(out.ServerList, serverJSON{Server: string(r.Server), Service: r.Service, Slots: r.Slots, State: r.State})
+	}
+	return out
+}
+
+func presenceToJSON(p *status.Presence) *presenceJSON {
+	out := &presenceJSON{}
+	for v, n := range p.Daemons {
+		out.Versions = append(out.Versions, versionJSON{Version: uint64(v), Daemons: n})
+	}
+	for _, l := range p.Behind {
+		out.Behind = append(out.Behind, laggardJSON{Server: string(l.Server), Version: uint64(l.Version)})
+	}
+	for r, n := range p.Refusals {
+		out.Refusals = append(out.Refusals, refusalJSON{Version: uint64(r.Version), Reason: r.Reason, Daemons: n})
+	}
+	return out
+}
+
+func classToJSON(c *status.ClassSummary) classSummaryJSON {
+	out := classSummaryJSON{
+		Service: c.Service, Class: c.Class, Offered: c.Counts.Offered, Good: c.Counts.Good,
+		Answered: c.Counts.Answered, NotRun: c.Counts.NotRun, MayHaveRun: c.Counts.MayHaveRun,
+		Met: c.Met, Since: c.Since,
+		LatencyUS: barsToJSON(&c.Counts.Latency), ServiceUS: barsToJSON(&c.Counts.Service),
+	}
+	for _, name := range c.Counts.ClientNames() {
+		n := c.Counts.Clients[name]
+		out.Clients = append(out.Clients, clientJSON{Name: name, Offered: n.Offered, Good: n.Good})
+	}
+	for _, h := range c.Shape {
+		if h.Hour > 0 {
+			out.Shape = append(out.Shape, hourJSON{Hour: h.Hour, Rate: h.Rate})
+		}
+	}
+	return out
+}
+
+func barsToJSON(h *status.Histogram) barsJSON {
+	var out barsJSON
+	for _, b := range h.Bars() {
+		out = append(out, [2]int64{b.Micros, b.Count})
+	}
+	return out
+}
+
+func summaryFromJSON(o *Object) (*status.Summary, error) {
+	var in summaryJSON
+	if err := json.Unmarshal(o.Value, &in); err != nil {
+		return nil, &manifest.Malformed{Object: o.Key, Err: err}
+	}
+	s := &status.Summary{
+		Domain: in.Domain, Shard: in.Shard, At: in.At, By: member.ServerID(in.By),
+		Window: time.Duration(in.WindowMS) * time.Millisecond, Expected: in.Expected, Silent: in.Silent,
+	}
+	if in.Presence != nil {
+		s.Presence = presenceFromJSON(in.Presence)
+	}
+	for i := range in.Classes {
+		s.Classes = append(s.Classes, classFromJSON(&in.Classes[i]))
+	}
+	for _, r := range in.ServerList {
+		s.Servers = append(s.Servers, status.ServerSummary{
+			Server: member.ServerID(r.Server), Service: r.Service, Slots: r.Slots, State: r.State,
+		})
+	}
+	return s, nil
+}
+
+func presenceFromJSON(in *presenceJSON) *status.Presence {
+	p := &status.Presence{Daemons: map[manifest.Version]int{}, Refusals: map[status.Refusal]int{}}
+	for _, v := range in.Versions {
+		p.Daemons[manifest.Version(v.Version)] += v.Daemons
+	}
+	for _, l := range in.Behind {
+		p.Behind = append(p.Behind, status.Laggard{Server: member.ServerID(l.Server), Version: manifest.Version(l.Version)})
+	}
+	for _, r := range in.Refusals {
+		p.Refusals[status.Refusal{Version: manifest.Version(r.Version), Reason: r.Reason}] += r.Daemons
+	}
+	return p
+}
+
+func classFromJSON(in *classSummaryJSON) status.ClassSummary {
+	counts := &status.Counts{
+		Offered: in.Offered, Good: in.Good, Answered: in.Answered, NotRun: in.NotRun, MayHaveRun: in.MayHaveRun,
+		Latency: barsFromJSON(in.LatencyUS), Service: barsFromJSON(in.ServiceUS), Clients: map[string]status.ClientCounts{},
+	}
+	for _, n := range in.Clients {
+		counts.Clients[n.Name] = status.ClientCounts{Offered: n.Offered, Good: n.Good}
+	}
+	c := status.ClassSummary{
+		ClassKey: status.ClassKey{Service: in.Service, Class: in.Class}, Counts: counts, Met: in.Met, Since: in.Since,
+	}
+	for _, h := range in.Shape {
+		if h.Hour > 0 {
+			c.Shape[h.Hour%status.Hours] = status.HourPeak{Hour: h.Hour, Rate: h.Rate}
+		}
+	}
+	return c
+}
+
+func barsFromJSON(in barsJSON) status.Histogram {
+	bars := make([]status.Bar, len(in))
+	for i, b := range in {
+		bars[i] = status.Bar{Micros: b[0], Count: b[1]}
+	}
+	return status.HistogramOf(bars)
+}
--- /dev/null
+++ b/adapters/platformhttp/stops.go
@@ -0,0 +1,53 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/stop"
+)
+
+// stopsKey is the key of the planned stops.
+const stopsKey = "stops"
+
+type stopJSON struct {
+	ID      string            `json:"id"`
+	Author  string            `json:"author"`
+	Servers []member.ServerID `json:"servers,omitempty"`
+	Domain  string            `json:"domain,omitempty"`
+	From    time.Time         `json:"from"`
+	Until   time.Time         `json:"until"`
+}
+
+// Stops reads the planned stops; an absent list is empty.
+func (s *StatusStore) Stops(ctx context.Context) (*stop.List, error) {
+	o, err := s.Client.Get(ctx, stopsKey)
+	if isNotFound(err) {
+		return &stop.List{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var in []stopJSON
+	if err := json.Unmarshal(o.Value, &in); err != nil {
+		return nil, &manifest.Malformed{Object: stopsKey, Err: err}
+	}
+	list := &stop.List{Revision: o.Version}
+	for _, one := range in {
+		list.Stops = append(list.Stops, stop.Stop(one))
+	}
+	return list, nil
+}
+
+// SaveStops replaces the list if its revision is still that of l.
+func (s *StatusStore) SaveStops(ctx context.Context, l *stop.List) error {
+	out := make([]stopJSON, len(l.Stops))
+	for i := range l.Stops {
+		out[i] = stopJSON(l.Stops[i])
+	}
+	_, err := s.Client.Put(ctx, stopsKey, out, l.Revision)
+	return err
+}
--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -29,6 +29,12 @@
 // Drain does nothing.
 func (g *OpenGate) Drain(context.Context) error { return nil }
 
+// Close does nothing.
+func (g *OpenGate) Close() {}
+
+// Open does nothing.
+func (g *OpenGate) Open() {}
+
 // FIFOGate runs as many calls at once as there are slots, first come first
 // served. A call waits until its deadline.
 type FIFOGate struct {
@@ -116,6 +122,12 @@
 // Drain does nothing.
 func (g *FIFOGate) Drain(context.Context) error { return nil }
 
+// Close does nothing.
+func (g *FIFOGate) Close() {}
+
+// Open does nothing.
+func (g *FIFOGate) Open() {}
+
 // RoundRobin takes the servers of a service in turn.
 type RoundRobin struct{ next atomic.Uint64 }
 
--- a/fescuehoist/main.go
+++ b/fescuehoist/main.go
@@ -23,6 +23,7 @@
 	Remove  removeCommand  `cmd:"" help:"Remove services from the configuration."`
 	Get     getCommand     `cmd:"" help:"Print the targets of a version as a file."`
 	History historyCommand `cmd:"" help:"List the edits: who, when, and what they changed."`
+	Status  statusCommand  `cmd:"" help:"Show whether each class meets its target, and what each failure domain has in force."`
 	Demo    demoCommand    `cmd:"" help:"Run a whole mesh in this process, change it while calls run, and report."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- a/fescuehoist/main_test.go
+++ b/fescuehoist/main_test.go
@@ -91,7 +91,7 @@
 		{"first edit", platform.Faults{}, []string{"apply", good, on, "--author=amal"}, exitDone, []string{"accepted as version 1"}},
 		{"same again", platform.Faults{}, []string{"apply", good, on}, exitDone, []string{"nothing changes"}},
 		{"difference", platform.Faults{}, []string{"diff", other, on}, exitDone, []string{"latency changes from 60ms to 90ms"}},
-		{"answer lost", platform.Faults{LoseAnswers: true}, []string{"apply", other, on, "--author=dina"}, exitDone, []string{"accepted as version 2"}},
+		{"answer lost", platform.Faults{LoseAnswers: true, Writes: "config/head"}, []string{"apply", other, on, "--author=dina"}, exitDone, []string{"accepted as version 2"}},
 		{"conflict", platform.Faults{}, []string{"apply", good, on, "--expect=1"}, exitConflict,
 			[]string{"version 2 by dina", "latency changes from 60ms to 90ms", "this edit wanted:", "--expect 2"}},
 		{"removal unconfirmed", platform.Faults{}, []string{"remove", "lookup", on}, exitBadInput, []string{"--confirm"}},
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fescuehoist.example/adapters/peergrpc"
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/adapters/statusgrpc"
 	"fescuehoist.example/adapters/telemetry"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/manifest"
@@ -28,6 +29,8 @@
 	"fescuehoist.example/mesh/reader"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/spread"
+	"fescuehoist.example/mesh/status"
+	"fescuehoist.example/mesh/stop"
 )
 
 // farewellPeriod is how long a leaving daemon stays to spread that it left.
@@ -50,6 +53,7 @@
 	Settings *settings.Settings
 	Spread   spread.Config
 	Reader   reader.Config
+	Status   status.Config
 	Log      *logrus.Logger
 	// Dial opens connections to other daemons for calls; nil uses plain TCP.
 	Dial httpconn.DialFunc
@@ -59,7 +63,10 @@
 
 // DefaultConfig returns the defaults for the given settings.
 func DefaultConfig(s *settings.Settings, log *logrus.Logger) Config {
-	return Config{Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Log: log, Policy: DefaultPolicy(s)}
+	return Config{
+		Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Status: status.DefaultConfig(),
+		Log: log, Policy: DefaultPolicy(s),
+	}
 }
 
 // Listeners are the open sockets of a daemon.
@@ -110,6 +117,10 @@
 	forwarder *callhttp.Forwarder
 	platform  *platformhttp.Client
 	figures   *telemetry.Telemetry
+	meter     *status.Meter
+	reports   *statusgrpc.Client
+	stops     *stop.Executor
+	collector *status.Collector
 	inner     *proxy.Inner
 	outer     *proxy.Outer
 }
@@ -132,6 +143,7 @@
 		platform:  platformhttp.NewClient(s.Platform),
 	}
 	d.buildControl(self)
+	d.buildStatus(self)
 	d.buildCalls(self)
 	return d, nil
 }
@@ -152,12 +164,21 @@
 	d.announcer = announce.New(own, d.node, d.backend, d.gate, s.AnnounceLifetime)
 }
 
+func (d *Daemon) buildStatus(self member.ServerID) {
+	s := d.cfg.Settings
+	d.meter = status.NewMeter()
+	d.reports = statusgrpc.NewClient(insecure.NewCredentials())
+	d.stops = stop.NewExecutor(self, s.Domain, d.announcer, d.prefixed("stop"))
+	d.collector = status.NewCollector(d.cfg.Status, self, s.Domain, d.meter, d.members, d.log, d.reports,
+		&platformhttp.StatusStore{Client: d.platform}, d.stops, d.prefixed("status"))
+}
+
 func (d *Daemon) buildCalls(self member.ServerID) {
 	d.router = route.NewRouter(d.log, d.members)
-	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: d.backend}
+	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
-		Budget: d.cfg.Policy.Budget, Remote: d.forwarder, Local: d.inner, Observe: d.figures,
+		Budget: d.cfg.Policy.Budget, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
 	}
 }
 
@@ -189,8 +210,11 @@
 	g.Go(func() error { return d.reader.Run(control) })
 	g.Go(func() error { return d.router.Run(control) })
 	g.Go(func() error {
-		return peergrpc.NewServer(d.node, insecure.NewCredentials()).Run(control, d.listeners.Peers)
+		return peergrpc.NewServer(d.node, insecure.NewCredentials()).Run(control, d.listeners.Peers,
+			&statusgrpc.Server{Receiver: d.collector})
 	})
+	g.Go(func() error { return d.collector.Run(control) })
+	g.Go(func() error { return d.stops.Run(control) })
 	g.Go(func() error { return d.admin().Run(control, d.listeners.Admin) })
 	g.Go(func() error {
 		defer stopControl()
@@ -240,6 +264,7 @@
 func (d *Daemon) close() {
 	d.forwarder.Close()
 	d.backend.Close()
+	d.reports.Close()
 	d.platform.Close()
 	_ = d.figures.Close(context.Background())
 }
--- /dev/null
+++ b/fescuehoistd/daemon/observers.go
@@ -0,0 +1,18 @@
+package daemon
+
+import (
+	"time"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/proxy"
+)
+
+// observers tells several observers of each call.
+type observers []proxy.Observer
+
+// Called passes the call on to each.
+func (os observers) Called(r *call.Request, took time.Duration, err error) {
+	for _, o := range os {
+		o.Called(r, took, err)
+	}
+}
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Close refuses new calls until Open; those admitted and queued go on.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// Open admits calls again after Close.
+func (g *Gate) Open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = false
+	g.idle = make(chan struct{})
+}
+
 // Drain refuses new calls from now on and returns once all admitted and queued
 // calls have ended, or with the error of ctx.
 func (g *Gate) Drain(ctx context.Context) error {
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -25,6 +25,9 @@
 type Gate interface {
 	SetSlots(slots int)
 	Drain(ctx context.Context) error
+	// Close refuses new calls until Open.
+	Close()
+	Open()
 }
 
 // Callee is told where the backend server takes calls.
@@ -42,6 +45,8 @@
 	own     member.Record
 	lapse   *time.Timer
 	leaving bool
+	// suspended says that a planned stop is under way.
+	suspended bool
 }
 
 // New returns an announcer for a record that holds the daemon's name, failure
@@ -63,6 +68,9 @@
 	}
 	a.extend()
 	a.callee.SetAddress(b.Address)
+	if a.suspended {
+		return
+	}
 	if a.own.State == member.Ready && a.own.Service == b.Service && a.own.Slots == b.Slots {
 		return
 	}
@@ -83,11 +91,39 @@
 func (a *Announcer) lapsed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leaving || a.own.State != member.Ready {
+	if a.leaving || a.suspended || a.own.State != member.Ready {
+		return
+	}
+	a.own.State = member.Starting
+	a.publisher.Announce(a.own)
+}
+
+// Suspend announces that the backend server takes no new calls for the time of
+// a planned stop. The calls that it runs end.
+func (a *Announcer) Suspend() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving || a.suspended {
+		return
+	}
+	a.suspended = true
+	a.own.State = member.Draining
+	a.publisher.Announce(a.own)
+	a.gate.Close()
+}
+
+// Resume ends a planned stop. The backend server is ready again at its next
+// announcement.
+func (a *Announcer) Resume() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving || !a.suspended {
 		return
 	}
+	a.suspended = false
 	a.own.State = member.Starting
 	a.publisher.Announce(a.own)
+	a.gate.Open()
 }
 
 // Drain announces that the backend server leaves, waits for its calls to end,
--- /dev/null
+++ b/mesh/status/config.go
@@ -0,0 +1,23 @@
+package status
+
+import "time"
+
+// Config sets how status is gathered.
+type Config struct {
+	// Interval is the time between reports, and between summaries.
+	Interval time.Duration
+	// Windows is the number of intervals that a summary covers.
+	Windows int
+	// Fanout is the number of daemons that report to one.
+	Fanout int
+	// ServicesPerShard is the number of services that one summary covers.
+	ServicesPerShard int
+	// Expiry is the number of intervals after which a daemon that does not
+	// report is no longer counted.
+	Expiry int
+}
+
+// DefaultConfig returns the settings for a fleet of any size.
+func DefaultConfig() Config {
+	return Config{Interval: 10 * time.Second, Windows: 6, Fanout: 16, ServicesPerShard: 64, Expiry: 3}
+}
--- /dev/null
+++ b/mesh/status/overview.go
@@ -0,0 +1,115 @@
+package status
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+)
+
+// Overview is the status of the whole mesh, put together from all summaries.
+type Overview struct {
+	Classes []ClassOverview
+	Domains []DomainOverview
+	Servers []ServerOverview
+}
+
+// ClassOverview is what a class gets in all failure domains together.
+type ClassOverview struct {
+	ClassKey
+	Counts *Counts
+	// Rate is in calls a second.
+	Rate float64
+	// Since is from when on the class has been met or missed: when the first
+	// failure domain began to miss it, or when the last one met it again.
+	Missed bool
+	Since  time.Time
+	// Shape holds the highest rate of each hour of the day in calls a second.
+	Shape [Hours]HourPeak
+}
+
+// DomainOverview is the state of one failure domain.
+type DomainOverview struct {
+	Domain   string
+	At       time.Time
+	By       member.ServerID
+	Expected int
+	Presence *Presence
+	Silent   []member.ServerID
+}
+
+// Newest returns the highest version in force in the failure domain.
+func (d *DomainOverview) Newest() manifest.Version { return d.Presence.newest() }
+
+// Daemons returns the number of daemons that reported.
+func (d *DomainOverview) Daemons() int { return d.Presence.count() }
+
+// ServerOverview is one backend server with its failure domain.
+type ServerOverview struct {
+	ServerSummary
+	Domain string
+}
+
+// Combine returns the overview of all summaries.
+func Combine(summaries []*Summary) *Overview {
+	o := &Overview{}
+	classes := map[ClassKey]*ClassOverview{}
+	for _, s := range summaries {
+		if s.Presence != nil {
+			o.Domains = append(o.Domains, DomainOverview{
+				Domain: s.Domain, At: s.At, By: s.By, Expected: s.Expected, Presence: s.Presence, Silent: s.Silent,
+			})
+		}
+		for _, r := range s.Servers {
+			o.Servers = append(o.Servers, ServerOverview{ServerSummary: r, Domain: s.Domain})
+		}
+		for i := range s.Classes {
+			k := s.Classes[i].ClassKey
+			if classes[k] == nil {
+				classes[k] = &ClassOverview{ClassKey: k, Counts: &Counts{}}
+			}
+			classes[k].add(&s.Classes[i], s.Window)
+		}
+	}
+	for _, c := range classes {
+		o.Classes = append(o.Classes, *c)
+	}
+	slices.SortFunc(o.Classes, func(a, b ClassOverview) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(o.Domains, func(a, b DomainOverview) int { return strings.Compare(a.Domain, b.Domain) })
+	slices.SortFunc(o.Servers, func(a, b ServerOverview) int { return strings.Compare(string(a.Server), string(b.Server)) })
+	return o
+}
+
+func (c *ClassOverview) add(s *ClassSummary, window time.Duration) {
+	c.Counts.Add(s.Counts)
+	if window > 0 {
+		c.Rate += float64(s.Counts.Offered) / window.Seconds()
+	}
+	switch {
+	case !s.Met && (!c.Missed || s.Since.Before(c.Since)):
+		c.Missed, c.Since = true, s.Since
+	case s.Met && !c.Missed && s.Since.After(c.Since):
+		c.Since = s.Since
+	}
+	for i, peak := range s.Shape {
+		have := &c.Shape[i]
+		switch {
+		case peak.Hour == have.Hour:
+			have.Rate += peak.Rate
+		case peak.Hour > have.Hour:
+			*have = peak
+		}
+	}
+}
+
+// Class returns a class's overview, or nil.
+func (o *Overview) Class(k ClassKey) *ClassOverview {
+	for i := range o.Classes {
+		if o.Classes[i].ClassKey == k {
+			return &o.Classes[i]
+		}
+	}
+	return nil
+}
