--- /dev/null
+++ b/mesh/manifest/manifesttest/history.go
@@ -0,0 +1,112 @@
+package manifesttest
+
+import (
+	"fmt"
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/target"
+)
+
+// History is a sequence of versions with their tables and bodies.
+type History struct {
+	// Tables holds the table of each version, version 0 first.
+	Tables  []*manifest.Table
+	Changes []manifest.Change
+	Bodies  map[target.Digest]manifest.Body
+	// name makes the edit ids of this history differ from another's.
+	name string
+}
+
+// NewHistory returns a history at version 0.
+func NewHistory(name string) *History {
+	return &History{Tables: []*manifest.Table{{}}, Bodies: map[target.Digest]manifest.Body{}, name: name}
+}
+
+// Service returns a good service whose content depends on latency.
+func Service(name string, latency time.Duration) *target.Service {
+	return &target.Service{Name: name, Classes: []target.Class{{
+		Name: "lookup", Method: "GET", Path: "/", Rank: 1, Latency: latency, Success: 0.99, Timeout: time.Minute, Idempotent: true,
+	}}}
+}
+
+// Edit adds the next version, in which the services have new content.
+func (h *History) Edit(services ...*target.Service) {
+	var bodies []manifest.Body
+	for _, s := range services {
+		bodies = append(bodies, manifest.Body{Digest: s.Digest(), Service: s})
+	}
+	h.EditBodies(services, bodies)
+}
+
+// EditBodies adds the next version, whose bodies may be any.
+func (h *History) EditBodies(services []*target.Service, bodies []manifest.Body) {
+	last := h.Tables[len(h.Tables)-1]
+	c := manifest.Change{
+		Version: last.Version + 1, EditID: fmt.Sprintf("%s-%d", h.name, last.Version+1),
+		Author: "test", At: time.Unix(1, 0).UTC(),
+	}
+	for i, s := range services {
+		c.Updated = append(c.Updated, manifest.Ref{Service: s.Name, Digest: bodies[i].Digest})
+		h.Bodies[bodies[i].Digest] = bodies[i]
+	}
+	next, err := last.Apply(&c)
+	if err != nil {
+		panic(err)
+	}
+	c.Table = next.Digest()
+	h.Tables = append(h.Tables, next)
+	h.Changes = append(h.Changes, c)
+}
+
+// Version returns the newest version.
+func (h *History) Version() manifest.Version { return manifest.Version(len(h.Changes)) }
+
+// Delta returns the update from one version to a later one.
+func (h *History) Delta(from, to manifest.Version) *manifest.Update {
+	u := &manifest.Update{Changes: h.Changes[from:to]}
+	for i := range u.Changes {
+		u.Bodies = append(u.Bodies, h.bodies(u.Changes[i].Updated)...)
+	}
+	return u
+}
+
+// Rebased returns the update that starts with the table of a version and goes
+// on to a later one.
+func (h *History) Rebased(base, to manifest.Version) *manifest.Update {
+	u := h.Delta(base, to)
+	u.Base = h.Tables[base]
+	u.Bodies = append(u.Bodies, h.bodies(u.Base.Refs)...)
+	return u
+}
+
+// Head returns the head of a version on a base table.
+func (h *History) Head(base, to manifest.Version) *manifest.Head {
+	head := &manifest.Head{Version: to, Changes: h.Changes[base:to]}
+	if base > 0 {
+		head.Base = manifest.TableRef{Version: base, Digest: h.Tables[base].Digest()}
+	}
+	return head
+}
+
+func (h *History) bodies(refs []manifest.Ref) []manifest.Body {
+	var bodies []manifest.Body
+	for _, ref := range refs {
+		bodies = append(bodies, h.Bodies[ref.Digest])
+	}
+	return bodies
+}
+
+// Store puts all tables and all good bodies of a history into the repository.
+func (r *Repository) Store(h *History) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range h.Tables {
+		r.tables[t.Digest()] = t
+	}
+	for d, b := range h.Bodies {
+		if b.Service != nil {
+			r.bodies[d] = b.Service
+		}
+	}
+}
--- /dev/null
+++ b/mesh/manifest/manifesttest/repository_test.go
@@ -0,0 +1,12 @@
+package manifesttest_test
+
+import (
+	"testing"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/manifest/manifesttest"
+)
+
+func TestRepositoryInMemory(t *testing.T) {
+	manifesttest.Run(t, func(*testing.T) manifest.Repository { return manifesttest.NewRepository() })
+}
