Give each class its share at the gate and refuse what would come late

Cause: the gate queued four calls a slot in rank order; under a flood of the most urgent class every call waited 160 ms and none was good, and classes that keep a share starved.

Change: a free slot goes to the class longest overdue for the share that it keeps (a due time advanced by service time over kept slots at each call), then by rank. A call that would wait longer than three quarters of its latency less the service time is refused at once, and one that has waited longer is refused when its turn comes.

The other clients' bursts still lose turns; senders still carry a flood across the network.

--- /dev/null
+++ b/mesh/admit/class.go
@@ -0,0 +1,127 @@
+package admit
+
+import (
+	"time"
+
+	"fescuehoist.example/mesh/target"
+)
+
+const (
+	// QueuePerSlot is how many calls of a class may wait for each slot.
+	QueuePerSlot = 4
+	// leastSlots is the least number of slots that an estimate counts on.
+	leastSlots = 0.5
+	// queueShare is the part of a class's latency that waiting and running at
+	// the gate may take together; the rest is for the way to the caller.
+	queueShare = 0.75
+	// minPatience is the least time in the queue, as a part of the service
+	// time.
+	minPatience = 0.25
+	// serviceGain is the weight of one call in the mean service time.
+	serviceGain = 0.05
+	// maxClasses bounds the classes remembered.
+	maxClasses = 256
+)
+
+// class is the gate's state of one class of work.
+type class struct {
+	target  *target.Class
+	queue   fairQueue
+	running int
+	// service is the mean service time, 0 before any call has ended; unloaded
+	// is the same of calls that ran beside few others.
+	service, unloaded time.Duration
+	// due is when the next call of the share that the class keeps may start.
+	due time.Time
+}
+
+// classes holds the classes by name.
+type classes map[string]*class
+
+// get returns the state of a class, with its newest target.
+func (cs classes) get(t *target.Class) *class {
+	c := cs[t.Name]
+	if c == nil {
+		cs.forgetIdle()
+		c = &class{}
+		cs[t.Name] = c
+	}
+	c.target = t
+	return c
+}
+
+// forgetIdle makes room for a new class.
+func (cs classes) forgetIdle() {
+	if len(cs) < maxClasses {
+		return
+	}
+	for name, c := range cs {
+		if c.running == 0 && c.queue.len() == 0 {
+			delete(cs, name)
+		}
+	}
+}
+
+// next returns the class whose waiter is to be admitted: the one that is
+// longest overdue for its share, else the most urgent. Some call must wait.
+func (cs classes) next(now time.Time) *class {
+	var overdue, urgent *class
+	for _, c := range cs {
+		if c.queue.len() == 0 {
+			continue
+		}
+		if c.target.Keep > 0 && !c.due.After(now) && (overdue == nil || c.due.Before(overdue.due)) {
+			overdue = c
+		}
+		if urgent == nil || c.before(urgent) {
+			urgent = c
+		}
+	}
+	if overdue != nil {
+		return overdue
+	}
+	return urgent
+}
+
+// before orders classes by rank; those of one rank take turns by their dues.
+func (c *class) before(other *class) bool {
+	if c.target.Rank != other.target.Rank {
+		return c.target.Rank < other.target.Rank
+	}
+	return c.due.Before(other.due)
+}
+
+// charge counts one call against the share that the class keeps. A class that
+// had less than its share catches up by one service time at most; one that had
+// more waits for one call at most.
+func (c *class) charge(now time.Time, limit float64) {
+	kept := max(c.target.Keep*limit, leastSlots)
+	cost := time.Duration(float64(c.service) / kept)
+	if oldest := now.Add(-c.service); c.due.Before(oldest) {
+		c.due = oldest
+	}
+	c.due = earlier(c.due.Add(cost), now.Add(cost))
+}
+
+// patience returns how long a call may wait and still be answered in time.
+func (c *class) patience() time.Duration {
+	in := time.Duration(queueShare*float64(c.target.Latency)) - c.service
+	return max(in, time.Duration(minPatience*float64(c.service)))
+}
+
+// learn takes the service time of one call, which ran beside others up to the
+// given number, and returns how many times the unloaded one it was.
+func (c *class) learn(took time.Duration, running, limit int) float64 {
+	c.service = mean(c.service, took, serviceGain)
+	if c.unloaded == 0 || took < c.unloaded || running <= max(limit/2, 1) {
+		c.unloaded = mean(c.unloaded, took, serviceGain)
+	}
+	return float64(took) / float64(max(c.unloaded, 1))
+}
+
+func mean(old, sample time.Duration, gain float64) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + time.Duration(gain*float64(sample-old))
+}
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -1,21 +1,16 @@
-// Package admit lets calls through to one backend server: at most as many at
-// once as it has slots, the most urgent first.
+// Package admit decides which calls run at a backend server, in which order,
+// and which are refused at once.
 package admit
 
 import (
-	"container/list"
 	"context"
 	"errors"
 	"sync"
 	"time"
 
 	"fescuehoist.example/mesh/call"
-	"fescuehoist.example/mesh/target"
 )
 
-// QueuePerSlot is how many calls may wait for each slot.
-const QueuePerSlot = 4
-
 // Causes of refusals.
 var (
 	errQueueFull = errors.New("the queue is full")
@@ -23,136 +18,224 @@
 	errDraining  = errors.New("the backend server is leaving")
 )
 
-// Gate admits calls to one backend server.
+// Gate admits calls to one backend server. A free slot goes to the class that
+// has had the least of the share that it keeps, then to the most urgent class;
+// within a class, clients take turns.
 type Gate struct {
 	mu       sync.Mutex
-	limit    int
+	limit    limiter
 	running  int
-	queues   [target.MaxRank + 1]list.List
 	queued   int
+	classes  classes
 	draining bool
 	idle     chan struct{}
 }
 
-// waiter is a queued call; admitted is closed when it may run.
+// waiter is a call at the gate.
 type waiter struct {
-	admitted chan struct{}
-	err      *call.Failure
+	class   *class
+	arrived time.Time
+	// expires is when the call would no longer be answered in time.
+	expires time.Time
+	// started is when the call was admitted.
+	started time.Time
+	// decided is closed once the call is admitted or refused.
+	decided chan struct{}
+	refusal *call.Failure
+	place   place
 }
 
-// NewGate returns a gate with the given number of slots.
-func NewGate(slots int) *Gate { return &Gate{limit: slots, idle: make(chan struct{})} }
+// NewGate returns a gate for a backend server with the given number of slots.
+func NewGate(slots int) *Gate {
+	g := &Gate{classes: classes{}, idle: make(chan struct{})}
+	g.limit.setSlots(slots)
+	return g
+}
 
-// SetSlots changes the number of slots.
+// SetSlots changes the number of slots that the backend server announces.
 func (g *Gate) SetSlots(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limit = slots
-	g.admitNext()
+	g.limit.setSlots(slots)
+	g.admitNext(time.Now())
 }
 
 // Enter waits for a slot. The caller must call the returned function when the
-// call has ended. An error is a *call.Failure with verdict NotRun.
+// call has ended, with its error. An error of Enter is a *call.Failure with
+// verdict NotRun.
 func (g *Gate) Enter(ctx context.Context, r *call.Request) (func(error), error) {
-	class := r.Class
-	w, err := g.enqueue(ctx, class)
-	if err != nil {
-		return nil, err
+	w, refusal := g.arrive(ctx, r)
+	if refusal != nil {
+		return nil, refusal
 	}
 	select {
-	case <-w.admitted:
+	case <-w.decided:
 	case <-ctx.Done():
-		if g.abandon(w, class) {
-			return nil, call.Refuse(call.Deadline, ctx.Err())
+		if g.abandon(w) {
+			return nil, call.Refuse(reasonOf(ctx), ctx.Err())
 		}
-		<-w.admitted
+		<-w.decided
 	}
-	if w.err != nil {
-		return nil, w.err
+	if w.refusal != nil {
+		return nil, w.refusal
+	}
+	return func(err error) { g.leave(w, err) }, nil
+}
+
+func reasonOf(ctx context.Context) call.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return call.Deadline
 	}
-	return g.leave, nil
+	return call.Canceled
 }
 
-func (g *Gate) enqueue(ctx context.Context, class *target.Class) (*waiter, error) {
+// arrive admits a call, queues it or refuses it.
+func (g *Gate) arrive(ctx context.Context, r *call.Request) (*waiter, *call.Failure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
 		return nil, call.Refuse(call.Draining, errDraining)
 	}
-	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
-		return nil, call.Refuse(call.Deadline, errTooLate)
+	now := time.Now()
+	c := g.classes.get(r.Class)
+	w := &waiter{class: c, arrived: now, expires: now.Add(c.patience()), decided: make(chan struct{})}
+	if deadline, ok := ctx.Deadline(); ok {
+		latest := deadline.Add(-c.service)
+		if !now.Before(latest) {
+			return nil, call.Refuse(call.Deadline, errTooLate)
+		}
+		w.expires = earlier(w.expires, latest)
 	}
-	w := &waiter{admitted: make(chan struct{})}
-	if g.running < g.limit && g.queued == 0 {
-		g.running++
-		close(w.admitted)
+	if g.running < g.limit.value() && g.queued == 0 {
+		g.admit(w, now)
 		return w, nil
 	}
-	if g.queued >= g.limit*QueuePerSlot && !g.displace(class.Rank) {
-		return nil, call.Refuse(call.Overloaded, errQueueFull)
+	if refusal := g.enqueue(w, bucketOf(r.Client)); refusal != nil {
+		return nil, refusal
 	}
-	g.queues[class.Rank].PushBack(w)
-	g.queued++
 	return w, nil
 }
 
-// displace refuses the newest waiter of the least urgent rank, if that is less
-// urgent than rank.
-func (g *Gate) displace(rank int) bool {
-	for r := len(g.queues) - 1; r > rank; r-- {
-		e := g.queues[r].Back()
-		if e == nil {
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// enqueue queues a call unless it would wait too long or the queue is full of
+// calls that have as good a claim.
+func (g *Gate) enqueue(w *waiter, b bucket) *call.Failure {
+	c := w.class
+	if g.waitOf(c, c.queue.position(b)) > w.expires.Sub(w.arrived) {
+		return call.Refuse(call.Overloaded, errTooLate)
+	}
+	if c.queue.len() >= g.limit.value()*QueuePerSlot {
+		newest := c.queue.displace(b)
+		if newest == nil {
+			return call.Refuse(call.Overloaded, errQueueFull)
+		}
+		g.refuse(newest, call.Overloaded, errQueueFull)
+	}
+	c.queue.push(w, b)
+	g.queued++
+	return nil
+}
+
+// waitOf estimates how long the call at a position of a class's queue waits.
+func (g *Gate) waitOf(c *class, position int) time.Duration {
+	slots := max(g.slotsFor(c), leastSlots)
+	return time.Duration(float64(position) * float64(c.service) / slots)
+}
+
+// slotsFor estimates the slots that serve a class: those that more urgent
+// classes do not use and less urgent ones do not keep.
+func (g *Gate) slotsFor(c *class) float64 {
+	limit := float64(g.limit.value())
+	slots := limit
+	for _, other := range g.classes {
+		if other == c {
 			continue
 		}
-		w := g.queues[r].Remove(e).(*waiter)
-		g.queued--
-		w.err = call.Refuse(call.Overloaded, errQueueFull)
-		close(w.admitted)
-		return true
+		used := float64(other.running + other.queue.len())
+		if other.target.Rank > c.target.Rank {
+			used = min(used, other.target.Keep*limit)
+		}
+		slots -= used
 	}
-	return false
+	return max(slots, c.target.Keep*limit)
+}
+
+// refuse ends the wait of a call that was taken out of its queue.
+func (g *Gate) refuse(w *waiter, reason call.Reason, err error) {
+	g.queued--
+	w.refusal = call.Refuse(reason, err)
+	close(w.decided)
 }
 
 // abandon removes a waiter and reports whether it was still queued.
-func (g *Gate) abandon(w *waiter, class *target.Class) bool {
+func (g *Gate) abandon(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := &g.queues[class.Rank]
-	for e := q.Front(); e != nil; e = e.Next() {
-		if e.Value == w {
-			q.Remove(e)
-			g.queued--
-			return true
-		}
+	if !w.class.queue.remove(w) {
+		return false
 	}
-	return false
+	g.queued--
+	g.signalIdle()
+	return true
 }
 
-func (g *Gate) leave(error) {
+func (g *Gate) leave(w *waiter, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	g.learn(w, now.Sub(w.started), err)
 	g.running--
-	g.admitNext()
-	if g.draining && g.running == 0 && g.queued == 0 {
-		g.signalIdle()
+	w.class.running--
+	g.admitNext(now)
+	g.signalIdle()
+}
+
+// learn takes the outcome of a call into the estimates.
+func (g *Gate) learn(w *waiter, took time.Duration, err error) {
+	var f *call.Failure
+	if errors.As(err, &f) {
+		if f.Reason == call.Shed {
+			g.limit.shed(g.running)
+		}
+		if took < w.class.service || f.Verdict == call.NotRun {
+			return
+		}
 	}
+	g.limit.ended(w.class.learn(took, g.running, g.limit.value()), g.running)
 }
 
-func (g *Gate) admitNext() {
-	for r := 1; r < len(g.queues) && g.running < g.limit; {
-		e := g.queues[r].Front()
-		if e == nil {
-			r++
+// admitNext fills the free slots from the queues.
+func (g *Gate) admitNext(now time.Time) {
+	for g.running < g.limit.value() && g.queued > 0 {
+		w := g.classes.next(now).queue.pop()
+		if !now.Before(w.expires) {
+			g.refuse(w, call.Deadline, errTooLate)
 			continue
 		}
-		w := g.queues[r].Remove(e).(*waiter)
 		g.queued--
-		g.running++
-		close(w.admitted)
+		g.admit(w, now)
 	}
 }
 
+func (g *Gate) admit(w *waiter, now time.Time) {
+	g.running++
+	w.class.running++
+	w.class.charge(now, float64(g.limit.value()))
+	w.started = now
+	close(w.decided)
+}
+
+// signalIdle ends the wait of Drain once nothing runs or waits.
 func (g *Gate) signalIdle() {
+	if !g.draining || g.running > 0 || g.queued > 0 {
+		return
+	}
 	select {
 	case <-g.idle:
 	default:
@@ -180,9 +263,7 @@
 func (g *Gate) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	g.draining = true
-	if g.running == 0 && g.queued == 0 {
-		g.signalIdle()
-	}
+	g.signalIdle()
 	g.mu.Unlock()
 	select {
 	case <-g.idle:
@@ -196,5 +277,5 @@
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit}
+	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
 }
