Let clients below their fair share of turns go first

Cause: with plain turns, a client's second call of a small burst waited a whole round behind a flooding client and was refused.

Change: each line holds the turn of its first waiter; the earliest turn goes first, and a line that had less than its share may go up to 4 turns ahead.

--- a/mesh/admit/fair.go
+++ b/mesh/admit/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -14,12 +15,25 @@
 
 func bucketOf(client string) bucket { return bucket(xxhash.Sum64String(client) % buckets) }
 
+// credit is by how many turns a bucket that had less than its fair share of
+// turns may go before the others.
+const credit = 4
+
 // fairQueue queues the calls of one class. Buckets of clients take turns.
 type fairQueue struct {
-	lines [buckets]*list.List
-	// turns holds the buckets with waiters, the next one first.
-	turns list.List
-	n     int
+	lines [buckets]line
+	// active lists the buckets with waiters.
+	active []bucket
+	// now is the turn of the call admitted last.
+	now uint64
+	n   int
+}
+
+// line holds the waiters of one bucket.
+type line struct {
+	waiters list.List
+	// turn is that of the first waiter; each waiter behind has the next one.
+	turn uint64
 }
 
 // place is where a waiter stands.
@@ -30,39 +44,52 @@
 
 func (q *fairQueue) len() int { return q.n }
 
-func (q *fairQueue) line(b bucket) *list.List {
-	if q.lines[b] == nil {
-		q.lines[b] = list.New()
+// turnOf returns the turn of the first waiter of a bucket, or of one that came
+// now.
+func (q *fairQueue) turnOf(b bucket) uint64 {
+	l := &q.lines[b]
+	if l.waiters.Len() > 0 || l.turn+credit > q.now {
+		return l.turn
 	}
-	return q.lines[b]
+	return q.now - credit
 }
 
 // position returns the position at which a call of a bucket would be served.
 func (q *fairQueue) position(b bucket) int {
-	own := q.line(b).Len()
-	active := q.turns.Len()
-	if own == 0 {
-		active++
+	own := q.lines[b].waiters.Len()
+	turn := q.turnOf(b) + uint64(own)
+	before := own
+	for _, other := range q.active {
+		l := &q.lines[other]
+		if other != b && l.turn <= turn {
+			before += min(l.waiters.Len(), int(turn-l.turn)+1)
+		}
 	}
-	return min(q.n+1, (own+1)*active)
+	return before + 1
 }
 
 func (q *fairQueue) push(w *waiter, b bucket) {
-	line := q.line(b)
-	if line.Len() == 0 {
-		q.turns.PushBack(b)
+	l := &q.lines[b]
+	if l.waiters.Len() == 0 {
+		l.turn = q.turnOf(b)
+		q.active = append(q.active, b)
 	}
-	w.place = place{bucket: b, element: line.PushBack(w)}
+	w.place = place{bucket: b, element: l.waiters.PushBack(w)}
 	q.n++
 }
 
-// pop takes the next waiter out; there must be one.
+// pop takes the waiter with the earliest turn out; there must be one.
 func (q *fairQueue) pop() *waiter {
-	turn := q.turns.Front()
-	line := q.lines[turn.Value.(bucket)]
-	w := line.Front().Value.(*waiter)
-	q.turns.MoveToBack(turn)
+	next := &q.lines[q.active[0]]
+	for _, b := range q.active[1:] {
+		if l := &q.lines[b]; l.turn < next.turn {
+			next = l
+		}
+	}
+	w := next.waiters.Front().Value.(*waiter)
 	q.remove(w)
+	q.now = max(q.now, next.turn)
+	next.turn++
 	return w
 }
 
@@ -71,38 +98,30 @@
 	if w.place.element == nil {
 		return false
 	}
-	line := q.lines[w.place.bucket]
-	line.Remove(w.place.element)
+	l := &q.lines[w.place.bucket]
+	l.waiters.Remove(w.place.element)
 	w.place.element = nil
 	q.n--
-	if line.Len() == 0 {
-		q.endTurns(w.place.bucket)
+	if l.waiters.Len() == 0 {
+		i := slices.Index(q.active, w.place.bucket)
+		q.active = slices.Delete(q.active, i, i+1)
 	}
 	return true
 }
 
-func (q *fairQueue) endTurns(b bucket) {
-	for e := q.turns.Front(); e != nil; e = e.Next() {
-		if e.Value.(bucket) == b {
-			q.turns.Remove(e)
-			return
-		}
-	}
-}
-
 // displace takes the newest waiter of the longest line out to make room for a
 // call of bucket b, unless b's own line would become as long.
 func (q *fairQueue) displace(b bucket) *waiter {
-	longest := q.line(b)
-	for e := q.turns.Front(); e != nil; e = e.Next() {
-		if line := q.lines[e.Value.(bucket)]; line.Len() > longest.Len() {
-			longest = line
+	longest := &q.lines[b]
+	for _, other := range q.active {
+		if l := &q.lines[other]; l.waiters.Len() > longest.waiters.Len() {
+			longest = l
 		}
 	}
-	if longest.Len() <= q.line(b).Len()+1 {
+	if longest.waiters.Len() <= q.lines[b].waiters.Len()+1 {
 		return nil
 	}
-	w := longest.Back().Value.(*waiter)
+	w := longest.waiters.Back().Value.(*waiter)
 	q.remove(w)
 	return w
 }
