Retry a refusal only where room is likely

Cause: every refusal in a flood was retried until the budget ran out, which also left no retries for calls whose server was lost.

Change: a call refused for want of room is tried again only at a server that said within 20 ms that it has a free slot. The first retry goes at once to another server; later ones wait a random time. The picker and the retry policy are ports.

Retries of refusals bought nothing: the servers are all full in a flood.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
 )
 
@@ -132,33 +134,29 @@
 type RoundRobin struct{ next atomic.Uint64 }
 
 // Pick returns the next server that was not tried.
-func (p *RoundRobin) Pick(s *route.Service, tried []member.ServerID) *member.Record {
+func (p *RoundRobin) Pick(s *route.Service, q route.Query) *member.Record {
 	for range s.Servers {
 		r := s.Servers[p.next.Add(1)%uint64(len(s.Servers))]
-		if !contains(tried, r.Server) {
+		if !slices.Contains(q.Tried, r.Server) {
 			return r
 		}
 	}
 	return nil
 }
 
-func contains(tried []member.ServerID, server member.ServerID) bool {
-	for _, t := range tried {
-		if t == server {
-			return true
-		}
-	}
-	return false
-}
-
 // Done does nothing.
-func (p *RoundRobin) Done(member.ServerID, call.Load, bool) {}
+func (p *RoundRobin) Done(member.ServerID, route.Outcome) {}
 
-// Unlimited allows every retry.
-type Unlimited struct{}
+// InstantRetries retries at once and without a budget.
+type InstantRetries struct{}
 
 // First does nothing.
-func (Unlimited) First() {}
+func (InstantRetries) First(string) {}
+
+// Return does nothing.
+func (InstantRetries) Return(string) {}
 
-// Take allows a retry.
-func (Unlimited) Take() bool { return true }
+// Next tries every call again that may be.
+func (InstantRetries) Next(r *call.Request, f *call.Failure) retry.Step {
+	return retry.Step{Again: retry.Allowed(f, r.Class.Idempotent, r.Attempt)}
+}
--- a/bench/calls/baseline.go
+++ b/bench/calls/baseline.go
@@ -17,7 +17,7 @@
 		{"no-admission", "flood-both", func(p *daemon.Policy) { p.Gate = &baseline.OpenGate{} }},
 		{"fifo", "flood-both", func(p *daemon.Policy) { p.Gate = &baseline.FIFOGate{} }},
 		{"round-robin", "lying", func(p *daemon.Policy) { p.Picker = &baseline.RoundRobin{} }},
-		{"retry-storm", "flood-both", func(p *daemon.Policy) { p.Budget = baseline.Unlimited{} }},
+		{"retry-storm", "flood-both", func(p *daemon.Policy) { p.Retries = baseline.InstantRetries{} }},
 	}
 }
 
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -16,15 +16,6 @@
 	errNoServer  = errors.New("no backend server takes calls of the service")
 )
 
-// Gate admits calls to this daemon's backend server.
-type Gate interface {
-	// Enter waits until the call may run. The returned function takes the
-	// call's error and ends it. An error of Enter is a *call.Failure with
-	// verdict NotRun.
-	Enter(ctx context.Context, r *call.Request) (func(error), error)
-	Load() call.Load
-}
-
 // Inner runs calls at this daemon's backend server.
 type Inner struct {
 	Routes  *route.Router
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -7,8 +7,8 @@
 
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
-	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/wait"
 )
 
 // Forwarder carries a call to the daemon beside another backend server.
@@ -21,26 +21,12 @@
 	Called(r *call.Request, took time.Duration, err error)
 }
 
-// Picker chooses a backend server for each call and learns from its outcome.
-type Picker interface {
-	// Pick returns a server of the service that was not tried yet, or nil.
-	Pick(s *route.Service, tried []member.ServerID) *member.Record
-	// Done ends a call that Pick started.
-	Done(server member.ServerID, load call.Load, refused bool)
-}
-
-// Budget bounds retries.
-type Budget interface {
-	First()
-	Take() bool
-}
-
 // Outer serves callers. It owns the retries of the calls that it took.
 type Outer struct {
 	Self    member.ServerID
 	Routes  *route.Router
 	Picker  Picker
-	Budget  Budget
+	Retries Retries
 	Remote  Forwarder
 	Local   call.Callee
 	Observe Observer
@@ -60,13 +46,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
 	defer cancel()
-	p.Budget.First()
-	var tried []member.ServerID
+	p.Retries.First(r.Service)
+	var query route.Query
 	var last *call.Failure
 	for {
-		server := p.pick(r.Service, tried)
+		server := p.pick(r.Service, query)
 		if server == nil {
-			return nil, exhausted(last)
+			return nil, p.exhausted(r.Service, last)
 		}
 		r.Attempt++
 		answer, err := p.attempt(ctx, server, r)
@@ -74,20 +60,22 @@
 			return answer, nil
 		}
 		last = worse(last, failure(err))
-		tried = append(tried, server.Server)
-		if !retry.Allowed(last, r.Class.Idempotent, r.Attempt) || ctx.Err() != nil || !p.Budget.Take() {
+		step := p.Retries.Next(r, last)
+		if !step.Again || wait.For(ctx, step.Delay) != nil {
 			return nil, last
 		}
+		query.Tried = append(query.Tried, server.Server)
+		query.NeedRoom = step.NeedRoom
 	}
 }
 
 // pick chooses from the routes of this moment, so that a retry sees changes.
-func (p *Outer) pick(service string, tried []member.ServerID) *member.Record {
+func (p *Outer) pick(service string, q route.Query) *member.Record {
 	s := p.Routes.Table().Service(service)
 	if s == nil {
 		return nil
 	}
-	return p.Picker.Pick(s, tried)
+	return p.Picker.Pick(s, q)
 }
 
 func (p *Outer) attempt(ctx context.Context, server *member.Record, r *call.Request) (*call.Answer, error) {
@@ -98,11 +86,14 @@
 	} else {
 		answer, err = p.Remote.Forward(ctx, server.CallAddress, r)
 	}
-	var load call.Load
+	var o route.Outcome
 	if answer != nil {
-		load = answer.Load
+		o.Load = answer.Load
+	}
+	if err != nil {
+		o.Failure = failure(err)
 	}
-	p.Picker.Done(server.Server, load, err != nil)
+	p.Picker.Done(server.Server, o)
 	return answer, err
 }
 
@@ -116,8 +107,9 @@
 }
 
 // exhausted returns the failure of a call for which no server is left.
-func exhausted(last *call.Failure) *call.Failure {
+func (p *Outer) exhausted(service string, last *call.Failure) *call.Failure {
 	if last != nil {
+		p.Retries.Return(service)
 		return last
 	}
 	return call.Refuse(call.NoRoute, errNoServer)
--- /dev/null
+++ b/mesh/proxy/policy.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"context"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/route"
+)
+
+// Gate admits calls to this daemon's backend server.
+type Gate interface {
+	// Enter waits until the call may run. The returned function takes the
+	// call's error and ends it. An error of Enter is a *call.Failure with
+	// verdict NotRun.
+	Enter(ctx context.Context, r *call.Request) (func(error), error)
+	Load() call.Load
+}
+
+// Picker chooses a backend server for each call and learns from its outcome.
+type Picker interface {
+	// Pick returns a server of the service, or nil.
+	Pick(s *route.Service, q route.Query) *member.Record
+	// Done ends a call that Pick started.
+	Done(server member.ServerID, o route.Outcome)
+}
+
+// Retries decides about retries.
+type Retries interface {
+	// First counts the first attempt of a call.
+	First(service string)
+	// Next decides about a call whose attempts so far ended in f.
+	Next(r *call.Request, f *call.Failure) retry.Step
+	// Return gives back a retry that Next granted and that was not made.
+	Return(service string)
+}
--- a/mesh/retry/budget.go
+++ b/mesh/retry/budget.go
@@ -1,22 +1,6 @@
-// Package retry decides which failed calls are tried again, and bounds retries
-// to a share of first attempts.
 package retry
 
-import (
-	"sync"
-
-	"fescuehoist.example/mesh/call"
-)
-
-// Limits on retries.
-const (
-	// MaxAttempts bounds the attempts of one call, the first included.
-	MaxAttempts = 3
-	// BudgetShare is the number of retries that each first attempt pays for.
-	BudgetShare = 0.1
-	// BudgetBurst is the number of retries that may be saved up.
-	BudgetBurst = 10.0
-)
+import "sync"
 
 // Budget bounds retries to a share of first attempts.
 type Budget struct {
@@ -28,10 +12,15 @@
 func NewBudget() *Budget { return &Budget{tokens: BudgetBurst} }
 
 // First pays for a share of a retry at each first attempt.
-func (b *Budget) First() {
+func (b *Budget) First() { b.add(BudgetShare) }
+
+// Return gives back a retry that was not made.
+func (b *Budget) Return() { b.add(1) }
+
+func (b *Budget) add(tokens float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+BudgetShare, BudgetBurst)
+	b.tokens = min(b.tokens+tokens, BudgetBurst)
 }
 
 // Take spends one retry and reports whether there was one.
@@ -45,15 +34,9 @@
 	return true
 }
 
-// Allowed reports whether a call that failed may be tried again at another
-// backend server. A call that may have run is tried again only if idempotent.
-func Allowed(f *call.Failure, idempotent bool, attempts int) bool {
-	if attempts >= MaxAttempts {
-		return false
-	}
-	switch f.Reason {
-	case call.Canceled, call.Deadline, call.NoRoute, call.BadRequest:
-		return false
-	}
-	return f.Verdict == call.NotRun || (f.Verdict == call.MayHaveRun && idempotent)
+// full reports whether the budget is as good as new.
+func (b *Budget) full() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= BudgetBurst
 }
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -16,6 +16,9 @@
 // RefusalLifetime is how long a backend server that refused a call is avoided.
 const RefusalLifetime = 50 * time.Millisecond
 
+// RoomLifetime is how long a server is thought to have the room that it had.
+const RoomLifetime = 20 * time.Millisecond
+
 // crossingCost is the queue, as a share of a server's limit, at which a server
 // of another failure domain becomes the better choice.
 const crossingCost = 0.25
@@ -41,23 +44,50 @@
 	return &Picker{domain: domain, seen: map[member.ServerID]*observation{}}
 }
 
-// Pick returns the better of two random servers that are not excluded, or nil
+// Query says what a call needs of a server.
+type Query struct {
+	// Tried lists the servers that the call was sent to already.
+	Tried []member.ServerID
+	// NeedRoom asks for a server that likely has room.
+	NeedRoom bool
+}
+
+// Outcome is what a call told of its server.
+type Outcome struct {
+	// Load is zero if the answer carried none.
+	Load call.Load
+	// Failure is nil if the call was answered.
+	Failure *call.Failure
+}
+
+// Pick returns the better of two random servers that were not tried, or nil
 // if there is none, and counts a call to it as in flight.
-func (p *Picker) Pick(s *Service, exclude []member.ServerID) *member.Record {
+func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.draw(s.Servers, exclude, nil)
+	a := p.draw(s.Servers, q.Tried, nil)
 	if a == nil {
 		return nil
 	}
-	b := p.draw(s.Servers, exclude, a)
+	b := p.draw(s.Servers, q.Tried, a)
 	if b != nil && p.cost(b) < p.cost(a) {
 		a = b
 	}
+	if q.NeedRoom && !p.hasRoom(a) {
+		return nil
+	}
 	p.observe(a.Server).inflight++
 	return a
 }
 
+// hasRoom reports whether a server said of late that it has a free slot, and
+// did not refuse a call since.
+func (p *Picker) hasRoom(r *member.Record) bool {
+	o := p.observe(r.Server)
+	return time.Since(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) &&
+		o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
+}
+
 // draw returns a random server that is neither excluded nor other.
 func (p *Picker) draw(servers []*member.Record, exclude []member.ServerID, other *member.Record) *member.Record {
 	n := len(servers)
@@ -97,16 +127,16 @@
 }
 
 // Done ends a call that Pick started and notes what it told of the server.
-func (p *Picker) Done(server member.ServerID, load call.Load, refused bool) {
+func (p *Picker) Done(server member.ServerID, out Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.observe(server)
 	o.inflight--
 	now := time.Now()
-	if load.Limit > 0 {
-		o.load, o.loadAt = load, now
+	if out.Load.Limit > 0 {
+		o.load, o.loadAt = out.Load, now
 	}
-	if refused {
+	if out.Failure != nil {
 		o.refusedAt = now
 	}
 }
