--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -178,7 +178,7 @@
 	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
-		Retries: d.cfg.Policy.Retries, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
+		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
 	}
 }
 
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -17,12 +17,13 @@
 
 // Policy is what decides about calls under load. Each daemon needs its own.
 type Policy struct {
-	Gate    Gate
-	Picker  proxy.Picker
-	Retries proxy.Retries
+	Gate     Gate
+	Picker   proxy.Picker
+	Retries  proxy.Retries
+	Throttle proxy.Throttle
 }
 
 // DefaultPolicy returns the policy of a daemon with the given settings.
 func DefaultPolicy(s *settings.Settings) Policy {
-	return Policy{Gate: admit.NewGate(0), Picker: route.NewPicker(s.Domain), Retries: retry.NewPolicy()}
+	return Policy{Gate: admit.NewGate(0), Picker: route.NewPicker(s.Domain), Retries: retry.NewPolicy(), Throttle: admit.NewThrottle()}
 }
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -13,6 +13,7 @@
 var (
 	errNoService = errors.New("the service is not in the configuration")
 	errNoClass   = errors.New("the call matches no class of the service")
+	errThrottled = errors.New("the servers refuse most such calls now")
 	errNoServer  = errors.New("no backend server takes calls of the service")
 )
 
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -23,13 +23,14 @@
 
 // Outer serves callers. It owns the retries of the calls that it took.
 type Outer struct {
-	Self    member.ServerID
-	Routes  *route.Router
-	Picker  Picker
-	Retries Retries
-	Remote  Forwarder
-	Local   call.Callee
-	Observe Observer
+	Self     member.ServerID
+	Routes   *route.Router
+	Picker   Picker
+	Retries  Retries
+	Throttle Throttle
+	Remote   Forwarder
+	Local    call.Callee
+	Observe  Observer
 }
 
 // Call takes one call through to its answer.
@@ -46,6 +47,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
 	defer cancel()
+	if !p.Throttle.Allow(r.Service, r.ClassName, r.Client) {
+		return nil, call.Refuse(call.Overloaded, errThrottled)
+	}
+	answer, err := p.send(ctx, r)
+	p.Throttle.Done(r.Service, r.ClassName, r.Client, !refused(err))
+	return answer, err
+}
+
+// refused reports whether a call was refused for want of room.
+func refused(err error) bool {
+	return err != nil && failure(err).Reason == call.Overloaded
+}
+
+// send makes the attempts of a call.
+func (p *Outer) send(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.First(r.Service)
 	var query route.Query
 	var last *call.Failure
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -35,3 +35,11 @@
 	// Return gives back a retry that Next granted and that was not made.
 	Return(service string)
 }
+
+// Throttle turns calls away before they cross the network.
+type Throttle interface {
+	// Allow reports whether a call may be sent on.
+	Allow(service, class, client string) bool
+	// Done notes whether a server let a call in that Allow let pass.
+	Done(service, class, client string, admitted bool)
+}
