--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,17 @@
 trial:
 	tools/trial/processes.sh
 
-.PHONY: bench bench-calls
-bench: bench-calls
+.PHONY: bench bench-calls bench-forecast
+bench: bench-calls bench-forecast
 
 # What each class of work gets under load and faults.
 bench-calls:
 	go run ./bench/cmd/bench-calls $(BENCH_FLAGS)
 
+# Forecasts of planned stops against what calls got when they were carried out.
+bench-forecast:
+	go run ./bench/cmd/bench-forecast $(BENCH_FLAGS)
+
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet $(PACKAGES)
--- /dev/null
+++ b/bench/cmd/bench-forecast/main.go
@@ -0,0 +1,102 @@
+// Command bench-forecast forecasts planned stops, carries them out under the
+// same load, and compares. It exits with 1 if a figure is over its bound.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/bench/foresee"
+)
+
+type arguments struct {
+	Case     []string      `help:"Cases to run; all if none is given."`
+	Examples string        `help:"Folder with the targets of each deployment." default:"examples" type:"existingdir"`
+	Seed     uint64        `help:"Seed of the order in which daemons are called." default:"1"`
+	Measure  time.Duration `help:"Time in which demand is measured." default:"2500ms"`
+	Observe  time.Duration `help:"Time in which calls are counted after the stop has begun." default:"2500ms"`
+}
+
+// Bounds on the error of a forecast.
+const (
+	// maxShareError bounds the error of the share of calls served.
+	maxShareError = 0.10
+	// maxP99Error bounds the error of the 99th percentile, as a share of the
+	// target latency. Above it latencies tell clients something else.
+	maxP99Error = 1.0
+)
+
+func main() {
+	var args arguments
+	k := kong.Parse(&args, kong.Name("bench-forecast"),
+		kong.Description("Forecasts planned stops, carries them out under the same load, and compares."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	held, err := args.run(ctx)
+	k.FatalIfErrorf(err)
+	if !held {
+		stop()
+		os.Exit(1)
+	}
+}
+
+func (a *arguments) run(ctx context.Context) (bool, error) {
+	targets, err := targetfile.Load(filepath.Join(a.Examples, "nuqta", "targets.toml"))
+	if err != nil {
+		return false, err
+	}
+	o := foresee.Options{Targets: targets, Seed: a.Seed, Measure: a.Measure, Observe: a.Observe}
+	held := true
+	for _, c := range foresee.Cases() {
+		if len(a.Case) > 0 && !slices.Contains(a.Case, c.Name) {
+			continue
+		}
+		outcomes, err := foresee.Run(ctx, c, o)
+		if err != nil {
+			return false, fmt.Errorf("%s: %w", c.Name, err)
+		}
+		held = report(c, outcomes) && held
+	}
+	return held, nil
+}
+
+// report prints a case and reports whether its figures are within bounds.
+func report(c foresee.Case, outcomes []foresee.Outcome) bool {
+	surprises, contrived, shareError, latencyError := 0, 0, 0.0, 0.0
+	for i := range outcomes {
+		o := &outcomes[i]
+		fmt.Printf("%s: %s\n", c.Name, o.Line())
+		if !o.Foresaw() {
+			surprises++
+		}
+		if (o.Good < o.Target.Success) != slices.Contains(c.Missed, o.Class) {
+			contrived++
+		}
+		shareError = math.Max(shareError, math.Abs(o.Foreseen.Served-o.Served))
+		latencyError = math.Max(latencyError, math.Abs((o.Foreseen.P99-o.P99).Seconds())/o.Target.Latency.Seconds())
+	}
+	name := "forecast." + c.Name
+	held := line(name+".surprises", float64(surprises), "classes", 0)
+	held = line(name+".unintended", float64(contrived), "classes", 0) && held
+	held = line(name+".served-error", shareError, "share", maxShareError) && held
+	return line(name+".p99-error", latencyError, "of-target-latency", maxP99Error) && held
+}
+
+func line(name string, value float64, unit string, bound float64) bool {
+	verdict := "ok"
+	if value > bound {
+		verdict = "over"
+	}
+	fmt.Printf("bench: %s %.3f %s bound %.3f %s\n", name, value, unit, bound, verdict)
+	return value <= bound
+}
--- a/fescuehoist/main.go
+++ b/fescuehoist/main.go
@@ -17,14 +17,16 @@
 const Version = "0.1.0"
 
 type arguments struct {
-	Check   checkCommand   `cmd:"" help:"Check a file of targets without the platform."`
-	Diff    diffCommand    `cmd:"" help:"Say in words what applying a file would change."`
-	Apply   applyCommand   `cmd:"" help:"Check a file of targets and make it the next version."`
-	Remove  removeCommand  `cmd:"" help:"Remove services from the configuration."`
-	Get     getCommand     `cmd:"" help:"Print the targets of a version as a file."`
-	History historyCommand `cmd:"" help:"List the edits: who, when, and what they changed."`
-	Status  statusCommand  `cmd:"" help:"Show whether each class meets its target, and what each failure domain has in force."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole mesh in this process, change it while calls run, and report."`
+	Check    checkCommand    `cmd:"" help:"Check a file of targets without the platform."`
+	Diff     diffCommand     `cmd:"" help:"Say in words what applying a file would change."`
+	Apply    applyCommand    `cmd:"" help:"Check a file of targets and make it the next version."`
+	Remove   removeCommand   `cmd:"" help:"Remove services from the configuration."`
+	Get      getCommand      `cmd:"" help:"Print the targets of a version as a file."`
+	History  historyCommand  `cmd:"" help:"List the edits: who, when, and what they changed."`
+	Status   statusCommand   `cmd:"" help:"Show whether each class meets its target, and what each failure domain has in force."`
+	Forecast forecastCommand `cmd:"" help:"Foresee which classes will miss their targets, and which clients to tell."`
+	Stop     stopCommand     `cmd:"" help:"Plan, list and cancel stops of backend servers."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole mesh in this process, change it while calls run, and report."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/mesh/status/writer.go
+++ b/mesh/status/writer.go
@@ -44,12 +44,17 @@
 }
 
 func newWriter(cfg Config, store Store, self member.ServerID, domain string, shard int) *writer {
-	return &writer{cfg: cfg, store: store, self: self, domain: domain, shard: shard, last: time.Now(), history: map[ClassKey]history{}}
+	return &writer{cfg: cfg, store: store, self: self, domain: domain, shard: shard, history: map[ClassKey]history{}}
 }
 
-// push adds the counts of one interval.
+// push adds the counts of one interval. Those of the first are dropped, since
+// the time that they cover is not known.
 func (w *writer) push(classes Classes) {
 	now := time.Now()
+	if w.last.IsZero() {
+		w.last = now
+		return
+	}
 	w.window = append(w.window, interval{classes: classes, length: now.Sub(w.last)})
 	w.last = now
 	if extra := len(w.window) - w.cfg.Windows; extra > 0 {
@@ -100,7 +105,8 @@
 	if !h.known || met != h.met {
 		h.known, h.met, h.since = true, met, w.last
 	}
-	if rate := float64(s.Counts.Offered) / window.Seconds(); rate > 0 {
+	if len(w.window) == w.cfg.Windows && s.Counts.Offered > 0 {
+		rate := float64(s.Counts.Offered) / window.Seconds()
 		hour := w.last.Unix() / int64(time.Hour/time.Second)
 		peak := &h.shape[hour%Hours]
 		if peak.Hour != hour {
