--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -21,78 +21,192 @@
 		beat := &peerpb.Heartbeat{Version: uint64(m.Version)}
 		return &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: beat}}, nil
 	case *spread.Records:
-		return &peerpb.Frame{Body: &peerpb.Frame_Records{Records: encodeRecords(m.Records)}}, nil
+		records := &peerpb.Records{Records: encodeRecords(m.Records), Compared: m.Compared}
+		return &peerpb.Frame{Body: &peerpb.Frame_Records{Records: records}}, nil
 	case *spread.Configuration:
 		return &peerpb.Frame{Body: &peerpb.Frame_Configuration{Configuration: encodeUpdate(m.Update)}}, nil
+	case *spread.Have:
+		have := &peerpb.Have{Versions: encodeVersions(m.Versions)}
+		return &peerpb.Frame{Body: &peerpb.Frame_Have{Have: have}}, nil
+	case *spread.Pull:
+		pull := &peerpb.Pull{Servers: encodeIDs(m.Servers), Configure: m.Configure, Version: uint64(m.Version), Graft: m.Graft}
+		return &peerpb.Frame{Body: &peerpb.Frame_Pull{Pull: pull}}, nil
+	case *spread.Prune:
+		return &peerpb.Frame{Body: &peerpb.Frame_Prune{Prune: &peerpb.Prune{}}}, nil
+	case *spread.Root:
+		root := &peerpb.Root{Hash: m.Hash, Version: uint64(m.Version)}
+		return &peerpb.Frame{Body: &peerpb.Frame_Root{Root: root}}, nil
 	case *spread.Hashes:
-		hashes := &peerpb.Hashes{Hashes: m.Hashes[:], Reply: m.Reply}
-		return &peerpb.Frame{Body: &peerpb.Frame_Hashes{Hashes: hashes}}, nil
+		return &peerpb.Frame{Body: &peerpb.Frame_Hashes{Hashes: &peerpb.Hashes{Hashes: m.Hashes[:]}}}, nil
+	case *spread.Buckets:
+		return &peerpb.Frame{Body: &peerpb.Frame_Buckets{Buckets: encodeBuckets(m.Buckets)}}, nil
+	case *spread.Done:
+		return &peerpb.Frame{Body: &peerpb.Frame_Done{Done: &peerpb.Done{Busy: m.Busy}}}, nil
 	}
 	return nil, fmt.Errorf("no frame for message %T", m)
 }
 
-// decode returns the message of a frame.
+// decode returns the message of a frame, or an error if it exceeds a limit.
 func decode(f *peerpb.Frame) (spread.Message, error) {
-	switch b := f.Body.(type) {
+	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_Hello:
-		return &spread.Hello{From: member.ServerID(b.Hello.GetFrom()), Version: manifest.Version(b.Hello.GetVersion())}, nil
+		return decodeHello(b.Hello)
 	case *peerpb.Frame_Heartbeat:
 		return &spread.Heartbeat{Version: manifest.Version(b.Heartbeat.GetVersion())}, nil
 	case *peerpb.Frame_Records:
 		return decodeRecords(b.Records)
 	case *peerpb.Frame_Configuration:
 		return decodeUpdate(b.Configuration)
+	case *peerpb.Frame_Have:
+		versions, err := decodeVersions(b.Have.GetVersions())
+		return &spread.Have{Versions: versions}, err
+	case *peerpb.Frame_Pull:
+		return decodePull(b.Pull)
+	case *peerpb.Frame_Prune:
+		return &spread.Prune{}, nil
+	case *peerpb.Frame_Root:
+		return &spread.Root{Hash: b.Root.GetHash(), Version: manifest.Version(b.Root.GetVersion())}, nil
 	case *peerpb.Frame_Hashes:
 		return decodeHashes(b.Hashes)
+	case *peerpb.Frame_Buckets:
+		return decodeBuckets(b.Buckets)
+	case *peerpb.Frame_Done:
+		return &spread.Done{Busy: b.Done.GetBusy()}, nil
 	}
 	return nil, fmt.Errorf("frame without a known body")
 }
 
-func encodeRecords(records []member.Record) *peerpb.Records {
-	out := &peerpb.Records{Records: make([]*peerpb.Record, len(records))}
+func decodeHello(in *peerpb.Hello) (spread.Message, error) {
+	if err := checkName("server", in.GetFrom()); err != nil {
+		return nil, err
+	}
+	return &spread.Hello{From: member.ServerID(in.GetFrom()), Version: manifest.Version(in.GetVersion())}, nil
+}
+
+func encodeRecords(records []member.Record) []*peerpb.Record {
+	out := make([]*peerpb.Record, len(records))
 	for i := range records {
 		r := &records[i]
-		out.Records[i] = &peerpb.Record{
+		out[i] = &peerpb.Record{
 			Server: string(r.Server), Incarnation: r.Incarnation, Sequence: r.Sequence,
 			State: uint32(r.State), Service: r.Service, Domain: r.Domain,
 			CallAddress: r.CallAddress, PeerAddress: r.PeerAddress,
-			Slots: uint32(r.Slots), Health: uint32(r.Health),
-		}
-		for _, a := range r.Accusers {
-			out.Records[i].Accusers = append(out.Records[i].Accusers, string(a))
+			Slots: uint32(r.Slots), Health: uint32(r.Health), Accusers: encodeIDs(r.Accusers),
 		}
 	}
 	return out
 }
 
 func decodeRecords(in *peerpb.Records) (spread.Message, error) {
+	if err := checkCount("records", len(in.GetRecords()), maxRecords); err != nil {
+		return nil, err
+	}
 	records := make([]member.Record, len(in.GetRecords()))
 	for i, r := range in.GetRecords() {
-		if r.GetServer() == "" || r.GetState() > uint32(member.Left) || r.GetHealth() > uint32(member.Failed) {
-			return nil, fmt.Errorf("record %d of server %q is out of range", i, r.GetServer())
+		if err := checkRecord(r); err != nil {
+			return nil, fmt.Errorf("record %d: %w", i, err)
 		}
 		records[i] = member.Record{
 			Server: member.ServerID(r.GetServer()), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(),
 			State: member.State(r.GetState()), Service: r.GetService(), Domain: r.GetDomain(),
 			CallAddress: r.GetCallAddress(), PeerAddress: r.GetPeerAddress(),
-			Slots: int(r.GetSlots()), Health: member.Health(r.GetHealth()),
+			Slots: int(r.GetSlots()), Health: member.Health(r.GetHealth()), Accusers: decodeIDs(r.GetAccusers()),
 		}
-		for _, a := range r.GetAccusers() {
-			records[i].Accusers = append(records[i].Accusers, member.ServerID(a))
+	}
+	return &spread.Records{Records: records, Compared: in.GetCompared()}, nil
+}
+
+func encodeVersions(versions []member.Version) []*peerpb.Version {
+	out := make([]*peerpb.Version, len(versions))
+	for i := range versions {
+		v := &versions[i]
+		out[i] = &peerpb.Version{
+			Server: string(v.Server), Incarnation: v.Incarnation, Sequence: v.Sequence,
+			Health: uint32(v.Health), Accusers: encodeIDs(v.Accusers), Terminal: v.Terminal,
 		}
 	}
-	return &spread.Records{Records: records}, nil
+	return out
+}
+
+func decodeVersions(in []*peerpb.Version) ([]member.Version, error) {
+	if err := checkCount("versions", len(in), maxVersions); err != nil {
+		return nil, err
+	}
+	versions := make([]member.Version, len(in))
+	for i, v := range in {
+		if err := checkVersion(v); err != nil {
+			return nil, fmt.Errorf("version %d: %w", i, err)
+		}
+		versions[i] = member.Version{
+			Server: member.ServerID(v.GetServer()), Incarnation: v.GetIncarnation(), Sequence: v.GetSequence(),
+			Health: member.Health(v.GetHealth()), Accusers: decodeIDs(v.GetAccusers()), Terminal: v.GetTerminal(),
+		}
+	}
+	return versions, nil
+}
+
+func encodeIDs(ids []member.ServerID) []string {
+	var out []string
+	for _, id := range ids {
+		out = append(out, string(id))
+	}
+	return out
+}
+
+func decodeIDs(in []string) []member.ServerID {
+	var ids []member.ServerID
+	for _, s := range in {
+		ids = append(ids, member.ServerID(s))
+	}
+	return ids
+}
+
+func decodePull(in *peerpb.Pull) (spread.Message, error) {
+	if err := checkCount("servers", len(in.GetServers()), maxVersions); err != nil {
+		return nil, err
+	}
+	return &spread.Pull{
+		Servers: decodeIDs(in.GetServers()), Configure: in.GetConfigure(),
+		Version: manifest.Version(in.GetVersion()), Graft: in.GetGraft(),
+	}, nil
 }
 
 func decodeHashes(in *peerpb.Hashes) (spread.Message, error) {
 	if len(in.GetHashes()) != member.Buckets {
 		return nil, fmt.Errorf("%d hashes where %d were expected", len(in.GetHashes()), member.Buckets)
 	}
-	m := &spread.Hashes{Reply: in.GetReply()}
+	m := &spread.Hashes{}
 	copy(m.Hashes[:], in.GetHashes())
 	return m, nil
 }
 
+func encodeBuckets(buckets []member.BucketVersions) *peerpb.Buckets {
+	out := &peerpb.Buckets{}
+	for i := range buckets {
+		b := &peerpb.Bucket{Bucket: uint32(buckets[i].Bucket), Versions: encodeVersions(buckets[i].Versions)}
+		out.Buckets = append(out.Buckets, b)
+	}
+	return out
+}
+
+func decodeBuckets(in *peerpb.Buckets) (spread.Message, error) {
+	if err := checkCount("buckets", len(in.GetBuckets()), member.Buckets); err != nil {
+		return nil, err
+	}
+	m := &spread.Buckets{}
+	for _, b := range in.GetBuckets() {
+		if b.GetBucket() >= member.Buckets {
+			return nil, fmt.Errorf("bucket %d is out of range", b.GetBucket())
+		}
+		versions, err := decodeVersions(b.GetVersions())
+		if err != nil {
+			return nil, err
+		}
+		m.Buckets = append(m.Buckets, member.BucketVersions{Bucket: int(b.GetBucket()), Versions: versions})
+	}
+	return m, nil
+}
+
 func encodeUpdate(u *manifest.Update) *peerpb.Configuration {
 	out := &peerpb.Configuration{}
 	if u.Base != nil {
@@ -117,6 +231,9 @@
 }
 
 func decodeUpdate(in *peerpb.Configuration) (spread.Message, error) {
+	if err := checkUpdate(in); err != nil {
+		return nil, err
+	}
 	u := &manifest.Update{}
 	if in.GetBase() != nil {
 		u.Base = &manifest.Table{Version: manifest.Version(in.GetBase().GetVersion()), Refs: decodeRefs(in.GetBase().GetRefs())}
@@ -135,9 +252,6 @@
 		}
 		u.Bodies = append(u.Bodies, body)
 	}
-	if u.Base == nil && len(u.Changes) == 0 {
-		return nil, fmt.Errorf("configuration without a table and without changes")
-	}
 	return &spread.Configuration{Update: u}, nil
 }
 
--- /dev/null
+++ b/adapters/peergrpc/contract_test.go
@@ -0,0 +1,210 @@
+package peergrpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/spread"
+	"fescuehoist.example/mesh/spread/spreadtest"
+	"fescuehoist.example/mesh/target"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// transport is an implementation of the port under test.
+type transport struct {
+	dialer  spread.Dialer
+	address string
+	// nobody is an address at which nobody listens, mute one that never
+	// answers.
+	nobody, mute string
+}
+
+// serve is a handler made of a function.
+type serve func(ctx context.Context, link spread.Link) error
+
+func (s serve) Serve(ctx context.Context, link spread.Link) error { return s(ctx, link) }
+
+func overMemory(t *testing.T, h serve) transport {
+	network := spreadtest.New()
+	network.Cut(func(_, to string) bool { return to == "mute" })
+	run(t, func(ctx context.Context) { network.Listen(ctx, "server", h) })
+	for {
+		if link, err := network.Dialer("probe").Dial(t.Context(), "server"); err == nil {
+			link.Close()
+			break
+		}
+	}
+	return transport{dialer: network.Dialer("client"), address: "server", nobody: "nobody", mute: "mute"}
+}
+
+func overGRPC(t *testing.T, h serve) transport {
+	ln, mute, nobody := listen(t), listen(t), listen(t)
+	_ = nobody.Close()
+	t.Cleanup(func() { _ = mute.Close() })
+	run(t, func(ctx context.Context) { _ = NewServer(h, insecure.NewCredentials()).Run(ctx, ln) })
+	return transport{
+		dialer: &Dialer{Credentials: insecure.NewCredentials()}, address: ln.Addr().String(),
+		nobody: nobody.Addr().String(), mute: mute.Addr().String(),
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// run runs a task until the test ends.
+func run(t *testing.T, task func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { task(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+}
+
+// echo sends every message back.
+func echo(_ context.Context, link spread.Link) error {
+	for {
+		m, err := link.Recv()
+		if err != nil {
+			return err
+		}
+		if err := link.Send(m); err != nil {
+			return err
+		}
+	}
+}
+
+func closing(_ context.Context, link spread.Link) error {
+	_, err := link.Recv()
+	link.Close()
+	return err
+}
+
+func mustDial(t *testing.T, tr transport) spread.Link {
+	t.Helper()
+	link, err := tr.dialer.Dial(t.Context(), tr.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	return link
+}
+
+// TestLinkContract holds every implementation of Link and Dialer to what
+// package spread relies on.
+func TestLinkContract(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handler serve
+		check   func(t *testing.T, tr transport)
+	}{
+		{"messages arrive whole and in order", echo, checkMessages},
+		{"closing ends a waiting receive", echo, func(t *testing.T, tr transport) {
+			link := mustDial(t, tr)
+			time.AfterFunc(10*time.Millisecond, link.Close)
+			if _, err := link.Recv(); err == nil {
+				t.Error("the receive did not fail")
+			}
+			link.Close()
+			if err := link.Send(&spread.Prune{}); err == nil {
+				t.Error("sending on a closed link did not fail")
+			}
+		}},
+		{"the peer's closing ends the link", closing, func(t *testing.T, tr transport) {
+			link := mustDial(t, tr)
+			_ = link.Send(&spread.Prune{})
+			if _, err := link.Recv(); err == nil {
+				t.Error("the receive did not fail")
+			}
+		}},
+		{"a dial to nobody fails", echo, func(t *testing.T, tr transport) {
+			if _, err := tr.dialer.Dial(t.Context(), tr.nobody); err == nil {
+				t.Error("the dial did not fail")
+			}
+		}},
+		{"a dial to a mute peer ends with its context", echo, func(t *testing.T, tr transport) {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			if _, err := tr.dialer.Dial(ctx, tr.mute); err == nil {
+				t.Error("the dial did not fail")
+			}
+		}},
+		{"the end of the dial's context leaves the link open", echo, func(t *testing.T, tr transport) {
+			ctx, cancel := context.WithCancel(t.Context())
+			link, err := tr.dialer.Dial(ctx, tr.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer link.Close()
+			cancel()
+			if err := link.Send(&spread.Prune{}); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := link.Recv(); err != nil {
+				t.Error(err)
+			}
+		}},
+	} {
+		t.Run("memory/"+c.name, func(t *testing.T) { c.check(t, overMemory(t, c.handler)) })
+		t.Run("grpc/"+c.name, func(t *testing.T) { c.check(t, overGRPC(t, c.handler)) })
+	}
+}
+
+func checkMessages(t *testing.T, tr transport) {
+	link := mustDial(t, tr)
+	messages := samples()
+	go func() {
+		for _, m := range messages {
+			_ = link.Send(m)
+		}
+	}()
+	for i, want := range messages {
+		got, err := link.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("message %d: %s", i, d)
+		}
+	}
+}
+
+// samples returns one message of each type.
+func samples() []spread.Message {
+	record := member.Record{
+		Server: "lookup-1", Incarnation: 7, Sequence: 2, State: member.Draining, Service: "lookup", Domain: "cairo-a",
+		CallAddress: "10.0.0.1:1", PeerAddress: "10.0.0.1:2", Slots: 12, Health: member.Suspected, Accusers: []member.ServerID{"b"},
+	}
+	versions := []member.Version{record.Version()}
+	s := &target.Service{Name: "lookup", Classes: []target.Class{{Name: "search", Method: "GET", Path: "/search", Rank: 1, Latency: time.Second}}}
+	refs := []manifest.Ref{{Service: s.Name, Digest: s.Digest()}}
+	update := &manifest.Update{
+		Base:    &manifest.Table{Version: 3, Refs: refs},
+		Changes: []manifest.Change{{Version: 4, EditID: "e", Author: "a", At: time.Unix(9, 0), Updated: refs, Removed: []string{"x"}}},
+		Bodies:  []manifest.Body{{Digest: s.Digest(), Service: s}, {Digest: "d", Fault: "missing"}},
+	}
+	return []spread.Message{
+		&spread.Hello{From: "a", Version: 3}, &spread.Heartbeat{Version: 4},
+		&spread.Records{Records: []member.Record{record}, Compared: true},
+		&spread.Configuration{Update: update}, &spread.Have{Versions: versions},
+		&spread.Pull{Servers: []member.ServerID{"a"}, Configure: true, Version: 2, Graft: true},
+		&spread.Prune{}, &spread.Root{Hash: 5, Version: 6}, &spread.Hashes{Hashes: [member.Buckets]uint64{3: 4}},
+		&spread.Buckets{Buckets: []member.BucketVersions{{Bucket: 9, Versions: versions}}}, &spread.Done{Busy: true},
+	}
+}
--- /dev/null
+++ b/mesh/member/compare.go
@@ -0,0 +1,125 @@
+package member
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of groups whose hashes two daemons compare.
+const Buckets = 256
+
+// bucket is one group of records. Its hash covers those that are not terminal,
+// so that tombstones can be forgotten by each daemon in its own time.
+type bucket struct {
+	hash    uint64
+	entries map[ServerID]*entry
+}
+
+// BucketVersions lists the versions of the records of one bucket.
+type BucketVersions struct {
+	Bucket   int
+	Versions []Version
+}
+
+// Root returns a hash over all records that are not terminal.
+func (t *Table) Root() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var root uint64
+	for i := range t.buckets {
+		root ^= t.buckets[i].hash
+	}
+	return root
+}
+
+// Hashes returns a hash for each bucket; equal hashes mean equal records.
+func (t *Table) Hashes() [Buckets]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var hashes [Buckets]uint64
+	for i := range t.buckets {
+		hashes[i] = t.buckets[i].hash
+	}
+	return hashes
+}
+
+// Differing lists the versions of each bucket whose hash differs.
+func (t *Table) Differing(hashes *[Buckets]uint64) []BucketVersions {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var differing []BucketVersions
+	for i := range t.buckets {
+		if t.buckets[i].hash == hashes[i] {
+			continue
+		}
+		bv := BucketVersions{Bucket: i}
+		for _, e := range t.buckets[i].entries {
+			bv.Versions = append(bv.Versions, e.record.Version())
+		}
+		differing = append(differing, bv)
+	}
+	return differing
+}
+
+// Compare returns the records of a bucket that the sender of the list lacks,
+// and the servers whose records this table lacks. A tombstone of a server that
+// one side does not know is no difference.
+func (t *Table) Compare(list *BucketVersions) (newer []Record, older []ServerID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries := t.buckets[list.Bucket].entries
+	listed := make(map[ServerID]bool, len(list.Versions))
+	for i := range list.Versions {
+		theirs := &list.Versions[i]
+		listed[theirs.Server] = true
+		e := entries[theirs.Server]
+		if e == nil {
+			if !theirs.Terminal {
+				older = append(older, theirs.Server)
+			}
+			continue
+		}
+		own := e.record.Version()
+		if !theirs.Covers(&own) {
+			newer = append(newer, *e.record)
+		}
+		if !own.Covers(theirs) {
+			older = append(older, theirs.Server)
+		}
+	}
+	for id, e := range entries {
+		if !listed[id] && !e.record.Terminal() {
+			newer = append(newer, *e.record)
+		}
+	}
+	return newer, older
+}
+
+func bucketOf(id ServerID) int { return int(xxhash.Sum64String(string(id)) % Buckets) }
+
+func hashOf(r *Record) uint64 {
+	if r.Terminal() {
+		return 0
+	}
+	d := xxhash.New()
+	writeString(d, string(r.Server))
+	writeNumber(d, r.Incarnation)
+	writeNumber(d, r.Sequence)
+	writeNumber(d, uint64(r.Health))
+	for _, a := range r.Accusers {
+		writeString(d, string(a))
+	}
+	return d.Sum64()
+}
+
+func writeString(d *xxhash.Digest, s string) {
+	writeNumber(d, uint64(len(s)))
+	_, _ = d.WriteString(s)
+}
+
+func writeNumber(d *xxhash.Digest, n uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	_, _ = d.Write(b[:])
+}
--- a/mesh/member/record.go
+++ b/mesh/member/record.go
@@ -78,8 +78,9 @@
 	// CallAddress takes calls from other daemons, PeerAddress their streams.
 	CallAddress, PeerAddress string
 	// Slots is the number of calls that the backend server runs at once.
-	Slots    int
-	Health   Health
+	Slots  int
+	Health Health
+	// Accusers suspect the server, sorted; fewer than AccusersToFail.
 	Accusers []ServerID
 }
 
@@ -91,47 +92,73 @@
 	return r.State == Ready && r.Health != Failed && r.Service != ""
 }
 
-// Supersedes reports whether r replaces other, a record of the same server.
-// The order is total over incarnation, health and sequence; accusers are
-// united separately.
-func (r *Record) Supersedes(other *Record) bool {
-	if r.Incarnation != other.Incarnation {
-		return r.Incarnation > other.Incarnation
+// Version returns the version of the record.
+func (r *Record) Version() Version {
+	return Version{
+		Server: r.Server, Incarnation: r.Incarnation, Sequence: r.Sequence,
+		Health: r.Health, Accusers: r.Accusers, Terminal: r.Terminal(),
 	}
-	if r.Health != other.Health {
-		return r.Health > other.Health
+}
+
+// Version tells records of the same server apart without their content.
+type Version struct {
+	Server                ServerID
+	Incarnation, Sequence uint64
+	Health                Health
+	Accusers              []ServerID
+	// Terminal says that the record's daemon is gone.
+	Terminal bool
+}
+
+// Covers reports whether merging a record of version w into one of version v
+// would change nothing.
+func (v *Version) Covers(w *Version) bool {
+	if v.Incarnation != w.Incarnation {
+		return v.Incarnation > w.Incarnation
 	}
-	return r.Sequence > other.Sequence
+	if v.Sequence < w.Sequence || v.Health < w.Health {
+		return false
+	}
+	if v.Health != Suspected || w.Health != Suspected {
+		return true
+	}
+	return !slices.ContainsFunc(w.Accusers, func(a ServerID) bool { return !slices.Contains(v.Accusers, a) })
 }
 
-// merge returns the union of two records of the same server and whether it
-// differs from have. It is commutative, associative and idempotent.
+// merge returns the join of two records of the same server and whether it
+// differs from have. Of two incarnations the higher one counts. Within one,
+// the owner's part is that of the higher sequence, the health is the higher
+// one, and accusers are united. The join is commutative, associative and
+// idempotent.
 func merge(have, got *Record) (*Record, bool) {
-	winner := have
-	if got.Supersedes(have) {
-		winner = got
+	old, fresh := have.Version(), got.Version()
+	if old.Covers(&fresh) {
+		return have, false
 	}
-	if have.Incarnation != got.Incarnation || have.Health != Suspected || got.Health != Suspected {
-		return winner, winner != have
+	if got.Incarnation > have.Incarnation {
+		return settled(got), true
 	}
-	accusers := unite(have.Accusers, got.Accusers)
-	if len(accusers) == len(have.Accusers) && winner == have {
-		return have, false
+	joined := *have
+	if got.Sequence > have.Sequence {
+		joined = *got
 	}
-	united := *winner
-	united.Accusers = accusers
-	return settled(&united), true
+	joined.Health = max(have.Health, got.Health)
+	joined.Accusers = unite(have.Accusers, got.Accusers)
+	return settled(&joined), true
 }
 
-// settled turns a suspicion shared by enough accusers into a failure.
+// settled returns a record in its normal form: a suspicion shared by enough
+// accusers is a failure, and only suspected records have accusers.
 func settled(r *Record) *Record {
-	if r.Health != Suspected || len(r.Accusers) < AccusersToFail {
+	if r.Health == Suspected && len(r.Accusers) < AccusersToFail {
 		return r
 	}
-	failed := *r
-	failed.Health = Failed
-	failed.Accusers = nil
-	return &failed
+	normal := *r
+	if r.Health == Suspected {
+		normal.Health = Failed
+	}
+	normal.Accusers = nil
+	return &normal
 }
 
 func unite(a, b []ServerID) []ServerID {
--- a/mesh/member/table.go
+++ b/mesh/member/table.go
@@ -1,40 +1,37 @@
 package member
 
 import (
-	"encoding/binary"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Buckets is the number of groups whose hashes two daemons compare.
-const Buckets = 256
-
 // Table holds the newest record of every server. Merging is by owner and
 // order, so records may arrive repeated, crossed or late.
 type Table struct {
 	mu      sync.Mutex
 	self    ServerID
-	records map[ServerID]*entry
-	hashes  [Buckets]uint64
-	view    atomic.Pointer[View]
-	stale   bool
+	buckets [Buckets]bucket
+	count   int
+	view    *View
+	// dirty names the servers whose records changed since view was built.
+	dirty   map[ServerID]bool
 	changed chan struct{}
 }
 
 type entry struct {
 	record *Record
 	hash   uint64
-	// ended is when the record became terminal, by this daemon's clock.
-	ended time.Time
+	// suspected is when the record became suspected, ended when it became
+	// terminal, both by this daemon's clock.
+	suspected, ended time.Time
 }
 
 // NewTable returns an empty table of the daemon self.
 func NewTable(self ServerID) *Table {
-	t := &Table{self: self, records: map[ServerID]*entry{}, changed: make(chan struct{})}
-	t.view.Store(&View{})
+	t := &Table{self: self, view: &View{}, dirty: map[ServerID]bool{}, changed: make(chan struct{})}
+	for i := range t.buckets {
+		t.buckets[i].entries = map[ServerID]*entry{}
+	}
 	return t
 }
 
@@ -44,6 +41,37 @@
 func (t *Table) Merge(records []Record) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.mergeAll(records)
+}
+
+// Reconcile merges records from a comparison of two whole tables. They may be
+// old news: a failure that this table knows nothing of counts as a suspicion
+// until it has lasted for confirm, so that the accused can refute it before
+// routes lose it.
+func (t *Table) Reconcile(records []Record, confirm time.Duration) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	doubted := make([]Record, len(records))
+	for i := range records {
+		doubted[i] = t.doubt(records[i], confirm)
+	}
+	return t.mergeAll(doubted)
+}
+
+// doubt turns a failure into a suspicion unless it is confirmed.
+func (t *Table) doubt(got Record, confirm time.Duration) Record {
+	have := t.find(got.Server)
+	if got.Health != Failed || have == nil || have.record.Terminal() {
+		return got
+	}
+	if have.record.Health == Suspected && time.Since(have.suspected) >= confirm {
+		return got
+	}
+	got.Health = Suspected
+	return got
+}
+
+func (t *Table) mergeAll(records []Record) []Record {
 	var news []Record
 	for i := range records {
 		r := records[i]
@@ -56,7 +84,7 @@
 }
 
 func (t *Table) mergeOne(got *Record) (*Record, bool) {
-	have := t.records[got.Server]
+	have := t.find(got.Server)
 	if got.Server == t.self {
 		return t.mergeOwn(have, got)
 	}
@@ -76,7 +104,11 @@
 // mergeOwn refutes what others say of this daemon: its own record gets a
 // higher incarnation than any that it heard of.
 func (t *Table) mergeOwn(have *entry, got *Record) (*Record, bool) {
-	if have == nil || !got.Supersedes(have.record) {
+	if have == nil {
+		return nil, false
+	}
+	old, fresh := have.record.Version(), got.Version()
+	if old.Covers(&fresh) {
 		return nil, false
 	}
 	own := *have.record
@@ -91,7 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own.Health, own.Accusers = Alive, nil
-	if have := t.records[t.self]; have != nil {
+	if have := t.find(t.self); have != nil {
 		own.Incarnation = max(own.Incarnation, have.record.Incarnation)
 		own.Sequence = have.record.Sequence + 1
 	}
@@ -106,7 +138,7 @@
 func (t *Table) Accuse(server, accuser ServerID, certain bool) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	have := t.records[server]
+	have := t.find(server)
 	if have == nil || have.record.Terminal() || server == t.self {
 		return Record{}, false
 	}
@@ -125,11 +157,23 @@
 	return *merged, true
 }
 
+// Lacks reports whether a record of version v would change the table.
+func (t *Table) Lacks(v *Version) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	have := t.find(v.Server)
+	if have == nil {
+		return v.Server != t.self
+	}
+	old := have.record.Version()
+	return !old.Covers(v)
+}
+
 // Get returns the record of a server.
 func (t *Table) Get(server ServerID) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.records[server]
+	e := t.find(server)
 	if e == nil {
 		return Record{}, false
 	}
@@ -140,7 +184,7 @@
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records)
+	return t.count
 }
 
 // Forget drops records that have been terminal for longer than retention.
@@ -149,14 +193,17 @@
 	defer t.mu.Unlock()
 	limit := time.Now().Add(-retention)
 	n := 0
-	for id, e := range t.records {
-		if e.ended.IsZero() || e.ended.After(limit) {
-			continue
+	for i := range t.buckets {
+		for id, e := range t.buckets[i].entries {
+			if e.ended.IsZero() || e.ended.After(limit) {
+				continue
+			}
+			delete(t.buckets[i].entries, id)
+			t.dirty[id] = true
+			n++
 		}
-		t.hashes[bucketOf(id)] ^= e.hash
-		delete(t.records, id)
-		n++
 	}
+	t.count -= n
 	t.announce(n > 0)
 	return n
 }
@@ -168,74 +215,39 @@
 	return t.changed
 }
 
-// Hashes returns a hash for each bucket; equal hashes mean equal records.
-func (t *Table) Hashes() [Buckets]uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.hashes
-}
-
-// Bucket returns all records of one bucket.
-func (t *Table) Bucket(n int) []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var records []Record
-	for id, e := range t.records {
-		if bucketOf(id) == n {
-			records = append(records, *e.record)
-		}
-	}
-	return records
-}
+func (t *Table) find(id ServerID) *entry { return t.buckets[bucketOf(id)].entries[id] }
 
 func (t *Table) put(r *Record) {
-	e := t.records[r.Server]
+	b := &t.buckets[bucketOf(r.Server)]
+	e := b.entries[r.Server]
 	if e == nil {
 		e = &entry{}
-		t.records[r.Server] = e
+		b.entries[r.Server] = e
+		t.count++
 	}
-	b := bucketOf(r.Server)
-	t.hashes[b] ^= e.hash
+	b.hash ^= e.hash
 	e.record, e.hash = r, hashOf(r)
-	t.hashes[b] ^= e.hash
-	switch {
-	case !r.Terminal():
-		e.ended = time.Time{}
-	case e.ended.IsZero():
-		e.ended = time.Now()
+	b.hash ^= e.hash
+	e.suspected = since(e.suspected, r.Health == Suspected)
+	e.ended = since(e.ended, r.Terminal())
+	t.dirty[r.Server] = true
+}
+
+// since returns when a condition that holds began to hold.
+func since(began time.Time, holds bool) time.Time {
+	if !holds {
+		return time.Time{}
+	}
+	if began.IsZero() {
+		return time.Now()
 	}
+	return began
 }
 
 func (t *Table) announce(changed bool) {
 	if !changed {
 		return
 	}
-	t.stale = true
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
-
-func bucketOf(id ServerID) int { return int(xxhash.Sum64String(string(id)) % Buckets) }
-
-func hashOf(r *Record) uint64 {
-	d := xxhash.New()
-	writeString(d, string(r.Server))
-	writeNumber(d, r.Incarnation)
-	writeNumber(d, r.Sequence)
-	writeNumber(d, uint64(r.Health))
-	for _, a := range r.Accusers {
-		writeString(d, string(a))
-	}
-	return d.Sum64()
-}
-
-func writeString(d *xxhash.Digest, s string) {
-	writeNumber(d, uint64(len(s)))
-	_, _ = d.WriteString(s)
-}
-
-func writeNumber(d *xxhash.Digest, n uint64) {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], n)
-	_, _ = d.Write(b[:])
-}
--- a/mesh/spread/dial.go
+++ b/mesh/spread/dial.go
@@ -8,19 +8,12 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/wait"
 )
 
-// contact is a peer to keep a stream to. Seeds have no name yet.
-type contact struct {
-	id      member.ServerID
-	address string
-}
-
 // keepPeers starts a task for each chosen peer and ends those no longer
 // chosen, after each change of membership.
 func (n *Node) keepPeers(ctx context.Context, g *errgroup.Group) error {
@@ -56,74 +49,69 @@
 	}
 }
 
-// choose returns the next servers after this one on a ring in hash order: some
-// of the same failure domain and some of others. Without any it returns seeds.
-func (n *Node) choose() []contact {
-	var near, far []*member.Record
-	for _, r := range n.table.View().All() {
-		if r.Server == n.self || r.Terminal() || r.PeerAddress == "" {
-			continue
-		}
-		if r.Domain == n.domain {
-			near = append(near, r)
-			continue
-		}
-		far = append(far, r)
-	}
-	chosen := n.successors(near, n.cfg.NearPeers)
-	chosen = append(chosen, n.successors(far, n.cfg.FarPeers)...)
-	if len(chosen) < n.cfg.NearPeers+n.cfg.FarPeers {
-		for _, s := range n.seeds {
-			if !slices.ContainsFunc(chosen, func(c contact) bool { return c.address == s }) {
-				chosen = append(chosen, contact{address: s})
-			}
-		}
-	}
-	return chosen
-}
-
-func (n *Node) successors(records []*member.Record, count int) []contact {
-	start := xxhash.Sum64String(string(n.self))
-	distance := func(r *member.Record) uint64 { return xxhash.Sum64String(string(r.Server)) - start }
-	slices.SortFunc(records, func(a, b *member.Record) int {
-		if distance(a) < distance(b) {
-			return -1
-		}
-		return 1
-	})
-	var chosen []contact
-	for _, r := range records[:min(count, len(records))] {
-		chosen = append(chosen, contact{id: r.Server, address: r.PeerAddress})
-	}
-	return chosen
-}
-
 // keep is the task of one peer: dial, exchange, and dial again after a
 // jittered exponential delay. A peer that stays out of reach is accused.
 func (n *Node) keep(ctx context.Context, c contact) error {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = n.cfg.RedialBase, n.cfg.RedialMax
-	var lost time.Time
+	var out absence
 	for ctx.Err() == nil {
 		err := n.dialOnce(ctx, c, func(member.ServerID) {
-			lost = time.Time{}
+			out = absence{}
 			delay.Reset()
 		})
 		if ctx.Err() != nil || errors.Is(err, errSelf) {
 			return nil
 		}
-		if lost.IsZero() {
-			lost = time.Now()
-		}
+		pause := delay.NextBackOff()
+		out.extend(time.Now(), n.cfg.DialTimeout+pause)
 		n.out.Debugf("lost peer %s at %s: %v", c.id, c.address, err)
-		n.accuse(c, time.Since(lost))
-		if wait.For(ctx, delay.NextBackOff()) != nil {
+		n.accuse(c, &out)
+		if wait.For(ctx, pause) != nil {
 			return nil
 		}
 	}
 	return nil
 }
 
+// maxRefutations bounds how often the patience with a peer doubles.
+const maxRefutations = 8
+
+// absence measures how long a peer has been out of reach. A daemon that was
+// itself paused must not count the pause, so no step counts for more time than
+// was planned for it.
+type absence struct {
+	last   time.Time
+	limit  time.Duration
+	lasted time.Duration
+	// accused is the incarnation last accused and refuted the number of
+	// refutations heard since the peer was last in reach.
+	accused uint64
+	refuted int
+}
+
+// extend notes a failed attempt at now, the next being due within next.
+func (a *absence) extend(now time.Time, next time.Duration) {
+	if !a.last.IsZero() {
+		a.lasted += min(now.Sub(a.last), a.limit)
+	}
+	a.last, a.limit = now, next
+}
+
+// hear notes the peer's incarnation. One above the accused one is a
+// refutation: others reach the peer, so the absence starts anew and counts for
+// half as much.
+func (a *absence) hear(incarnation uint64) {
+	if a.accused == 0 || incarnation <= a.accused {
+		return
+	}
+	a.accused, a.lasted = 0, 0
+	a.refuted = min(a.refuted+1, maxRefutations)
+}
+
+// exceeds reports whether the absence is longer than a limit.
+func (a *absence) exceeds(limit time.Duration) bool { return a.lasted > limit<<a.refuted }
+
 func (n *Node) dialOnce(ctx context.Context, c contact, met func(member.ServerID)) error {
 	dialCtx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
 	link, err := n.dialer.Dial(dialCtx, c.address)
@@ -131,18 +119,26 @@
 	if err != nil {
 		return err
 	}
-	return n.serve(ctx, link, met)
+	return n.serve(ctx, link, true, met)
 }
 
-// accuse publishes that a peer has been out of reach for a time.
-func (n *Node) accuse(c contact, lost time.Duration) {
-	if c.id == "" || lost < n.cfg.DialTimeout+rand.N(n.cfg.DialTimeout) {
+// accuse publishes that a peer has been out of reach for a time. A daemon
+// without any open stream suspects nobody: it may itself be cut off.
+func (n *Node) accuse(c contact, out *absence) {
+	have, known := n.table.Get(c.id)
+	if !known {
+		return
+	}
+	out.hear(have.Incarnation)
+	certain := out.exceeds(n.cfg.SuspectLimit)
+	if !certain && (n.Peers() == 0 || !out.exceeds(n.cfg.DialTimeout+rand.N(n.cfg.DialTimeout))) {
 		return
 	}
-	r, changed := n.table.Accuse(c.id, n.self, lost > n.cfg.SuspectLimit)
+	r, changed := n.table.Accuse(c.id, n.self, certain)
 	if !changed {
 		return
 	}
-	n.out.Infof("server %s is %s: out of reach for %s", c.id, r.Health, lost.Round(time.Millisecond))
+	out.accused = r.Incarnation
+	n.out.Infof("server %s is %s: out of reach for %s", c.id, r.Health, out.lasted.Round(time.Millisecond))
 	n.publish([]member.Record{r}, nil)
 }
--- a/mesh/spread/message.go
+++ b/mesh/spread/message.go
@@ -1,5 +1,10 @@
 // Package spread carries records and configuration between daemons: one task
 // for each peer, which greets, exchanges and watches the peer's liveness.
+//
+// News goes whole along a tree of eager streams. Lazy streams carry only its
+// versions; a daemon that hears of a version and does not get the content soon
+// pulls it, which makes that stream eager. Comparisons of whole tables repair
+// what was lost.
 package spread
 
 import (
@@ -12,8 +17,7 @@
 // Message is what peers send each other.
 type Message interface{ message() }
 
-// Hello is the first message in each direction. Sent later, it asks the peer to
-// send configuration from Version on again.
+// Hello is the first message in each direction.
 type Hello struct {
 	From    member.ServerID
 	Version manifest.Version
@@ -23,24 +27,62 @@
 type Heartbeat struct{ Version manifest.Version }
 
 // Records carries records that the receiver may lack.
-type Records struct{ Records []member.Record }
+type Records struct {
+	Records []member.Record
+	// Compared says that a comparison found them: they may be old.
+	Compared bool
+}
 
 // Configuration carries versions that the receiver lacks.
 type Configuration struct{ Update *manifest.Update }
 
-// Hashes starts an exchange of records: the receiver answers with the records
-// of the buckets that differ and asks for its own missing ones.
-type Hashes struct {
-	Hashes [member.Buckets]uint64
-	// Reply says that the sender answers an earlier Hashes.
-	Reply bool
+// Have lists versions of records that the sender has news of.
+type Have struct{ Versions []member.Version }
+
+// Pull asks for records and, if Configure is set, for configuration after
+// Version.
+type Pull struct {
+	Servers   []member.ServerID
+	Configure bool
+	Version   manifest.Version
+	// Graft asks the receiver to send news whole from now on.
+	Graft bool
+}
+
+// Prune asks the receiver to send only versions of news from now on.
+type Prune struct{}
+
+// Root starts a comparison. The receiver answers with its Hashes if the roots
+// differ, else with Done, and with the configuration that the sender lacks.
+type Root struct {
+	Hash    uint64
+	Version manifest.Version
+}
+
+// Hashes holds the hash of every bucket of the sender's table.
+type Hashes struct{ Hashes [member.Buckets]uint64 }
+
+// Buckets lists the sender's versions in the buckets that differ. The receiver
+// answers with Records, a Pull and Done.
+type Buckets struct{ Buckets []member.BucketVersions }
+
+// Done ends a comparison.
+type Done struct {
+	// Busy says that the sender is in too many comparisons to answer.
+	Busy bool
 }
 
 func (*Hello) message()         {}
 func (*Heartbeat) message()     {}
 func (*Records) message()       {}
 func (*Configuration) message() {}
+func (*Have) message()          {}
+func (*Pull) message()          {}
+func (*Prune) message()         {}
+func (*Root) message()          {}
 func (*Hashes) message()        {}
+func (*Buckets) message()       {}
+func (*Done) message()          {}
 
 // Link is an open stream to one peer. Send and Recv may be called from
 // different goroutines. A closed link fails both.
--- a/mesh/spread/node.go
+++ b/mesh/spread/node.go
@@ -29,6 +29,10 @@
 	log    *manifest.Log
 	out    Logger
 
+	// comparing holds a token while this daemon compares its table with a
+	// peer's, serving one for each comparison that it answers.
+	comparing, serving chan struct{}
+
 	mu    sync.Mutex
 	peers map[*peer]bool
 }
@@ -40,6 +44,7 @@
 	return &Node{
 		cfg: cfg, self: self, domain: domain, seeds: seeds, dialer: dialer,
 		table: table, log: log, out: out, peers: map[*peer]bool{},
+		comparing: make(chan struct{}, 1), serving: make(chan struct{}, cfg.MaxServed),
 	}
 }
 
@@ -47,6 +52,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.keepPeers(ctx, g) })
+	g.Go(func() error { return n.rejoin(ctx) })
 	g.Go(func() error { return n.forget(ctx) })
 	return g.Wait()
 }
@@ -56,6 +62,11 @@
 	n.publish([]member.Record{n.table.Announce(own)}, nil)
 }
 
+// Publish merges records that did not come from a peer and spreads the news.
+func (n *Node) Publish(records []member.Record) {
+	n.publish(n.table.Merge(records), nil)
+}
+
 // Receive takes an update that did not come from a peer.
 func (n *Node) Receive(u *manifest.Update) error {
 	_, err := n.log.Receive(u)
@@ -78,7 +89,18 @@
 	defer n.mu.Unlock()
 	for p := range n.peers {
 		if p != from {
-			p.enqueue(records)
+			p.announce(records)
+		}
+	}
+}
+
+// compareSoon makes every stream except one compare the tables.
+func (n *Node) compareSoon(except *peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.peers {
+		if p != except {
+			p.compareSoon()
 		}
 	}
 }
--- a/mesh/spread/peer.go
+++ b/mesh/spread/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -14,38 +13,16 @@
 	"fescuehoist.example/mesh/wait"
 )
 
-// maxRecordsPerMessage keeps a message well below the transport's limit.
-const maxRecordsPerMessage = 512
-
 // errSelf says that a seed address turned out to be this daemon's own.
 var errSelf = errors.New("the peer is this daemon")
 
-// peer is one open stream.
-type peer struct {
-	id   member.ServerID
-	link Link
-
-	mu      sync.Mutex
-	pending map[member.ServerID]member.Record
-	replies []Message
-	// version is the highest version that the peer is known to have.
-	version manifest.Version
-	// offered is the version last sent to the peer.
-	offered manifest.Version
-	wake    chan struct{}
-}
-
-func newPeer(link Link) *peer {
-	return &peer{link: link, pending: map[member.ServerID]member.Record{}, wake: make(chan struct{}, 1)}
-}
-
-// Serve runs one stream, dialled or accepted, until it fails or ctx ends.
+// Serve runs one accepted stream until it fails or ctx ends.
 func (n *Node) Serve(ctx context.Context, link Link) error {
-	return n.serve(ctx, link, func(member.ServerID) {})
+	return n.serve(ctx, link, false, func(member.ServerID) {})
 }
 
 // serve greets the peer, reports its name to met, and exchanges messages.
-func (n *Node) serve(ctx context.Context, link Link, met func(member.ServerID)) error {
+func (n *Node) serve(ctx context.Context, link Link, dialled bool, met func(member.ServerID)) error {
 	defer link.Close()
 	p := newPeer(link)
 	stop := context.AfterFunc(ctx, link.Close)
@@ -57,11 +34,12 @@
 	}
 	met(p.id)
 	n.add(p)
+	defer n.release(p)
 	defer n.remove(p)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		defer link.Close()
-		return n.sendLoop(ctx, p)
+		return n.sendLoop(ctx, p, dialled)
 	})
 	g.Go(func() error {
 		defer link.Close()
@@ -107,186 +85,251 @@
 	switch m := m.(type) {
 	case *Heartbeat:
 		p.know(m.Version)
-	case *Hello:
-		p.restart(m.Version)
+		p.hear(nil, m.Version > n.log.Known())
 	case *Records:
-		n.publish(n.table.Merge(m.Records), p)
+		n.receive(p, m)
 	case *Configuration:
 		return n.configure(p, m.Update)
+	case *Have:
+		n.hear(p, m.Versions)
+	case *Pull:
+		n.answer(p, m)
+	case *Prune:
+		p.setLazy(true)
+	case *Root:
+		n.answerRoot(p, m)
 	case *Hashes:
-		n.compare(p, m)
+		p.reply(&Buckets{Buckets: n.table.Differing(&m.Hashes)})
+	case *Buckets:
+		n.answerBuckets(p, m)
+	case *Done:
+		n.endComparison(p, m.Busy)
 	default:
 		return fmt.Errorf("unexpected message %T", m)
 	}
 	return nil
 }
 
-// configure takes a version from a peer. After a gap the peer is told again
-// which version this daemon has, so that it sends the changes from there.
+// receive merges records and spreads the news. A peer that sends nothing new
+// is asked to send versions only.
+func (n *Node) receive(p *peer, m *Records) {
+	if m.Compared {
+		n.reconcile(p, m.Records)
+		return
+	}
+	news := n.table.Merge(m.Records)
+	p.learn(m.Records)
+	n.publish(news, p)
+	p.announce(differing(news, m.Records))
+	if len(news) == 0 {
+		n.prune(p)
+	}
+}
+
+// differing returns the news that is not what the peer itself sent: joined
+// records, and the refutation of an accusation.
+func differing(news, received []member.Record) []member.Record {
+	if len(news) == 0 {
+		return nil
+	}
+	sent := make(map[member.ServerID]member.Version, len(received))
+	for i := range received {
+		sent[received[i].Server] = received[i].Version()
+	}
+	var differ []member.Record
+	for i := range news {
+		v, had := news[i].Version(), sent[news[i].Server]
+		if !had.Covers(&v) {
+			differ = append(differ, news[i])
+		}
+	}
+	return differ
+}
+
+// prune makes the stream lazy in both directions.
+func (n *Node) prune(p *peer) {
+	if n.cfg.Flood || p.setLazy(true) {
+		return
+	}
+	p.reply(&Prune{})
+}
+
+// configure takes a version from a peer. After a gap the changes from the
+// version known are pulled.
 func (n *Node) configure(p *peer, u *manifest.Update) error {
 	p.know(u.Target())
-	_, err := n.log.Receive(u)
+	grew, err := n.log.Receive(u)
 	if errors.Is(err, manifest.ErrGap) || errors.Is(err, manifest.ErrIncomplete) {
-		p.reply(&Hello{From: n.self, Version: n.log.Known()})
+		p.reply(&Pull{Configure: true, Version: n.log.Known()})
 		return nil
 	}
 	if errors.Is(err, manifest.ErrForked) {
 		n.out.Infof("configuration of peer %s not taken up: %v", p.id, err)
 		return nil
 	}
+	if err == nil && !grew {
+		n.prune(p)
+	}
 	return err
 }
 
-// compare sends the records of every bucket whose hash differs.
-func (n *Node) compare(p *peer, m *Hashes) {
-	own := n.table.Hashes()
-	differ := false
-	for b := range own {
-		if own[b] == m.Hashes[b] {
-			continue
+// hear notes versions that the peer has and this daemon lacks.
+func (n *Node) hear(p *peer, versions []member.Version) {
+	var lacking []member.Version
+	for i := range versions {
+		if n.table.Lacks(&versions[i]) {
+			lacking = append(lacking, versions[i])
 		}
-		differ = true
-		p.enqueue(n.table.Bucket(b))
 	}
-	if differ && !m.Reply {
-		p.reply(&Hashes{Hashes: own, Reply: true})
+	p.hear(lacking, false)
+}
+
+// answer sends what the peer pulls.
+func (n *Node) answer(p *peer, m *Pull) {
+	if m.Graft {
+		p.setLazy(false)
+	}
+	if m.Configure {
+		p.restart(m.Version)
 	}
+	n.sendRecords(p, n.records(m.Servers), !m.Graft)
 }
 
-// sendLoop sends heartbeats, and news as it comes.
-func (n *Node) sendLoop(ctx context.Context, p *peer) error {
+func (n *Node) records(servers []member.ServerID) []member.Record {
+	var records []member.Record
+	for _, id := range servers {
+		if r, ok := n.table.Get(id); ok {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// sendLoop sends heartbeats, news as it comes, and starts comparisons when
+// they are due and this daemon is in no other.
+func (n *Node) sendLoop(ctx context.Context, p *peer, compareFirst bool) error {
 	heartbeat := time.NewTicker(n.cfg.HeartbeatInterval)
 	defer heartbeat.Stop()
-	exchange := time.NewTicker(n.cfg.ExchangeInterval)
-	defer exchange.Stop()
-	if err := p.link.Send(&Hashes{Hashes: n.table.Hashes()}); err != nil {
-		return err
+	compare := time.NewTimer(jitter(n.cfg.ExchangeInterval))
+	defer compare.Stop()
+	if compareFirst {
+		compare.Reset(0)
 	}
+	graft := time.NewTimer(n.cfg.GraftDelay)
+	defer graft.Stop()
+	grafting, due := true, false
+	var flushed time.Time
 	for {
 		changed := n.log.Changed()
-		if err := n.flush(p); err != nil {
+		sent, err := n.flush(p)
+		if err != nil {
 			return err
 		}
-		var m Message
+		if sent {
+			flushed = time.Now()
+		}
+		var slot chan<- struct{}
+		if due = due || p.takeDue(); due {
+			slot = n.comparing
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-			continue
 		case <-p.wake:
-			if err := wait.For(ctx, n.cfg.BatchDelay); err != nil {
-				return err
+			err = wait.For(ctx, n.cfg.BatchDelay-time.Since(flushed))
+		case <-p.heard:
+			if !grafting {
+				grafting = true
+				graft.Reset(jitter(n.cfg.GraftDelay))
+			}
+		case <-graft.C:
+			if grafting = n.graft(p); grafting {
+				graft.Reset(jitter(n.cfg.GraftDelay))
 			}
-			continue
 		case <-heartbeat.C:
-			m = &Heartbeat{Version: n.log.Known()}
-		case <-exchange.C:
+			err = p.link.Send(&Heartbeat{Version: n.log.Known()})
+		case <-compare.C:
+			due = true
 			n.askAgain(p)
-			m = &Hashes{Hashes: n.table.Hashes()}
+		case slot <- struct{}{}:
+			due = false
+			err = n.startComparison(p)
+		case delay := <-p.ended:
+			compare.Reset(delay)
 		}
-		if err := p.link.Send(m); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 }
 
-// askAgain asks the peer for the known version again while a part of it could
-// not be read from the platform: the peer may have heard it whole.
-func (n *Node) askAgain(p *peer) {
-	if faulty, from := n.log.Faulty(); len(faulty) > 0 {
-		p.reply(&Hello{From: n.self, Version: from})
+// graft pulls what the peer has had for a while and this daemon still lacks.
+// It reports whether to look again later. A starting daemon waits for the
+// comparison that brings it the whole configuration.
+func (n *Node) graft(p *peer) bool {
+	if n.log.Known() == 0 && len(n.comparing) > 0 {
+		return true
 	}
-}
-
-// flush sends the configuration that the peer lacks and the pending records.
-func (n *Node) flush(p *peer) error {
-	if u := n.log.Since(p.lacks()); u != nil {
-		p.sent(u.Target())
-		if err := p.link.Send(&Configuration{Update: u}); err != nil {
-			return err
+	versions, version, more := p.takeMissing(time.Now().Add(-n.cfg.GraftDelay / 2))
+	known := n.log.Known()
+	pull := &Pull{Graft: true, Version: known, Configure: version > known}
+	for i := range versions {
+		if n.table.Lacks(&versions[i]) {
+			pull.Servers = append(pull.Servers, versions[i].Server)
 		}
 	}
-	records, replies := p.take()
-	for _, m := range replies {
-		if err := p.link.Send(m); err != nil {
-			return err
-		}
-	}
-	for len(records) > 0 {
-		k := min(len(records), maxRecordsPerMessage)
-		if err := p.link.Send(&Records{Records: records[:k]}); err != nil {
-			return err
-		}
-		records = records[k:]
+	if len(pull.Servers) > 0 || pull.Configure {
+		p.setLazy(false)
+		p.reply(pull)
 	}
-	return nil
+	return more
 }
 
-func (p *peer) enqueue(records []member.Record) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i := range records {
-		p.pending[records[i].Server] = records[i]
+// askAgain pulls the known version again while a part of it could not be read
+// from the platform: the peer may have heard it whole.
+func (n *Node) askAgain(p *peer) {
+	if faulty, from := n.log.Faulty(); len(faulty) > 0 {
+		p.reply(&Pull{Configure: true, Version: from})
 	}
-	p.signal()
-}
-
-func (p *peer) reply(m Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.replies = append(p.replies, m)
-	p.signal()
-}
-
-// know notes that the peer has a version.
-func (p *peer) know(v manifest.Version) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.version = max(p.version, v)
-}
-
-// sent notes that a version was sent; it counts as known unless the peer says
-// otherwise.
-func (p *peer) sent(v manifest.Version) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.offered = max(p.offered, v)
 }
 
-// restart notes that the peer is at a version and lacks all after it.
-func (p *peer) restart(v manifest.Version) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.version, p.offered = v, 0
-	p.signal()
-}
-
-// lacks returns the version after which the peer lacks changes.
-func (p *peer) lacks() manifest.Version {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(p.version, p.offered)
+// flush sends the configuration that the peer lacks and the pending news. It
+// reports whether there was any.
+func (n *Node) flush(p *peer) (bool, error) {
+	messages := n.configuration(p)
+	news, replies := p.take()
+	messages = append(messages, replies...)
+	messages = append(messages, news...)
+	for _, m := range messages {
+		if err := p.link.Send(m); err != nil {
+			return false, err
+		}
+		if _, ok := m.(*Done); ok {
+			n.endService(p)
+		}
+	}
+	return len(messages) > 0, nil
 }
 
-func (p *peer) take() ([]member.Record, []Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	replies := p.replies
-	p.replies = nil
-	if len(p.pending) == 0 {
-		return nil, replies
+// configuration returns the message that tells the peer of new versions: the
+// changes on an eager stream or when pulled, else only the number. A whole
+// table is sent only when pulled; a comparison does that.
+func (n *Node) configuration(p *peer) []Message {
+	known := n.log.Known()
+	from, pulled, eager := p.lacks()
+	if from >= known {
+		return nil
 	}
-	records := make([]member.Record, 0, len(p.pending))
-	for _, r := range p.pending {
-		records = append(records, r)
+	if pulled || eager {
+		u := n.log.Since(from)
+		if u != nil && (pulled || u.Base == nil) {
+			p.sent(u.Target())
+			return []Message{&Configuration{Update: u}}
+		}
 	}
-	clear(p.pending)
-	return records, replies
-}
-
-func (p *peer) signal() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
+	if p.tell(known) {
+		return []Message{&Heartbeat{Version: known}}
 	}
+	return nil
 }
