--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -109,11 +109,11 @@
 	return max(in, time.Duration(minPatience*float64(c.service)))
 }
 
-// learn takes the service time of one call, which ran beside others up to the
-// given number, and returns how many times the unloaded one it was.
-func (c *class) learn(took time.Duration, running, limit int) float64 {
+// learn takes the service time of one call, which ran almost alone or not, and
+// returns how many times the unloaded one it was.
+func (c *class) learn(took time.Duration, alone bool) float64 {
 	c.service = mean(c.service, took, serviceGain)
-	if c.unloaded == 0 || took < c.unloaded || running <= max(limit/2, 1) {
+	if c.unloaded == 0 || took < c.unloaded || alone {
 		c.unloaded = mean(c.unloaded, took, serviceGain)
 	}
 	return float64(took) / float64(max(c.unloaded, 1))
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -201,13 +201,14 @@
 	var f *call.Failure
 	if errors.As(err, &f) {
 		if f.Reason == call.Shed {
-			g.limit.shed(g.running)
+			g.limit.shed()
 		}
 		if took < w.class.service || f.Verdict == call.NotRun {
 			return
 		}
 	}
-	g.limit.ended(w.class.learn(took, g.running, g.limit.value()), g.running)
+	alone := g.running <= max(g.limit.value()/2, 1) || g.limit.atFloor()
+	g.limit.ended(w.class.learn(took, alone), g.running)
 }
 
 // admitNext fills the free slots from the queues.
