--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -17,7 +18,7 @@
 const RefusalLifetime = 50 * time.Millisecond
 
 // RoomLifetime is how long a server is thought to have the room that it had.
-const RoomLifetime = 20 * time.Millisecond
+const RoomLifetime = 200 * time.Millisecond
 
 // crossingCost is the queue, as a share of a server's limit, at which a server
 // of another failure domain becomes the better choice.
@@ -65,21 +66,63 @@
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := p.draw(s.Servers, q.Tried, nil)
+	chosen := p.choose(s.Servers, q)
+	if chosen != nil {
+		p.observe(chosen.Server).inflight++
+	}
+	return chosen
+}
+
+func (p *Picker) choose(servers []*member.Record, q Query) *member.Record {
+	if q.NeedRoom {
+		return p.roomy(servers, q.Tried)
+	}
+	a := p.draw(servers, q.Tried, nil)
 	if a == nil {
 		return nil
 	}
-	b := p.draw(s.Servers, q.Tried, a)
+	b := p.draw(servers, q.Tried, a)
 	if b != nil && p.cost(b) < p.cost(a) {
-		a = b
-	}
-	if q.NeedRoom && !p.hasRoom(a) {
-		return nil
+		return b
 	}
-	p.observe(a.Server).inflight++
 	return a
 }
 
+// maxLooked bounds the servers that are looked at for room.
+const maxLooked = 16
+
+// roomy returns the cheapest of some servers that likely have room, or nil.
+func (p *Picker) roomy(servers []*member.Record, tried []member.ServerID) *member.Record {
+	var best *member.Record
+	for i, r := range around(servers) {
+		if i >= maxLooked {
+			break
+		}
+		if slices.Contains(tried, r.Server) || !p.hasRoom(r) {
+			continue
+		}
+		if best == nil || p.cost(r) < p.cost(best) {
+			best = r
+		}
+	}
+	return best
+}
+
+// around yields all servers once, from a random one on.
+func around(servers []*member.Record) iter.Seq2[int, *member.Record] {
+	return func(yield func(int, *member.Record) bool) {
+		if len(servers) == 0 {
+			return
+		}
+		start := rand.IntN(len(servers))
+		for i := range servers {
+			if !yield(i, servers[(start+i)%len(servers)]) {
+				return
+			}
+		}
+	}
+}
+
 // hasRoom reports whether a server said of late that it has a free slot, and
 // did not refuse a call since.
 func (p *Picker) hasRoom(r *member.Record) bool {
@@ -90,13 +133,7 @@
 
 // draw returns a random server that is neither excluded nor other.
 func (p *Picker) draw(servers []*member.Record, exclude []member.ServerID, other *member.Record) *member.Record {
-	n := len(servers)
-	if n == 0 {
-		return nil
-	}
-	start := rand.IntN(n)
-	for i := range n {
-		r := servers[(start+i)%n]
+	for _, r := range around(servers) {
 		if r != other && !slices.Contains(exclude, r.Server) {
 			return r
 		}
