Choose servers by the time that a call would take there

Cause: the choice knew how full a server was and not how slow.

Change: answers carry the mean service time; a server's cost is its service time, times one plus the share of its limit in use, plus 3 ms for another failure domain. What this daemon sent since a report counts on top of it.

--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -155,13 +155,15 @@
 }
 
 func formatLoad(l call.Load) string {
-	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Queued) + " " + strconv.Itoa(l.Limit)
+	return fmt.Sprintf("%d %d %d %d", l.Running, l.Queued, l.Limit, l.Service.Microseconds())
 }
 
 func parseLoad(text string) call.Load {
 	var l call.Load
-	if _, err := fmt.Sscanf(text, "%d %d %d", &l.Running, &l.Queued, &l.Limit); err != nil {
+	var service int64
+	if _, err := fmt.Sscanf(text, "%d %d %d %d", &l.Running, &l.Queued, &l.Limit, &service); err != nil {
 		return call.Load{}
 	}
+	l.Service = time.Duration(service) * time.Microsecond
 	return l
 }
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -22,11 +22,13 @@
 // has had the least of the share that it keeps, then to the most urgent class;
 // within a class, clients take turns.
 type Gate struct {
-	mu       sync.Mutex
-	limit    limiter
-	running  int
-	queued   int
-	classes  classes
+	mu      sync.Mutex
+	limit   limiter
+	running int
+	queued  int
+	classes classes
+	// service is the mean service time of all classes.
+	service  time.Duration
 	draining bool
 	idle     chan struct{}
 }
@@ -207,6 +209,7 @@
 			return
 		}
 	}
+	g.service = mean(g.service, took, serviceGain)
 	alone := g.running <= max(g.limit.value()/2, 1) || g.limit.atFloor()
 	g.limit.ended(w.class.learn(took, alone), g.running)
 }
@@ -278,5 +281,5 @@
 func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
+	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value(), Service: g.service}
 }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuehoist.example/mesh/target"
 )
@@ -33,6 +34,8 @@
 type Load struct {
 	// Running and Queued count calls; Limit is how many may run at once.
 	Running, Queued, Limit int
+	// Service is the mean time that calls run, 0 if not known yet.
+	Service time.Duration
 }
 
 // Answer is a backend server's answer.
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -20,9 +20,13 @@
 // RoomLifetime is how long a server is thought to have the room that it had.
 const RoomLifetime = 200 * time.Millisecond
 
-// crossingCost is the queue, as a share of a server's limit, at which a server
-// of another failure domain becomes the better choice.
-const crossingCost = 0.25
+const (
+	// crossingCost is the time that a call takes to another failure domain and
+	// back.
+	crossingCost = 3 * time.Millisecond
+	// defaultService stands for a service time that is not known.
+	defaultService = 50 * time.Millisecond
+)
 
 // Picker chooses backend servers by what this daemon saw of them.
 type Picker struct {
@@ -34,10 +38,12 @@
 
 // observation is what this daemon knows of one backend server's load.
 type observation struct {
-	inflight  int
-	load      call.Load
-	loadAt    time.Time
-	refusedAt time.Time
+	inflight int
+	load     call.Load
+	loadAt   time.Time
+	// inflightThen is what was in flight when the load was reported.
+	inflightThen int
+	refusedAt    time.Time
 }
 
 // NewPicker returns a picker for a daemon in the given failure domain.
@@ -141,24 +147,25 @@
 	return nil
 }
 
-// cost estimates how long a call would wait, in shares of the server's limit.
-func (p *Picker) cost(r *member.Record) float64 {
+// cost estimates how long a call would take, the more so the less room the
+// server has.
+func (p *Picker) cost(r *member.Record) time.Duration {
 	o := p.observe(r.Server)
-	busy := o.inflight
-	limit := max(r.Slots, 1)
+	busy, limit, service := o.inflight, max(r.Slots, 1), defaultService
 	if time.Since(o.loadAt) < LoadLifetime {
-		busy = max(busy, o.load.Running+o.load.Queued)
+		busy = max(busy, o.load.Running+o.load.Queued+o.inflight-o.inflightThen)
 		limit = max(o.load.Limit, 1)
 	}
-	cost := float64(busy) / float64(limit)
+	if o.load.Service > 0 {
+		service = o.load.Service
+	}
+	share := float64(busy+1) / float64(limit)
+	cost := service + time.Duration(share*float64(service))
 	if r.Domain != p.domain {
 		cost += crossingCost
 	}
-	if r.Health == member.Suspected {
-		cost++
-	}
-	if time.Since(o.refusedAt) < RefusalLifetime {
-		cost++
+	if r.Health == member.Suspected || time.Since(o.refusedAt) < RefusalLifetime {
+		cost += service
 	}
 	return cost
 }
@@ -171,7 +178,7 @@
 	o.inflight--
 	now := time.Now()
 	if out.Load.Limit > 0 {
-		o.load, o.loadAt = out.Load, now
+		o.load, o.loadAt, o.inflightThen = out.Load, now, o.inflight
 	}
 	if out.Failure != nil {
 		o.refusedAt = now
