Compare a server of the own failure domain with each choice

Cause: two random servers of a service rarely include a near one.

Change: one random server of the own failure domain is compared with them.

--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -26,6 +26,10 @@
 	crossingCost = 3 * time.Millisecond
 	// defaultService stands for a service time that is not known.
 	defaultService = 50 * time.Millisecond
+	// draws is the number of random servers that are compared.
+	draws = 2
+	// anywhere stands for any failure domain.
+	anywhere = ""
 )
 
 // Picker chooses backend servers by what this daemon saw of them.
@@ -67,8 +71,9 @@
 	Failure *call.Failure
 }
 
-// Pick returns the better of two random servers that were not tried, or nil
-// if there is none, and counts a call to it as in flight.
+// Pick returns the best of two random servers and one of the own failure
+// domain that were not tried, or nil if there is none, and counts a call to it
+// as in flight.
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,12 +88,16 @@
 	if q.NeedRoom {
 		return p.roomy(servers, q.Tried)
 	}
-	a := p.draw(servers, q.Tried, nil)
-	if a == nil {
-		return nil
+	var best *member.Record
+	for range draws {
+		best = p.cheaper(best, p.draw(servers, q.Tried, best, anywhere))
 	}
-	b := p.draw(servers, q.Tried, a)
-	if b != nil && p.cost(b) < p.cost(a) {
+	return p.cheaper(best, p.draw(servers, q.Tried, best, p.domain))
+}
+
+// cheaper returns the server with the lower cost; either may be nil.
+func (p *Picker) cheaper(a, b *member.Record) *member.Record {
+	if a == nil || (b != nil && p.cost(b) < p.cost(a)) {
 		return b
 	}
 	return a
@@ -137,12 +146,14 @@
 		o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
 }
 
-// draw returns a random server that is neither excluded nor other.
-func (p *Picker) draw(servers []*member.Record, exclude []member.ServerID, other *member.Record) *member.Record {
+// draw returns a random server of a failure domain, or of any, that was not
+// tried and is not other.
+func (p *Picker) draw(servers []*member.Record, tried []member.ServerID, other *member.Record, domain string) *member.Record {
 	for _, r := range around(servers) {
-		if r != other && !slices.Contains(exclude, r.Server) {
-			return r
+		if r == other || (domain != anywhere && r.Domain != domain) || slices.Contains(tried, r.Server) {
+			continue
 		}
+		return r
 	}
 	return nil
 }
