Protect connections with TLS from key files, and name every problem of a file

Cause: every connection was plain TCP and no setting said so; a file with one value of the wrong type hid all its other problems.

Change: adapters/tlsfiles reads the key files again at the first handshake after they changed and keeps the keys in use when it can't. Daemons must present a certificate of the mesh's own authority in both directions, for streams, status and calls; callers and the platform have their own modes. An absent [tls] table is an error that says what to write. A settings or target file is checked against its type before it is decoded, so unknown keys, wrong types and values out of range are all named at once with file, line and key.

Conclusion: a wrong authority is refused on both sides, a rotated certificate and a rotated authority are picked up, a fleet of four carries calls and configuration over TLS.

--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +22,8 @@
 	Callers, Calls, Peers, Admin string
 	// Platform is the address of the platform's object API.
 	Platform string
+	// TLS says how connections are protected.
+	TLS TLS
 	// Seeds are peer addresses of other daemons to ask first.
 	Seeds []string
 	// AnnounceLifetime is how long an announcement of the backend server
@@ -34,6 +35,9 @@
 	LogLevel logrus.Level
 }
 
+// MaxSeeds is the number of seeds that may be set.
+const MaxSeeds = 64
+
 // Defaults of settings that may be left out.
 const (
 	DefaultAnnounceLifetime = 3 * time.Second
@@ -56,6 +60,7 @@
 	Platform struct {
 		Address string `toml:"address"`
 	} `toml:"platform"`
+	TLS   tlsTOML `toml:"tls"`
 	Peers struct {
 		Seeds []string `toml:"seeds"`
 	} `toml:"peers"`
@@ -70,7 +75,7 @@
 
 // Load reads a settings file and checks it whole.
 func Load(name string) (*Settings, error) {
-	data, err := os.ReadFile(name)
+	data, err := tomlfile.Read(name)
 	if err != nil {
 		return nil, err
 	}
@@ -93,19 +98,28 @@
 		Admin:    checkAddress(f, "listen.admin", in.Listen.Admin),
 		Platform: checkAddress(f, "platform.address", in.Platform.Address),
 
+		TLS: checkTLS(f, &in.TLS, in.Platform.Address),
+
 		AnnounceLifetime: checkDuration(f, "backend.announce_lifetime", in.Backend.AnnounceLifetime, DefaultAnnounceLifetime),
 		DrainTimeout:     checkDuration(f, "backend.drain_timeout", in.Backend.DrainTimeout, DefaultDrainTimeout),
 		LogLevel:         checkLevel(f, "log.level", in.Log.Level),
 	}
+	if len(in.Peers.Seeds) > MaxSeeds {
+		f.Add("peers.seeds", fmt.Sprintf("%d seeds; write at most %d", len(in.Peers.Seeds), MaxSeeds))
+		in.Peers.Seeds = nil
+	}
 	for _, seed := range in.Peers.Seeds {
 		s.Seeds = append(s.Seeds, checkAddress(f, "peers.seeds", seed))
 	}
-	return s, f.Err()
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 func checkName(f *tomlfile.File, key, text string) string {
 	if !target.ValidName(text) {
-		f.Add(key, fmt.Sprintf("%q; write 1 to %d of a-z, 0-9 and -, with a letter first", text, target.MaxNameLength))
+		f.Add(key, fmt.Sprintf("%.80q; write 1 to %d of a-z, 0-9 and -, with a letter first", text, target.MaxNameLength))
 	}
 	return text
 }
@@ -113,7 +127,7 @@
 func checkAddress(f *tomlfile.File, key, text string) string {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil || port == "" {
-		f.Add(key, fmt.Sprintf("%q; write an IP number and a port, such as \"10.0.0.7:7100\"", text))
+		f.Add(key, fmt.Sprintf("%.80q; write an IP number and a port, such as \"10.0.0.7:7100\"", text))
 	}
 	return text
 }
@@ -124,7 +138,7 @@
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil || d < minLifetime || d > maxLifetime {
-		f.Add(key, fmt.Sprintf("%q; write a duration from %s to %s, such as \"3s\"", text, minLifetime, maxLifetime))
+		f.Add(key, fmt.Sprintf("%.80q; write a duration from %s to %s, such as \"3s\"", text, minLifetime, maxLifetime))
 	}
 	return d
 }
@@ -135,7 +149,7 @@
 	}
 	level, err := logrus.ParseLevel(text)
 	if err != nil {
-		f.Add(key, fmt.Sprintf("%q; write debug, info, warning or error", text))
+		f.Add(key, fmt.Sprintf("%.80q; write debug, info, warning or error", text))
 	}
 	return level
 }
--- a/adapters/targetfile/targetfile.go
+++ b/adapters/targetfile/targetfile.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -41,7 +40,7 @@
 // Load reads a file of targets and checks it whole. The error lists every
 // problem, each with its line.
 func Load(name string) ([]*target.Service, error) {
-	data, err := os.ReadFile(name)
+	data, err := tomlfile.Read(name)
 	if err != nil {
 		return nil, err
 	}
@@ -64,9 +63,9 @@
 		services[i] = in.Service[i].service(f, i)
 		if j, ok := first[services[i].Name]; ok {
 			f.Add(key(i, -1, "name"), fmt.Sprintf("%q is declared on line %d already", services[i].Name, f.Line(key(j, -1, "name"))))
-			continue
+		} else {
+			first[services[i].Name] = i
 		}
-		first[services[i].Name] = i
 		note(f, i, services[i])
 	}
 	if err := f.Err(); err != nil {
@@ -75,25 +74,10 @@
 	return services, nil
 }
 
-// note adds the problems that the service's own check finds, except with values
-// that could not be read in the first place.
+// note adds the problems that the service's own check finds.
 func note(f *tomlfile.File, i int, s *target.Service) {
-	index, unread := map[string]int{}, map[string]bool{}
-	for j := range s.Classes {
-		index[s.Classes[j].Name] = j
-		for _, field := range []string{"latency", "timeout", "notice"} {
-			k := key(i, j, field)
-			unread[k] = f.Has(k)
-		}
-	}
 	for _, p := range s.Validate() {
-		j, ok := index[p.Class]
-		if !ok || p.Class == "" {
-			j = -1
-		}
-		if k := key(i, j, p.Field); !unread[k] {
-			f.Add(k, p.Text)
-		}
+		f.Add(key(i, p.Position-1, p.Field), p.Text)
 	}
 }
 
@@ -126,7 +110,7 @@
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil {
-		f.Add(key, fmt.Sprintf("%q is no duration; write a number and a unit, such as \"60ms\" or \"48h\"", text))
+		f.Add(key, fmt.Sprintf("%.80q is no duration; write a number and a unit, such as \"60ms\" or \"48h\"", text))
 	}
 	return d
 }
--- /dev/null
+++ b/adapters/tlsfiles/config.go
@@ -0,0 +1,96 @@
+package tlsfiles
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+
+	"fescuehoist.example/adapters/httpconn"
+)
+
+// MutualServer returns the configuration of a server whose clients must
+// present a certificate of the authority.
+func (s *Source) MutualServer() *tls.Config {
+	cfg := s.Server()
+	cfg.ClientAuth = tls.RequireAnyClientCert
+	cfg.VerifyConnection = s.verifier(x509.ExtKeyUsageClientAuth, "")
+	return cfg
+}
+
+// Server returns the configuration of a server that asks for no certificate.
+func (s *Source) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		SessionTicketsDisabled: true,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			if c := s.material().certificate; c != nil {
+				return c, nil
+			}
+			return nil, errNoCertificate
+		},
+	}
+}
+
+// Client returns the configuration of a client. The server must present a
+// certificate of the authority; if name is not empty, for that name or IP
+// number. Daemons have no names: hosts are replaced at any time, and what
+// counts is that the mesh's own authority has signed.
+func (s *Source) Client(name string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		// The check is made by VerifyConnection, with the authority's
+		// certificates as they are at the time of the handshake.
+		InsecureSkipVerify: true,
+		VerifyConnection:   s.verifier(x509.ExtKeyUsageServerAuth, name),
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			if c := s.material().certificate; c != nil {
+				return c, nil
+			}
+			return &tls.Certificate{}, nil
+		},
+	}
+}
+
+var errNoPeerCertificate = errors.New("the other side presented no certificate")
+
+// verifier checks that the other side's certificate comes from the authority.
+func (s *Source) verifier(usage x509.ExtKeyUsage, name string) func(tls.ConnectionState) error {
+	return func(cs tls.ConnectionState) error {
+		if len(cs.PeerCertificates) == 0 {
+			return errNoPeerCertificate
+		}
+		intermediates := x509.NewCertPool()
+		for _, c := range cs.PeerCertificates[1:] {
+			intermediates.AddCert(c)
+		}
+		_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
+			DNSName: name, Roots: s.material().authority, Intermediates: intermediates,
+			KeyUsages: []x509.ExtKeyUsage{usage},
+		})
+		return err
+	}
+}
+
+// Dial returns a dial function that opens connections with dial, nil meaning
+// plain TCP, and makes the handshake on them.
+func Dial(dial httpconn.DialFunc, cfg *tls.Config) httpconn.DialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: httpconn.DialTimeout}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, httpconn.DialTimeout)
+		defer cancel()
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := tls.Client(raw, cfg)
+		if err := c.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
--- a/adapters/tomlfile/tomlfile.go
+++ b/adapters/tomlfile/tomlfile.go
@@ -5,12 +5,14 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // MaxFileSize bounds a file, in bytes.
@@ -62,27 +64,34 @@
 	broken   bool
 }
 
-// Decode reads data into out. Syntax and type faults, and all unknown keys,
-// become problems of the file.
+// Read reads a file of at most MaxFileSize bytes; Decode refuses a larger one.
+func Read(name string) ([]byte, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	return io.ReadAll(io.LimitReader(file, MaxFileSize+1))
+}
+
+// Decode reads data into out, a pointer to a struct with toml tags. Syntax
+// faults, unknown keys, values of the wrong type and keys that are declared
+// twice become problems of the file.
 func Decode(name string, data []byte, out any) *File {
 	f := &File{Name: name, lines: map[string]int{}}
 	if len(data) > MaxFileSize {
 		f.broken = true
-		f.Add("", fmt.Sprintf("the file has %d bytes; at most %d are read", len(data), MaxFileSize))
+		f.Add("", fmt.Sprintf("the file is too large; write at most %d bytes", MaxFileSize))
 		return f
 	}
-	f.index(data)
-	err := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields().Decode(out)
-	var unknown *toml.StrictMissingError
+	data = f.index(data, reflect.TypeOf(out).Elem())
+	if f.broken {
+		return f
+	}
+	err := toml.Unmarshal(data, out)
 	var bad *toml.DecodeError
 	switch {
 	case err == nil:
-	case errors.As(err, &unknown):
-		for i := range unknown.Errors {
-			e := &unknown.Errors[i]
-			line, _ := e.Position()
-			f.add(line, strings.Join(e.Key(), "."), "unknown key; remove it or correct its name")
-		}
 	case errors.As(err, &bad):
 		f.broken = true
 		line, _ := bad.Position()
@@ -95,7 +104,7 @@
 }
 
 // Broken reports whether the file could not be read to its end, so that its
-// values cannot be checked. Unknown keys alone do not make it so.
+// values cannot be checked. Unknown keys and wrong types do not make it so.
 func (f *File) Broken() bool { return f.broken }
 
 // Has reports whether a problem with the value at a key was noted.
@@ -103,18 +112,24 @@
 	return slices.ContainsFunc(f.problems, func(p *Problem) bool { return p.Key == key })
 }
 
-// Add notes a problem with the value at a key.
-func (f *File) Add(key, text string) { f.add(f.Line(key), key, text) }
+// Add notes a problem with the value at a key, unless one was noted already: a
+// value that could not be read needs no further check.
+func (f *File) Add(key, text string) {
+	if key == "" || !f.Has(key) {
+		f.add(f.Line(key), key, text)
+	}
+}
 
 func (f *File) add(line int, key, text string) {
 	f.problems = append(f.problems, &Problem{File: f.Name, Line: line, Key: key, Text: text})
 }
 
-// Err returns the problems found so far, or nil.
+// Err returns the problems found so far in the order of their lines, or nil.
 func (f *File) Err() error {
 	if len(f.problems) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(f.problems, func(a, b *Problem) int { return a.Line - b.Line })
 	return f.problems
 }
 
@@ -132,66 +147,3 @@
 	}
 	return 0
 }
-
-// index notes the line of every key. Elements of arrays of tables have keys
-// like service[0].class[2].name.
-func (f *File) index(data []byte) {
-	p := &unstable.Parser{}
-	p.Reset(data)
-	counts := map[string]int{}
-	table := ""
-	for p.NextExpression() {
-		e := p.Expression()
-		switch e.Kind {
-		case unstable.Table:
-			table = f.resolve(counts, e)
-			f.note(p, table, e)
-		case unstable.ArrayTable:
-			path := f.resolve(counts, e)
-			if strings.HasSuffix(path, "]") {
-				path = path[:strings.LastIndexByte(path, '[')]
-			}
-			table = path + "[" + strconv.Itoa(counts[path]) + "]"
-			counts[path]++
-			f.note(p, table, e)
-		case unstable.KeyValue:
-			key := joined(e)
-			if table != "" {
-				key = table + "." + key
-			}
-			f.note(p, key, e)
-		}
-	}
-}
-
-// resolve returns the path of a table header with the current element of each
-// array of tables filled in.
-func (f *File) resolve(counts map[string]int, e *unstable.Node) string {
-	path := ""
-	for it := e.Key(); it.Next(); {
-		if path != "" {
-			path += "."
-		}
-		path += string(it.Node().Data)
-		if n := counts[path]; n > 0 {
-			path += "[" + strconv.Itoa(n-1) + "]"
-		}
-	}
-	return path
-}
-
-func joined(e *unstable.Node) string {
-	var parts []string
-	for it := e.Key(); it.Next(); {
-		parts = append(parts, string(it.Node().Data))
-	}
-	return strings.Join(parts, ".")
-}
-
-func (f *File) note(p *unstable.Parser, key string, e *unstable.Node) {
-	it := e.Key()
-	if !it.Next() {
-		return
-	}
-	f.lines[key] = p.Shape(it.Node().Raw).Start.Line
-}
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -32,6 +33,7 @@
 	ctx        context.Context
 	log        *logrus.Logger
 	tune       func(*daemon.Config)
+	tls        settings.TLS
 	deployment *Deployment
 	domains    *domains
 }
@@ -55,6 +57,10 @@
 	Log io.Writer
 	// Tune changes a daemon's defaults; it may be nil.
 	Tune func(*daemon.Config)
+	// TLS protects the daemons' connections; the zero value does not.
+	TLS settings.TLS
+	// PlatformTLS protects the platform's connections; nil does not.
+	PlatformTLS *tls.Config
 }
 
 // Start starts the platform and every member of the deployment.
@@ -65,7 +71,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	tasks, ctx := errgroup.WithContext(ctx)
 	f := &Fleet{
-		Platform: platform.New(), stop: stop, tasks: tasks, ctx: ctx, tune: o.Tune, deployment: d,
+		Platform: platform.New(), stop: stop, tasks: tasks, ctx: ctx, tune: o.Tune, tls: o.TLS, deployment: d,
 		domains: newDomains(d.Crossing), log: logging.New(o.Log, logrus.InfoLevel),
 	}
 	ln, err := net.Listen("tcp", loopback)
@@ -74,6 +80,9 @@
 		return nil, oops.In("fleet").Wrap(err)
 	}
 	f.PlatformAddress = ln.Addr().String()
+	if o.PlatformTLS != nil {
+		ln = tls.NewListener(ln, o.PlatformTLS)
+	}
 	tasks.Go(func() error { return f.Platform.Run(ctx, ln) })
 	for _, s := range d.Servers {
 		if _, err := f.Add(s); err != nil {
@@ -88,7 +97,7 @@
 	set := &settings.Settings{
 		Server: s.Name, Domain: s.Domain,
 		Callers: loopback, Calls: loopback, Peers: loopback, Admin: loopback,
-		Platform: f.PlatformAddress, Seeds: f.seeds(),
+		Platform: f.PlatformAddress, TLS: f.tls, Seeds: f.seeds(),
 		AnnounceLifetime: settings.DefaultAnnounceLifetime, DrainTimeout: settings.DefaultDrainTimeout,
 	}
 	listeners, err := daemon.Listen(set)
--- /dev/null
+++ b/bench/fleet/tls_test.go
@@ -0,0 +1,108 @@
+package fleet_test
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/adapters/tlsfiles"
+	"fescuehoist.example/bench/fleet"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/manifest/manifesttest"
+	"fescuehoist.example/mesh/target"
+	"fescuehoist.example/standin/authority"
+)
+
+// waitLimit bounds every wait for an event.
+const waitLimit = 30 * time.Second
+
+// small is a service with its servers in different failure domains.
+func small(count int) *fleet.Deployment {
+	d := &fleet.Deployment{Name: "small", Work: func(string, string) time.Duration { return time.Millisecond }}
+	for i := range count {
+		d.Servers = append(d.Servers, fleet.Server{
+			Name: "lookup-" + string(rune('a'+i)), Service: "lookup", Domain: "domain-" + string(rune('a'+i%2)), Slots: 4,
+		})
+	}
+	return d
+}
+
+func TestCallsAndConfigurationOverTLS(t *testing.T) {
+	folder := t.TempDir()
+	mesh, err := authority.New("mesh")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ca := filepath.Join(folder, "authority.crt")
+	if err := mesh.WriteCertificate(ca); err != nil {
+		t.Fatal(err)
+	}
+	pair, err := mesh.Issue(folder, "daemon", net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := tlsfiles.Open(tlsfiles.Files{Certificate: pair.Certificate, Key: pair.Key, Authority: ca}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	f, err := fleet.Start(context.Background(), small(4), fleet.Options{
+		TLS: settings.TLS{
+			Daemons: true, Callers: true, Platform: true, Certificate: pair.Certificate, Key: pair.Key,
+			Authority: ca, PlatformAuthority: ca, PlatformName: "127.0.0.1",
+		},
+		PlatformTLS: source.Server(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	client := platformhttp.NewClientWithDial(f.PlatformAddress, tlsfiles.Dial(nil, source.Client("127.0.0.1")))
+	defer client.Close()
+	service := manifesttest.Service("lookup", time.Second)
+	edit := &manifest.Edit{ID: uuid.NewString(), Update: []*target.Service{service}}
+	change, err := manifest.NewEditor(&platformhttp.Repository{Client: client}).Publish(ctx, edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitVersion(ctx, f.Members, change.Version); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitReady(ctx, f.Members, len(f.Members)); err != nil {
+		t.Fatal(err)
+	}
+	caller := &fasthttp.Client{TLSConfig: source.Client("127.0.0.1")}
+	defer caller.CloseIdleConnections()
+	for range 40 {
+		for _, m := range f.Members {
+			get(t, caller, "https://"+m.Callers+"/")
+		}
+	}
+	for _, m := range f.Members {
+		if len(m.Backend.Runs()) == 0 {
+			t.Errorf("no call reached %s", m.Server.Name)
+		}
+	}
+}
+
+func get(t *testing.T, c *fasthttp.Client, uri string) {
+	t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(uri)
+	req.UseHostHeader = true
+	req.Header.SetHost("lookup")
+	req.Header.Set("X-Request-Id", uuid.NewString())
+	if err := c.DoTimeout(req, resp, waitLimit); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("status %d, error %v, %s", resp.StatusCode(), err, resp.Body())
+	}
+}
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"fescuehoist.example/adapters/adminhttp"
 	"fescuehoist.example/adapters/backendhttp"
@@ -105,6 +104,7 @@
 type Daemon struct {
 	cfg       Config
 	listeners *Listeners
+	links     *links
 
 	members   *member.Table
 	log       *manifest.Log
@@ -131,16 +131,22 @@
 	if err != nil {
 		return nil, oops.In("daemon").Wrapf(err, "telemetry")
 	}
+	links, err := newLinks(&cfg.Settings.TLS, cfg.Dial, func(err error) {
+		cfg.Log.WithField("part", "tls").Warnf("keeps the keys in use: %v", err)
+	})
+	if err != nil {
+		return nil, err
+	}
 	s := cfg.Settings
 	self := member.ServerID(s.Server)
 	d := &Daemon{
-		cfg: cfg, listeners: l, figures: figures,
+		cfg: cfg, listeners: l, links: links, figures: figures,
 		members:   member.NewTable(self),
 		log:       manifest.NewLog(),
 		gate:      cfg.Policy.Gate,
 		backend:   &backendhttp.Client{},
-		forwarder: callhttp.NewForwarder(cfg.Dial),
-		platform:  platformhttp.NewClient(s.Platform),
+		forwarder: callhttp.NewForwarder(links.calls),
+		platform:  platformhttp.NewClientWithDial(s.Platform, links.platform),
 	}
 	d.buildControl(self)
 	d.buildStatus(self)
@@ -153,7 +159,7 @@
 	if len(s.Seeds) == 0 {
 		d.cfg.Reader.JoinLimit = 0
 	}
-	dialer := &peergrpc.Dialer{Credentials: insecure.NewCredentials()}
+	dialer := &peergrpc.Dialer{Credentials: d.links.connect}
 	d.node = spread.NewNode(d.cfg.Spread, self, s.Domain, s.Seeds, dialer, d.members, d.log, d.prefixed("spread"))
 	d.reader = reader.New(d.cfg.Reader, self, s.Domain, &platformhttp.Repository{Client: d.platform},
 		platformhttp.NewLeases(d.platform), d.members, d.log, d.prefixed("reader"))
@@ -167,7 +173,7 @@
 func (d *Daemon) buildStatus(self member.ServerID) {
 	s := d.cfg.Settings
 	d.meter = status.NewMeter()
-	d.reports = statusgrpc.NewClient(insecure.NewCredentials())
+	d.reports = statusgrpc.NewClient(d.links.connect)
 	d.stops = stop.NewExecutor(self, s.Domain, d.announcer, d.prefixed("stop"))
 	d.collector = status.NewCollector(d.cfg.Status, self, s.Domain, d.meter, d.members, d.log, d.reports,
 		&platformhttp.StatusStore{Client: d.platform}, d.stops, d.prefixed("status"))
@@ -200,8 +206,8 @@
 	callers := httpconn.NewServer((&callhttp.Callers{Callee: d.outer}).Handle)
 	forwarded := httpconn.NewServer((&callhttp.Daemons{Callee: d.inner}).Handle)
 	var serving errgroup.Group
-	serving.Go(func() error { return callers.Run(calls, d.listeners.Callers) })
-	serving.Go(func() error { return forwarded.Run(calls, d.listeners.Calls) })
+	serving.Go(func() error { return callers.Run(calls, wrap(d.listeners.Callers, d.links.wrapCallers)) })
+	serving.Go(func() error { return forwarded.Run(calls, wrap(d.listeners.Calls, d.links.wrapCalls)) })
 	g.Go(serving.Wait)
 	d.log.Join(min(joinSources, len(d.cfg.Settings.Seeds)))
 	release := time.AfterFunc(joinLimit, d.log.Release)
@@ -210,7 +216,7 @@
 	g.Go(func() error { return d.reader.Run(control) })
 	g.Go(func() error { return d.router.Run(control) })
 	g.Go(func() error {
-		return peergrpc.NewServer(d.node, insecure.NewCredentials()).Run(control, d.listeners.Peers,
+		return peergrpc.NewServer(d.node, d.links.accept).Run(control, d.listeners.Peers,
 			&statusgrpc.Server{Receiver: d.collector})
 	})
 	g.Go(func() error { return d.collector.Run(control) })
--- a/mesh/target/validate.go
+++ b/mesh/target/validate.go
@@ -24,6 +24,9 @@
 	// Service and Class name where the problem is. An empty Service means the
 	// version as a whole, an empty Class the service as a whole.
 	Service, Class string
+	// Position is the place of the class in its service, from 1; 0 means the
+	// service as a whole.
+	Position int
 	// Field is the declared key at fault; it may be empty.
 	Field string
 	// Text says what is wrong and what to write instead.
@@ -61,9 +64,11 @@
 	v.duplicates(s.Classes)
 	keep := 0.0
 	for i := range s.Classes {
+		v.position = i + 1
 		v.class(&s.Classes[i])
 		keep += s.Classes[i].Keep
 	}
+	v.position = 0
 	if keep > 1+maxKeepTotalEps {
 		v.add("", "keep", fmt.Sprintf("the classes keep %.2f of the capacity together; the sum must be at most 1", keep))
 	}
@@ -72,11 +77,12 @@
 
 type validator struct {
 	service  string
+	position int
 	problems []Problem
 }
 
 func (v *validator) add(class, field, text string) {
-	v.problems = append(v.problems, Problem{Service: v.service, Class: class, Field: field, Text: text})
+	v.problems = append(v.problems, Problem{Service: v.service, Class: class, Position: v.position, Field: field, Text: text})
 }
 
 func (v *validator) class(c *Class) {
@@ -118,6 +124,7 @@
 	matches := make(map[string]string, len(classes))
 	for i := range classes {
 		c := &classes[i]
+		v.position = i + 1
 		if names[c.Name] {
 			v.add(c.Name, "name", "declared twice; rename one")
 		}
@@ -128,6 +135,7 @@
 		}
 		matches[match] = c.Name
 	}
+	v.position = 0
 }
 
 func validPath(path string) bool {
--- /dev/null
+++ b/standin/authority/authority.go
@@ -0,0 +1,94 @@
+// Package authority is a stand-in for a certificate authority. It issues
+// short-lived certificates into files, as a deployment's own tools would.
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// lifetime is how long certificates are valid.
+const lifetime = 24 * time.Hour
+
+// Authority signs certificates.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	serial      int64
+}
+
+// New returns an authority with a fresh key.
+func New(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := template(name, 1)
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &Authority{certificate: certificate, key: key, serial: 1}, err
+}
+
+func template(name string, serial int64) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(lifetime),
+	}
+}
+
+// WriteCertificate writes the authority's own certificate to a file.
+func (a *Authority) WriteCertificate(file string) error {
+	return write(file, "CERTIFICATE", a.certificate.Raw)
+}
+
+// Pair names the files of a certificate and its key.
+type Pair struct{ Certificate, Key string }
+
+// Issue writes a certificate for name and for the IP numbers, and its key, into
+// a folder.
+func (a *Authority) Issue(folder, name string, addresses ...net.IP) (Pair, error) {
+	pair := Pair{Certificate: filepath.Join(folder, name+".crt"), Key: filepath.Join(folder, name+".key")}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return pair, err
+	}
+	a.serial++
+	template := template(name, a.serial)
+	template.DNSNames = []string{name}
+	template.IPAddresses = addresses
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		return pair, err
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return pair, err
+	}
+	if err := write(pair.Key, "PRIVATE KEY", private); err != nil {
+		return pair, err
+	}
+	return pair, write(pair.Certificate, "CERTIFICATE", der)
+}
+
+func write(file, kind string, der []byte) error {
+	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
--- a/tools/trial/processes.sh
+++ b/tools/trial/processes.sh
@@ -59,6 +59,11 @@
 [platform]
 address = "$platform"
 
+[tls]
+daemons = "plain"
+callers = "plain"
+platform = "plain"
+
 [peers]
 seeds = ["127.0.0.1:17102", "127.0.0.1:17112", "127.0.0.1:17152"]
 SETTINGS
