Serve the daemon's own figures and count control bytes

Cause: the metrics held calls alone; nothing showed queue, versions, members, control bytes or platform calls. Change: histograms by class and verdict and, apart from them, by client, with a bounded number of clients; failures by reason; gauges and counters of the daemon itself. /readyz turns to 503 while SIGTERM drains. SIGHUP is logged and changes nothing.

--- a/adapters/peergrpc/link.go
+++ b/adapters/peergrpc/link.go
@@ -53,13 +53,24 @@
 // Dialer opens streams to other daemons, each on a connection of its own.
 type Dialer struct {
 	Credentials credentials.TransportCredentials
+	// Traffic counts bytes unless it is nil.
+	Traffic *Traffic
+}
+
+func (d *Dialer) options() []grpc.DialOption {
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(d.Credentials),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageSize), grpc.MaxCallSendMsgSize(MaxMessageSize)),
+	}
+	if d.Traffic != nil {
+		options = append(options, grpc.WithStatsHandler(d.Traffic))
+	}
+	return options
 }
 
 // Dial connects and opens the stream; ctx bounds only the opening.
 func (d *Dialer) Dial(ctx context.Context, address string) (spread.Link, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(d.Credentials),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageSize), grpc.MaxCallSendMsgSize(MaxMessageSize)))
+	conn, err := grpc.NewClient("passthrough:///"+address, d.options()...)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", address, err)
 	}
--- a/adapters/peergrpc/server.go
+++ b/adapters/peergrpc/server.go
@@ -22,11 +22,13 @@
 	peerpb.UnimplementedPeerServer
 	handler Handler
 	creds   credentials.TransportCredentials
+	// Traffic counts bytes.
+	Traffic *Traffic
 }
 
 // NewServer returns a server that gives each stream to the handler.
 func NewServer(handler Handler, creds credentials.TransportCredentials) *Server {
-	return &Server{handler: handler, creds: creds}
+	return &Server{handler: handler, creds: creds, Traffic: &Traffic{}}
 }
 
 // Exchange runs one stream.
@@ -44,7 +46,7 @@
 
 // Run accepts streams on the listener until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener, others ...Service) error {
-	server := grpc.NewServer(grpc.Creds(s.creds),
+	server := grpc.NewServer(grpc.Creds(s.creds), grpc.StatsHandler(s.Traffic),
 		grpc.MaxRecvMsgSize(MaxMessageSize), grpc.MaxSendMsgSize(MaxMessageSize))
 	peerpb.RegisterPeerServer(server, s)
 	for _, other := range others {
--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -33,7 +34,13 @@
 }
 
 // Client calls the platform.
-type Client struct{ pool *httpconn.Pool }
+type Client struct {
+	pool  *httpconn.Pool
+	calls atomic.Uint64
+}
+
+// Calls returns the number of calls made, a waiting watch counted as one.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
 
 // NewClient returns a client of the platform at an address, over plain TCP.
 func NewClient(address string) *Client { return NewClientWithDial(address, nil) }
@@ -108,6 +115,7 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
+	c.calls.Add(1)
 	if err := c.pool.Do(ctx, req, resp); err != nil {
 		return outcome(method, uri, err)
 	}
--- a/adapters/statusgrpc/client.go
+++ b/adapters/statusgrpc/client.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/protobuf/proto"
 
 	"fescuehoist.example/adapters/statusgrpc/statuspb"
@@ -22,9 +23,9 @@
 
 // Client sends reports.
 type Client struct {
-	credentials credentials.TransportCredentials
-	reports     atomic.Uint64
-	bytes       atomic.Uint64
+	options []grpc.DialOption
+	reports atomic.Uint64
+	bytes   atomic.Uint64
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -35,9 +36,10 @@
 	used time.Time
 }
 
-// NewClient returns a client without connections.
-func NewClient(creds credentials.TransportCredentials) *Client {
-	return &Client{credentials: creds, conns: map[string]*conn{}}
+// NewClient returns a client without connections. The handler counts bytes.
+func NewClient(creds credentials.TransportCredentials, traffic stats.Handler) *Client {
+	options := []grpc.DialOption{grpc.WithTransportCredentials(creds), grpc.WithStatsHandler(traffic)}
+	return &Client{options: options, conns: map[string]*conn{}}
 }
 
 // Sent returns the number of reports sent and their bytes.
@@ -74,7 +76,7 @@
 		cc.used = now
 		return cc.ClientConn, nil
 	}
-	cc, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(c.credentials))
+	cc, err := grpc.NewClient("passthrough:///"+address, c.options...)
 	if err != nil {
 		return nil, err
 	}
--- a/adapters/telemetry/telemetry.go
+++ b/adapters/telemetry/telemetry.go
@@ -1,5 +1,5 @@
-// Package telemetry measures calls by OpenTelemetry and serves the figures in
-// the format of Prometheus.
+// Package telemetry measures a daemon by OpenTelemetry and serves the figures
+// in the format of Prometheus.
 package telemetry
 
 import (
@@ -26,6 +26,9 @@
 // OtherClients stands for clients beyond MaxClients.
 const OtherClients = "other"
 
+// unknown stands for the service and class of calls without a route.
+const unknown = "unknown"
+
 // boundaries are the upper bounds of latency buckets, in seconds.
 var boundaries = []float64{.001, .002, .003, .005, .008, .012, .02, .03, .05, .08, .12, .2, .3, .5, .8, 1.2, 2, 5, 10, 30}
 
@@ -33,65 +36,75 @@
 type Telemetry struct {
 	registry *prometheus.Registry
 	provider *sdkmetric.MeterProvider
-	duration metric.Float64Histogram
+	meter    metric.Meter
+	classes  metric.Float64Histogram
+	clients  metric.Float64Histogram
 	attempts metric.Int64Counter
+	failures metric.Int64Counter
 
-	mu      sync.Mutex
-	clients map[string]bool
+	mu    sync.Mutex
+	names map[string]bool
 }
 
 // New returns the instruments.
 func New() (*Telemetry, error) {
 	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, err
 	}
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	meter := provider.Meter("fescuehoist")
-	duration, err := meter.Float64Histogram("fescuehoist.call.duration", metric.WithUnit("s"),
-		metric.WithDescription("Time from a call's arrival to its answer."),
+	t := &Telemetry{registry: registry, provider: provider, meter: provider.Meter("fescuehoist"), names: map[string]bool{}}
+	return t, t.instruments()
+}
+
+func (t *Telemetry) instruments() error {
+	var errs [4]error
+	t.classes, errs[0] = t.meter.Float64Histogram("fescuehoist.call.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a call's arrival to its answer, by class and verdict."),
 		metric.WithExplicitBucketBoundaries(boundaries...))
-	if err != nil {
-		return nil, err
-	}
-	attempts, err := meter.Int64Counter("fescuehoist.call.attempts",
-		metric.WithDescription("Attempts made for calls."))
-	if err != nil {
-		return nil, err
-	}
-	return &Telemetry{registry: registry, provider: provider, duration: duration, attempts: attempts, clients: map[string]bool{}}, nil
+	t.clients, errs[1] = t.meter.Float64Histogram("fescuehoist.client.call.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a call's arrival to its answer, by client."),
+		metric.WithExplicitBucketBoundaries(boundaries...))
+	t.attempts, errs[2] = t.meter.Int64Counter("fescuehoist.call.attempts",
+		metric.WithDescription("Attempts made for calls, the first ones included."))
+	t.failures, errs[3] = t.meter.Int64Counter("fescuehoist.call.failures",
+		metric.WithDescription("Calls without an answer, by reason and verdict."))
+	return errors.Join(errs[:]...)
 }
 
 // Called records one call that the daemon took from a caller.
 func (t *Telemetry) Called(r *call.Request, took time.Duration, err error) {
+	ctx := context.Background()
 	verdict := call.Ran
+	service, class := r.Service, r.ClassName
+	if r.Class == nil {
+		service, class = unknown, unknown
+	}
+	names := []attribute.KeyValue{attribute.String("service", service), attribute.String("class", class)}
 	var f *call.Failure
 	if errors.As(err, &f) {
 		verdict = f.Verdict
+		t.failures.Add(ctx, 1, metric.WithAttributes(names...),
+			metric.WithAttributes(attribute.String("reason", string(f.Reason)), attribute.String("verdict", verdict.String())))
 	}
-	service, class := r.Service, r.ClassName
-	if class == "" {
-		service, class = "unknown", "unknown"
-	}
-	attrs := metric.WithAttributes(
-		attribute.String("service", service), attribute.String("class", class),
-		attribute.String("client", t.client(r.Client)), attribute.String("verdict", verdict.String()))
-	t.duration.Record(context.Background(), took.Seconds(), attrs)
-	t.attempts.Add(context.Background(), int64(r.Attempt), attrs)
+	t.classes.Record(ctx, took.Seconds(), metric.WithAttributes(names...),
+		metric.WithAttributes(attribute.String("verdict", verdict.String())))
+	t.clients.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("client", t.client(r.Client))))
+	t.attempts.Add(ctx, int64(r.Attempt), metric.WithAttributes(names...))
 }
 
 // client bounds the number of names under which calls are counted.
 func (t *Telemetry) client(name string) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.clients[name] {
+	if t.names[name] {
 		return name
 	}
-	if len(t.clients) >= MaxClients {
+	if len(t.names) >= MaxClients {
 		return OtherClients
 	}
-	t.clients[name] = true
+	t.names[name] = true
 	return name
 }
 
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -117,12 +118,14 @@
 	forwarder *callhttp.Forwarder
 	platform  *platformhttp.Client
 	figures   *telemetry.Telemetry
+	traffic   *peergrpc.Traffic
 	meter     *status.Meter
 	reports   *statusgrpc.Client
 	stops     *stop.Executor
 	collector *status.Collector
 	inner     *proxy.Inner
 	outer     *proxy.Outer
+	leaving   atomic.Bool
 }
 
 // New builds a daemon on open sockets; Run starts it.
@@ -147,10 +150,14 @@
 		backend:   &backendhttp.Client{},
 		forwarder: callhttp.NewForwarder(links.calls),
 		platform:  platformhttp.NewClientWithDial(s.Platform, links.platform),
+		traffic:   &peergrpc.Traffic{},
 	}
 	d.buildControl(self)
 	d.buildStatus(self)
 	d.buildCalls(self)
+	if err := d.watchFigures(); err != nil {
+		return nil, oops.In("daemon").Wrapf(err, "telemetry")
+	}
 	return d, nil
 }
 
@@ -159,7 +166,7 @@
 	if len(s.Seeds) == 0 {
 		d.cfg.Reader.JoinLimit = 0
 	}
-	dialer := &peergrpc.Dialer{Credentials: d.links.connect}
+	dialer := &peergrpc.Dialer{Credentials: d.links.connect, Traffic: d.traffic}
 	d.node = spread.NewNode(d.cfg.Spread, self, s.Domain, s.Seeds, dialer, d.members, d.log, d.prefixed("spread"))
 	d.reader = reader.New(d.cfg.Reader, self, s.Domain, &platformhttp.Repository{Client: d.platform},
 		platformhttp.NewLeases(d.platform), d.members, d.log, d.prefixed("reader"))
@@ -173,7 +180,7 @@
 func (d *Daemon) buildStatus(self member.ServerID) {
 	s := d.cfg.Settings
 	d.meter = status.NewMeter()
-	d.reports = statusgrpc.NewClient(d.links.connect)
+	d.reports = statusgrpc.NewClient(d.links.connect, d.traffic)
 	d.stops = stop.NewExecutor(self, s.Domain, d.announcer, d.prefixed("stop"))
 	d.collector = status.NewCollector(d.cfg.Status, self, s.Domain, d.meter, d.members, d.log, d.reports,
 		&platformhttp.StatusStore{Client: d.platform}, d.stops, d.prefixed("status"))
@@ -216,8 +223,9 @@
 	g.Go(func() error { return d.reader.Run(control) })
 	g.Go(func() error { return d.router.Run(control) })
 	g.Go(func() error {
-		return peergrpc.NewServer(d.node, d.links.accept).Run(control, d.listeners.Peers,
-			&statusgrpc.Server{Receiver: d.collector})
+		server := peergrpc.NewServer(d.node, d.links.accept)
+		server.Traffic = d.traffic
+		return server.Run(control, d.listeners.Peers, &statusgrpc.Server{Receiver: d.collector})
 	})
 	g.Go(func() error { return d.collector.Run(control) })
 	g.Go(func() error { return d.stops.Run(control) })
@@ -235,6 +243,7 @@
 			forwarded.Abort()
 			return nil
 		}
+		d.leaving.Store(true)
 		out.Info("draining")
 		d.drain(control, stopCalls, serving.Wait)
 		out.Info("left")
@@ -280,6 +289,6 @@
 		Announcer: d.announcer,
 		Figures:   d.figures.Handler(),
 		State:     func() any { return d.State() },
-		Ready:     func() bool { return d.log.Snapshot().Version() > 0 },
+		Ready:     func() bool { return d.log.Snapshot().Version() > 0 && !d.leaving.Load() },
 	}
 }
--- /dev/null
+++ b/fescuehoistd/daemon/figures.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+
+	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/member"
+)
+
+// watchFigures adds the daemon's own figures to those of the calls.
+func (d *Daemon) watchFigures() error {
+	return d.figures.Watch(append(d.loadFigures(), d.controlFigures()...)...)
+}
+
+func (d *Daemon) loadFigures() []telemetry.Figure {
+	return []telemetry.Figure{
+		{Name: "fescuehoist.backend.calls.running", Text: "Calls that the backend server runs.",
+			Read: func() []telemetry.Point { return telemetry.One(uint64(d.gate.Load().Running)) }},
+		{Name: "fescuehoist.backend.calls.queued", Text: "Calls that wait for the backend server.",
+			Read: func() []telemetry.Point { return telemetry.One(uint64(d.gate.Load().Queued)) }},
+		{Name: "fescuehoist.backend.calls.limit", Text: "Calls that the backend server may run at once.",
+			Read: func() []telemetry.Point { return telemetry.One(uint64(d.gate.Load().Limit)) }},
+	}
+}
+
+func (d *Daemon) controlFigures() []telemetry.Figure {
+	return []telemetry.Figure{
+		{Name: "fescuehoist.version", Text: "Configuration version, in force and known.", Label: "kind",
+			Read: func() []telemetry.Point {
+				return []telemetry.Point{
+					{Label: "in-force", Value: uint64(d.log.Snapshot().Version())},
+					{Label: "known", Value: uint64(d.log.Known())},
+				}
+			}},
+		{Name: "fescuehoist.version.refused", Text: "1 while the known version is refused.",
+			Read: func() []telemetry.Point {
+				if d.log.Refusal() != nil {
+					return telemetry.One(1)
+				}
+				return telemetry.One(0)
+			}},
+		{Name: "fescuehoist.members", Text: "Backend servers by state.", Label: "state", Read: d.memberCounts},
+		{Name: "fescuehoist.peers", Text: "Open streams to other daemons.",
+			Read: func() []telemetry.Point { return telemetry.One(uint64(d.node.Peers())) }},
+		{Name: "fescuehoist.control", Unit: "By", Text: "Bytes of control messages between daemons.", Total: true, Label: "direction",
+			Read: func() []telemetry.Point {
+				return []telemetry.Point{{Label: "sent", Value: d.traffic.Sent()}, {Label: "received", Value: d.traffic.Received()}}
+			}},
+		{Name: "fescuehoist.status.reports", Text: "Reports of status sent to other daemons.", Total: true,
+			Read: func() []telemetry.Point { n, _ := d.reports.Sent(); return telemetry.One(n) }},
+		{Name: "fescuehoist.status.reports.size", Unit: "By", Text: "Bytes of the reports of status sent.", Total: true,
+			Read: func() []telemetry.Point { _, n := d.reports.Sent(); return telemetry.One(n) }},
+		{Name: "fescuehoist.platform.calls", Text: "Calls to the platform, a waiting watch counted as one.", Total: true,
+			Read: func() []telemetry.Point { return telemetry.One(d.platform.Calls()) }},
+	}
+}
+
+// memberCounts counts the backend servers by state; one whose daemon is not
+// alive counts by its health.
+func (d *Daemon) memberCounts() []telemetry.Point {
+	counts := map[string]uint64{}
+	for _, r := range d.members.View().All() {
+		state := r.State.String()
+		if r.Health != member.Alive {
+			state = r.Health.String()
+		}
+		counts[state]++
+	}
+	points := make([]telemetry.Point, 0, len(counts))
+	for state, n := range counts {
+		points = append(points, telemetry.Point{Label: state, Value: n})
+	}
+	slices.SortFunc(points, func(a, b telemetry.Point) int { return strings.Compare(a.Label, b.Label) })
+	return points
+}
--- /dev/null
+++ b/fescuehoistd/daemon/figures_test.go
@@ -0,0 +1,64 @@
+package daemon_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"fescuehoist.example/adapters/logging"
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/fescuehoistd/daemon"
+)
+
+// TestAdminAddress asks a daemon without peers and without a platform.
+func TestAdminAddress(t *testing.T) {
+	const loopback = "127.0.0.1:0"
+	set := &settings.Settings{
+		Server: "lookup-1", Domain: "cairo-a", Callers: loopback, Calls: loopback, Peers: loopback, Admin: loopback,
+		Platform: "127.0.0.1:1", AnnounceLifetime: time.Second, DrainTimeout: time.Second,
+	}
+	listeners, err := daemon.Listen(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := daemon.New(daemon.DefaultConfig(set, logging.New(io.Discard, logrus.InfoLevel)), listeners)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	for _, page := range []struct {
+		path   string
+		status int
+		holds  []string
+	}{
+		{"/healthz", fasthttp.StatusOK, nil},
+		{"/readyz", fasthttp.StatusServiceUnavailable, nil},
+		{"/v1/state", fasthttp.StatusOK, []string{`"server": "lookup-1"`, `"version_in_force": 0`, `"stops": null`}},
+		{"/metrics", fasthttp.StatusOK, []string{
+			`fescuehoist_version{kind="in-force"} 0`, `fescuehoist_members{state="starting"} 1`, "fescuehoist_peers 0",
+			`fescuehoist_control_bytes_total{direction="sent"} 0`, "fescuehoist_platform_calls_total", "fescuehoist_backend_calls_queued 0",
+		}},
+		{"/absent", fasthttp.StatusNotFound, nil},
+	} {
+		status, body, err := fasthttp.Get(nil, "http://"+listeners.Admin.Addr().String()+page.path)
+		if err != nil || status != page.status {
+			t.Errorf("%s: status %d, %v; want %d", page.path, status, err, page.status)
+		}
+		for _, want := range page.holds {
+			if !strings.Contains(string(body), want) {
+				t.Errorf("%s lacks %s:\n%s", page.path, want, body)
+			}
+		}
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/fescuehoistd/daemon/state.go
+++ b/fescuehoistd/daemon/state.go
@@ -1,6 +1,11 @@
 package daemon
 
-import "fescuehoist.example/mesh/manifest"
+import (
+	"time"
+
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+)
 
 // State is the read-only picture of a daemon that its admin address serves.
 type State struct {
@@ -16,6 +21,21 @@
 	Running int      `json:"calls_running"`
 	Queued  int      `json:"calls_queued"`
 	Limit   int      `json:"calls_limit"`
+	// Stops are the planned stops that the daemon knows.
+	Stops []Stop `json:"stops"`
+	// PlatformCalls and the numbers of bytes count since the start.
+	PlatformCalls   uint64 `json:"platform_calls"`
+	ControlSent     uint64 `json:"control_bytes_sent"`
+	ControlReceived uint64 `json:"control_bytes_received"`
+}
+
+// Stop is a planned stop of this daemon's or another backend server.
+type Stop struct {
+	ID    string    `json:"id"`
+	From  time.Time `json:"from"`
+	Until time.Time `json:"until"`
+	// Own says that the stop is one of this daemon's backend server.
+	Own bool `json:"own"`
 }
 
 // Member is one backend server as the daemon sees it.
@@ -37,6 +57,11 @@
 		State:   d.announcer.State().String(),
 		InForce: d.log.Snapshot().Version(), Known: d.log.Known(),
 		Peers: d.node.Peers(), Running: load.Running, Queued: load.Queued, Limit: load.Limit,
+		PlatformCalls: d.platform.Calls(), ControlSent: d.traffic.Sent(), ControlReceived: d.traffic.Received(),
+	}
+	for _, one := range d.stops.List().Stops {
+		own := one.Covers(member.ServerID(s.Server), s.Domain)
+		s.Stops = append(s.Stops, Stop{ID: one.ID, From: one.From, Until: one.Until, Own: own})
 	}
 	if r := d.log.Refusal(); r != nil {
 		s.Refused = r.Error()
--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"fescuehoist.example/adapters/logging"
 	"fescuehoist.example/adapters/settings"
@@ -35,7 +37,8 @@
 routes them, admits calls to its backend server, and keeps the configuration
 and the view of all backend servers up to date.
 
-SIGTERM drains the backend server and then ends the daemon.
+SIGTERM drains the backend server and then ends the daemon. SIGHUP does nothing
+but a line in the log: a changed target never needs a restart.
 Exit codes: 0 stopped as planned, 1 failure, 2 bad settings or arguments.`
 
 func main() {
@@ -81,5 +84,27 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return d.Run(ctx)
+	g, ctx := errgroup.WithContext(ctx)
+	ctx, end := context.WithCancel(ctx)
+	g.Go(func() error {
+		defer end()
+		return d.Run(ctx)
+	})
+	g.Go(func() error { return noteHangups(ctx, log) })
+	return g.Wait()
+}
+
+// noteHangups logs each SIGHUP, which changes nothing.
+func noteHangups(ctx context.Context, log *logrus.Logger) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+			log.WithField("part", "daemon").Info("SIGHUP changes nothing: targets come from the platform")
+		}
+	}
 }
