Read and frame messages strictly, and notice silent connections

Cause: by reading and by test, four faults on the path of a call. A caller that pipelined a request and then left was not noticed. The trailer of a chunked answer was not read, so its connection could not be used again. A request with both lengths was read by one of them.

Change: requests with two lengths or a coding other than chunked are refused and say that they did not run; bodies are kept as they came. A daemon numbers the calls that it forwards and checks the number on the answer. While a forwarded call runs, its daemon sends an interim answer every 50 ms; a call that may run again is given up after 200 ms without a byte and is tried over a new connection, and the idle connections of the same age are closed. A draining server says Connection: close. A call that ended with its caller's departure has the reason canceled, not deadline.

Conclusion: the table of cuts at every step, one and two hops deep, agrees with what the scripted backend server ran.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -5,6 +5,8 @@
 	"errors"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,9 +14,19 @@
 	"fescuehoist.example/mesh/call"
 )
 
+const (
+	// ProgressInterval is the time between the interim answers that a daemon
+	// sends while it runs a forwarded call.
+	ProgressInterval = 50 * time.Millisecond
+	// SilenceLimit is how long nothing may come of a forwarded call that may
+	// run again, before it is tried over another connection.
+	SilenceLimit = 4 * ProgressInterval
+)
+
 // Forwarder carries calls to other daemons.
 type Forwarder struct {
 	dial  httpconn.DialFunc
+	calls atomic.Uint64
 	mu    sync.Mutex
 	pools map[string]*httpconn.Pool
 }
@@ -33,13 +45,37 @@
 	req.Header.Set(headerService, r.Service)
 	req.Header.Set(headerClass, r.ClassName)
 	req.Header.Set(headerAttempt, strconv.Itoa(r.Attempt))
-	if err := f.pool(address).Do(ctx, req, resp); err != nil {
+	if r.Suspect {
+		req.Header.Set(headerSuspect, "1")
+	}
+	number := strconv.FormatUint(f.calls.Add(1), 36)
+	req.Header.Set(headerCall, number)
+	o := httpconn.Options{NewConnection: r.NewConnection, Check: func(resp *fasthttp.Response) error {
+		return checkNumber(number, resp)
+	}}
+	if r.Class != nil && r.Class.Idempotent {
+		o.Silence = SilenceLimit
+	}
+	if err := f.pool(address).DoWith(ctx, req, resp, o); err != nil {
 		return nil, err
 	}
 	return answerOf(resp)
 }
 
-var errNoVerdict = errors.New("the answer carries no verdict")
+var (
+	errNoVerdict = errors.New("the answer carries no verdict")
+	errCrossed   = errors.New("the answer belongs to another call")
+)
+
+// checkNumber refuses an answer to another call. A request that could not be
+// read is answered without a number.
+func checkNumber(number string, resp *fasthttp.Response) error {
+	got := string(resp.Header.Peek(headerCall))
+	if got == number || (got == "" && string(resp.Header.Peek(HeaderReason)) == string(call.BadRequest)) {
+		return nil
+	}
+	return errCrossed
+}
 
 // answerOf returns the answer or the failure that the other daemon reported.
 func answerOf(resp *fasthttp.Response) (*call.Answer, error) {
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -20,12 +20,16 @@
 	resp.Header.Set(HeaderAttempts, strconv.Itoa(r.Attempt))
 }
 
+// Refuse answers a request that cannot be read.
+func (h *Callers) Refuse(resp *fasthttp.Response) { markUnread(resp) }
+
 // Daemons answers calls that other daemons forward.
 type Daemons struct{ Callee call.Callee }
 
 // Handle takes one forwarded call through.
 func (h *Daemons) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := ReadRequest(req)
+	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
 	r.Service = string(req.Header.Peek(headerService))
 	r.ClassName = string(req.Header.Peek(headerClass))
 	attempt, err := strconv.Atoi(string(req.Header.Peek(headerAttempt)))
@@ -34,9 +38,19 @@
 		return
 	}
 	r.Attempt = attempt
+	r.Suspect = len(req.Header.Peek(headerSuspect)) > 0
 	handle(ctx, h.Callee, r, req, resp)
 }
 
+// Refuse answers a call that cannot be read.
+func (h *Daemons) Refuse(resp *fasthttp.Response) { markUnread(resp) }
+
+// markUnread says that a request did not run because it could not be read.
+func markUnread(resp *fasthttp.Response) {
+	resp.Header.Set(HeaderVerdict, call.NotRun.String())
+	resp.Header.Set(HeaderReason, string(call.BadRequest))
+}
+
 func handle(ctx context.Context, callee call.Callee, r *call.Request, req *fasthttp.Request, resp *fasthttp.Response) {
 	timeout, ok, err := timeoutOf(req)
 	if err != nil {
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +38,9 @@
 	headerClass   = "Fescuehoist-Class"
 	headerAttempt = "Fescuehoist-Attempt"
 	headerLoad    = "Fescuehoist-Load"
+	headerSuspect = "Fescuehoist-Suspect"
+	// headerCall numbers the calls of a daemon; the answer repeats it.
+	headerCall = "Fescuehoist-Call"
 )
 
 // hopByHop lists the fields that describe a connection rather than a message.
@@ -49,6 +53,19 @@
 	return !hopByHop[name] && !strings.HasPrefix(name, headerPrefix)
 }
 
+// listedFields returns the fields that a Connection field declares to describe
+// the connection.
+func listedFields(connection []byte) map[string]bool {
+	if len(connection) == 0 {
+		return nil
+	}
+	listed := map[string]bool{}
+	for name := range strings.SplitSeq(string(connection), ",") {
+		listed[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+	}
+	return listed
+}
+
 // ReadRequest returns the call that a request from a caller describes.
 func ReadRequest(req *fasthttp.Request) *call.Request {
 	host := string(req.Host())
@@ -63,8 +80,9 @@
 		URI:     string(req.Header.RequestURI()),
 		Body:    req.Body(),
 	}
+	listed := listedFields(req.Header.Peek(fasthttp.HeaderConnection))
 	for name, value := range req.Header.All() {
-		if n := string(name); passes(n) {
+		if n := string(name); passes(n) && !listed[n] {
 			r.Header = append(r.Header, call.Field{Name: n, Value: string(value)})
 		}
 	}
@@ -95,8 +113,9 @@
 // ReadAnswer copies an answer out of a response.
 func ReadAnswer(resp *fasthttp.Response) *call.Answer {
 	a := &call.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	listed := listedFields(resp.Header.Peek(fasthttp.HeaderConnection))
 	for name, value := range resp.Header.All() {
-		if n := string(name); passes(n) {
+		if n := string(name); passes(n) && !listed[n] {
 			a.Header = append(a.Header, call.Field{Name: n, Value: string(value)})
 		}
 	}
--- /dev/null
+++ b/adapters/callhttp/path_test.go
@@ -0,0 +1,369 @@
+package callhttp_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fescuehoist.example/adapters/backendhttp"
+	"fescuehoist.example/adapters/callhttp"
+	"fescuehoist.example/adapters/httpconn"
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/target"
+)
+
+// limit bounds the waiting for an event.
+const limit = 20 * time.Second
+
+// script is a backend server that handles each connection by a function and
+// counts the requests that it ran.
+type script struct {
+	ran      atomic.Int64
+	canceled chan struct{}
+	address  string
+}
+
+func startScript(t *testing.T, serve func(s *script, c net.Conn, r *bufio.Reader)) *script {
+	s := &script{canceled: make(chan struct{}, 16)}
+	s.address = listen(t, func(c net.Conn) { serve(s, c, bufio.NewReader(c)) })
+	return s
+}
+
+func listen(t *testing.T, serve func(c net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tasks sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	tasks.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			tasks.Go(func() {
+				defer c.Close()
+				serve(c)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		mu.Lock()
+		for _, c := range open {
+			_ = c.Close()
+		}
+		mu.Unlock()
+		tasks.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// read takes one request and counts it as run.
+func (s *script) read(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	s.ran.Add(1)
+	return req.Header.Get("X-Request-Id")
+}
+
+func answering(text string) func(*script, net.Conn, *bufio.Reader) {
+	return func(s *script, c net.Conn, r *bufio.Reader) {
+		s.read(r)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+// serveIDs answers every request with its own id.
+func serveIDs(s *script, c net.Conn, r *bufio.Reader) {
+	for {
+		id := s.read(r)
+		if id == "" {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	}
+}
+
+// startDaemon serves forwarded calls and runs them at a backend server.
+func startDaemon(t *testing.T, backend string) string {
+	client := &backendhttp.Client{}
+	client.SetAddress(backend)
+	ctx, stop := context.WithCancel(context.Background())
+	server := httpconn.NewServer(&callhttp.Daemons{Callee: client}, callhttp.ProgressInterval)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		server.Abort()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		client.Close()
+	})
+	return ln.Addr().String()
+}
+
+type calleeFunc func(ctx context.Context, r *call.Request) (*call.Answer, error)
+
+func (f calleeFunc) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	return f(ctx, r)
+}
+
+func forwardTo(t *testing.T, daemon string) calleeFunc {
+	f := callhttp.NewForwarder(nil)
+	t.Cleanup(f.Close)
+	return func(ctx context.Context, r *call.Request) (*call.Answer, error) { return f.Forward(ctx, daemon, r) }
+}
+
+func request(id string, idempotent bool) *call.Request {
+	return &call.Request{
+		Service: "lookup", Method: "POST", URI: "/places", Body: []byte(strings.Repeat("b", 2000)),
+		Header: []call.Field{{Name: "X-Request-Id", Value: id}}, Class: &target.Class{Idempotent: idempotent},
+	}
+}
+
+func failureOf(t *testing.T, err error) *call.Failure {
+	var f *call.Failure
+	if !errors.As(err, &f) {
+		t.Fatalf("got error %v, not a failure", err)
+	}
+	return f
+}
+
+const (
+	ok      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	notRun  = call.NotRun
+	unknown = call.MayHaveRun
+)
+
+func TestVerdictsAreTrueWhereverAConnectionIsCut(t *testing.T) {
+	closed := listen(t, func(net.Conn) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := ln.Addr().String()
+	_ = ln.Close()
+	for _, c := range []struct {
+		name    string
+		address string
+		serve   func(*script, net.Conn, *bufio.Reader)
+		verdict call.Verdict
+		reason  call.Reason
+	}{
+		{name: "before connect", address: refusing, verdict: notRun, reason: call.Unreachable},
+		{name: "after connect", address: closed, verdict: unknown, reason: call.Cut},
+		{name: "mid request", serve: func(_ *script, _ net.Conn, r *bufio.Reader) { _, _ = r.Discard(100) }, verdict: unknown, reason: call.Cut},
+		{name: "after request", serve: answering(""), verdict: unknown, reason: call.Cut},
+		{name: "mid header", serve: answering(ok[:20]), verdict: unknown, reason: call.Cut},
+		{name: "mid body", serve: answering(ok[:len(ok)-1]), verdict: unknown, reason: call.Cut},
+		{name: "mid chunk", serve: answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), verdict: unknown, reason: call.Cut},
+		{name: "no last chunk", serve: answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"), verdict: unknown, reason: call.Cut},
+		{name: "no length", serve: answering("HTTP/1.1 200 OK\r\n\r\nok"), verdict: unknown, reason: call.Cut},
+		{name: "two lengths", serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n\r\nok"), verdict: unknown, reason: call.Cut},
+		{name: "length and chunks", serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), verdict: call.Ran},
+		{name: "upgrade", serve: answering("HTTP/1.1 101 Switching Protocols\r\n\r\n"), verdict: unknown, reason: call.Cut},
+		{name: "shed", serve: func(s *script, c net.Conn, r *bufio.Reader) {
+			s.read(r)
+			s.ran.Add(-1)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nFescuehoist-Verdict: not-run\r\nContent-Length: 0\r\n\r\n")
+		}, verdict: notRun, reason: call.Shed},
+		{name: "overloaded but run", serve: answering("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), verdict: call.Ran},
+		{name: "interim answers", serve: answering("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + ok), verdict: call.Ran},
+		{name: "chunks", serve: answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), verdict: call.Ran},
+	} {
+		for hops, through := range map[string]func(string) calleeFunc{
+			"one hop": func(a string) calleeFunc {
+				client := &backendhttp.Client{}
+				client.SetAddress(a)
+				t.Cleanup(client.Close)
+				return client.Call
+			},
+			"two hops": func(a string) calleeFunc { return forwardTo(t, startDaemon(t, a)) },
+		} {
+			t.Run(c.name+", "+hops, func(t *testing.T) {
+				s := &script{address: c.address}
+				if c.serve != nil {
+					s = startScript(t, c.serve)
+				}
+				_, err := through(s.address)(context.Background(), request("1", false))
+				if c.verdict == call.Ran {
+					if err != nil {
+						t.Fatal(err)
+					}
+					return
+				}
+				f := failureOf(t, err)
+				if f.Verdict == notRun && s.ran.Load() > 0 {
+					t.Errorf("said %v, but the server ran the request", f)
+				}
+				if f.Verdict != c.verdict || f.Reason != c.reason {
+					t.Errorf("got %s, %s; want %s, %s", f.Verdict, f.Reason, c.verdict, c.reason)
+				}
+			})
+		}
+	}
+}
+
+func TestADeadlineAndADepartureEndTheCallAtTheBackendServer(t *testing.T) {
+	hold := func(s *script, c net.Conn, r *bufio.Reader) {
+		s.read(r)
+		_, _ = r.Peek(1)
+		s.canceled <- struct{}{}
+	}
+	for _, reason := range []call.Reason{call.Deadline, call.Canceled} {
+		t.Run(string(reason), func(t *testing.T) {
+			s := startScript(t, hold)
+			through := forwardTo(t, startDaemon(t, s.address))
+			ctx, cancel := context.WithCancel(context.Background())
+			if reason == call.Deadline {
+				ctx, cancel = context.WithTimeout(ctx, 200*time.Millisecond)
+			}
+			defer cancel()
+			if reason == call.Canceled {
+				time.AfterFunc(200*time.Millisecond, cancel)
+			}
+			_, err := through(ctx, request("1", false))
+			if f := failureOf(t, err); f.Verdict != unknown || f.Reason != reason {
+				t.Errorf("got %v", f)
+			}
+			select {
+			case <-s.canceled:
+			case <-time.After(limit):
+				t.Error("the backend server was not told")
+			}
+		})
+	}
+}
+
+func TestLateAnswersAndDeparturesNeverCross(t *testing.T) {
+	slow := func(s *script, c net.Conn, r *bufio.Reader) {
+		for {
+			id := s.read(r)
+			if id == "" {
+				return
+			}
+			if strings.HasSuffix(id, "3") {
+				time.Sleep(30 * time.Millisecond)
+			}
+			tail := ""
+			if strings.HasSuffix(id, "7") {
+				tail = ok
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(id), id, tail)
+		}
+	}
+	s := startScript(t, slow)
+	through := forwardTo(t, startDaemon(t, s.address))
+	var tasks sync.WaitGroup
+	for task := range 8 {
+		tasks.Go(func() {
+			for n := range 50 {
+				id := fmt.Sprintf("%d-%d", task, n)
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				if n%10 == 3 {
+					ctx, cancel = context.WithTimeout(context.Background(), 10*time.Millisecond)
+				}
+				answer, err := through(ctx, request(id, false))
+				cancel()
+				if err == nil && string(answer.Body) != id {
+					t.Errorf("request %s got the answer %q", id, answer.Body)
+				}
+			}
+		})
+	}
+	tasks.Wait()
+}
+
+// relay forwards connections to a server until it is told to go silent.
+type relay struct {
+	silent  atomic.Bool
+	address string
+}
+
+func startRelay(t *testing.T, to string) *relay {
+	s := &relay{}
+	s.address = listen(t, func(c net.Conn) {
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			return
+		}
+		defer out.Close()
+		born := s.silent.Load()
+		go s.copy(c, out, born)
+		s.copy(out, c, born)
+	})
+	return s
+}
+
+// copy forwards until the relay goes silent; then it only reads.
+func (s *relay) copy(to, from net.Conn, born bool) {
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		if s.silent.Load() == born {
+			_, _ = to.Write(b[:n])
+		}
+	}
+}
+
+func TestCallsContinueWhenOpenConnectionsGoSilent(t *testing.T) {
+	s := startScript(t, serveIDs)
+	r := startRelay(t, startDaemon(t, s.address))
+	through := forwardTo(t, r.address)
+	var tasks sync.WaitGroup
+	for n := range 10 {
+		tasks.Go(func() {
+			if _, err := through(context.Background(), request(fmt.Sprint(n), true)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	tasks.Wait()
+	r.silent.Store(true)
+	first := request("a", true)
+	_, err := through(context.Background(), first)
+	if f := failureOf(t, err); f.Reason != call.Silent || f.Verdict != unknown {
+		t.Fatalf("got %v", f)
+	}
+	answer, err := through(context.Background(), request("b", true))
+	if err != nil || string(answer.Body) != "b" {
+		t.Fatalf("the call after a silent one got %v, %v", answer, err)
+	}
+}
+
+func TestALongCallOverAWorkingConnectionIsNotSilent(t *testing.T) {
+	s := startScript(t, func(s *script, c net.Conn, r *bufio.Reader) {
+		s.read(r)
+		time.Sleep(3 * callhttp.SilenceLimit)
+		_, _ = io.WriteString(c, ok)
+	})
+	if _, err := forwardTo(t, startDaemon(t, s.address))(context.Background(), request("1", true)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -3,11 +3,8 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -16,25 +13,7 @@
 	"fescuehoist.example/mesh/call"
 )
 
-// Limits of connections.
-const (
-	// MaxIdleAge is how long an idle connection may be used again.
-	MaxIdleAge = 30 * time.Second
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout = time.Second
-	// MaxAnswerSize bounds the body of an answer, in bytes.
-	MaxAnswerSize = 32 << 20
-	bufferSize    = 8 << 10
-)
-
-// Errors of calls.
-var (
-	errUnframed = errors.New("the answer declares no length")
-	errClosed   = errors.New("the pool is closed")
-)
-
-// DialFunc opens connections.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+var errClosed = errors.New("the pool is closed")
 
 // Pool keeps connections to one address.
 type Pool struct {
@@ -46,26 +25,22 @@
 	closed bool
 }
 
-// conn is a connection that counts the bytes written.
-type conn struct {
-	net.Conn
-	r       *bufio.Reader
-	w       *bufio.Writer
-	written int
-	idleAt  time.Time
-}
-
-// Write counts the bytes that left.
-func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written += n
-	return n, err
+// Options change one exchange.
+type Options struct {
+	// Silence is how long nothing may arrive before the exchange fails with
+	// the reason call.Silent; 0 means no limit.
+	Silence time.Duration
+	// NewConnection opens a connection in place of using an idle one.
+	NewConnection bool
+	// Check examines the header of an answer. An error fails the exchange and
+	// closes the connection.
+	Check func(resp *fasthttp.Response) error
 }
 
 // NewPool returns a pool for an address. A nil dial uses plain TCP.
 func NewPool(address string, dial DialFunc) *Pool {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: DialTimeout}).DialContext
+		dial = Dialer().DialContext
 	}
 	return &Pool{address: address, dial: dial}
 }
@@ -73,23 +48,35 @@
 // Do sends the request and reads the whole answer. An error is a
 // *call.Failure: NotRun if no byte of the request left.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
-	c, err := p.get(ctx)
+	return p.DoWith(ctx, req, resp, Options{})
+}
+
+// DoWith is Do with options.
+func (p *Pool) DoWith(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Options) error {
+	start := time.Now()
+	c, err := p.get(ctx, o.NewConnection)
 	if err != nil {
-		return call.Refuse(reasonOf(ctx, call.Unreachable), err)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	c.written = 0
-	err = exchange(c, req, resp)
-	if !stop() && err == nil {
-		_ = c.Close()
+		return call.Refuse(call.ReasonOf(ctx, call.Unreachable), err)
+	}
+	c.written, c.heard = 0, false
+	watchSilence(c, o.Silence)
+	stop := context.AfterFunc(ctx, c.expire)
+	err = exchange(c, req, resp, o.Check)
+	expired := !stop()
+	silent := endSilence(c)
+	if err == nil {
+		p.put(c, resp, expired || silent)
 		return nil
 	}
-	if err != nil {
-		_ = c.Close()
-		return &call.Failure{Verdict: verdictOf(c), Reason: reasonOf(ctx, call.Cut), Err: err}
+	_ = c.Close()
+	f := &call.Failure{Verdict: verdictOf(c), Reason: call.ReasonOf(ctx, call.Cut), Err: err}
+	if silent && ctx.Err() == nil {
+		f.Reason = call.Silent
 	}
-	p.put(c, resp)
-	return nil
+	if silent || (f.Reason == call.Deadline && !c.heard) {
+		p.dropIdle(start)
+	}
+	return f
 }
 
 func verdictOf(c *conn) call.Verdict {
@@ -99,54 +86,19 @@
 	return call.MayHaveRun
 }
 
-// reasonOf returns why a call failed, given that it failed for other if its
-// context has not ended.
-func reasonOf(ctx context.Context, other call.Reason) call.Reason {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return call.Deadline
-	case ctx.Err() != nil:
-		return call.Canceled
-	}
-	return other
-}
-
-func exchange(c *conn, req *fasthttp.Request, resp *fasthttp.Response) error {
+func exchange(c *conn, req *fasthttp.Request, resp *fasthttp.Response, check func(*fasthttp.Response) error) error {
 	if err := req.Write(c.w); err != nil {
 		return err
 	}
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
-	return readAnswer(c.r, req, resp)
-}
-
-func readAnswer(r *bufio.Reader, req *fasthttp.Request, resp *fasthttp.Response) error {
-	for {
-		if err := resp.Header.Read(r); err != nil {
-			return err
-		}
-		if resp.StatusCode() != fasthttp.StatusContinue {
-			break
-		}
-	}
-	status := resp.StatusCode()
-	if req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		resp.SkipBody = true
-		return nil
-	}
-	if resp.Header.ContentLength() == -2 {
-		return errUnframed
-	}
-	if err := resp.ReadBody(r, MaxAnswerSize); err != nil {
-		return fmt.Errorf("answer cut: %w", err)
-	}
-	return nil
+	return readAnswer(c.r, req, resp, check)
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	for !fresh {
 		c, err := p.pop()
 		if err != nil {
 			return nil, err
@@ -163,10 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc}
-	c.r = bufio.NewReaderSize(c, bufferSize)
-	c.w = bufio.NewWriterSize(c, bufferSize)
-	return c, nil
+	return newConn(nc), nil
 }
 
 func (p *Pool) pop() (*conn, error) {
@@ -184,9 +133,10 @@
 	return c, nil
 }
 
-// put keeps a connection whose last answer was read whole and exactly.
-func (p *Pool) put(c *conn, resp *fasthttp.Response) {
-	if resp.ConnectionClose() || c.r.Buffered() > 0 {
+// put keeps a connection whose last answer was read whole and exactly, unless
+// its deadline was changed meanwhile.
+func (p *Pool) put(c *conn, resp *fasthttp.Response, expired bool) {
+	if expired || resp.ConnectionClose() || c.r.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -200,6 +150,23 @@
 	p.idle = append(p.idle, c)
 }
 
+// dropIdle closes the connections that have been idle since before a time. One
+// that went silent may share its fate with others of its age.
+func (p *Pool) dropIdle(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.idleAt.After(since) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
 // Close closes the idle connections; calls that run keep theirs.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- /dev/null
+++ b/adapters/httpconn/server_test.go
@@ -0,0 +1,162 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+type echo struct{ wait chan struct{} }
+
+func (h echo) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	if string(req.Header.Peek("X-Wait")) != "" {
+		<-ctx.Done()
+		close(h.wait)
+		return
+	}
+	resp.SetBody(req.Body())
+}
+
+func (echo) Refuse(resp *fasthttp.Response) { resp.Header.Set("X-Refused", "yes") }
+
+func serve(t *testing.T, h Handler) (*Server, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(h, 0)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, ln.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func TestRequestsWithoutOneClearEndAreRefused(t *testing.T) {
+	_, address := serve(t, echo{})
+	const start = "POST / HTTP/1.1\r\nHost: a\r\n"
+	for name, text := range map[string]string{
+		"both lengths":      start + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"coding and length": start + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+		"two lengths":       start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+		"negative length":   start + "Content-Length: -4\r\n\r\n",
+		"length with sign":  start + "Content-Length: +4\r\n\r\nabcd",
+		"length in words":   start + "Content-Length: four\r\n\r\n",
+		"identity":          start + "Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nabcd",
+		"identity alone":    start + "Transfer-Encoding: identity\r\n\r\n",
+		"two codings":       start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"hidden coding":     start + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+		"bad chunk":         start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"no request":        "hello\r\n\r\n",
+		"long header":       start + "X-Long: " + strings.Repeat("a", MaxHeaderSize) + "\r\n\r\n",
+		"long body":         start + "Content-Length: 99999999\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, address)
+			_, _ = io.WriteString(c, text)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode < 400 || resp.Header.Get("X-Refused") == "" || !resp.Close {
+				t.Errorf("got status %d, close %v", resp.StatusCode, resp.Close)
+			}
+		})
+	}
+}
+
+func TestBodiesArriveAsTheyWereSent(t *testing.T) {
+	_, address := serve(t, echo{})
+	body := "--x\r\nContent-Disposition: form-data;   name=\"a\"\r\n\r\n1\r\n--x--\r\nepilogue"
+	resp, err := http.Post("http://"+address+"/", "multipart/form-data; boundary=x", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got, _ := io.ReadAll(resp.Body); string(got) != body {
+		t.Errorf("got %q, want %q", got, body)
+	}
+}
+
+func TestPipelinedRequestsAreAnsweredInOrderAndDepartureIsSeen(t *testing.T) {
+	h := echo{wait: make(chan struct{})}
+	_, address := serve(t, h)
+	c := dial(t, address)
+	const one = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n"
+	_, _ = io.WriteString(c, one+"1"+one+"2"+"GET / HTTP/1.1\r\nHost: a\r\nX-Wait: 1\r\n\r\n"+one+"3")
+	r := bufio.NewReader(c)
+	for _, want := range []string{"1", "2"} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, _ := io.ReadAll(resp.Body); string(got) != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	_ = c.Close()
+	select {
+	case <-h.wait:
+	case <-time.After(20 * time.Second):
+		t.Error("the handler was not told that the caller left")
+	}
+}
+
+func TestADrainingServerAnnouncesTheLastAnswer(t *testing.T) {
+	s, address := serve(t, echo{})
+	c := dial(t, address)
+	r := bufio.NewReader(c)
+	for _, last := range []bool{false, true} {
+		if last {
+			s.Drain()
+		}
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Close != last {
+			t.Errorf("the answer says close: %v; want %v", resp.Close, last)
+		}
+	}
+}
+
+func FuzzReadRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nb",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n",
+		"PUT / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\nb", "\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		req := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+		r := bufio.NewReaderSize(strings.NewReader(string(in)), MaxHeaderSize)
+		if readRequest(r, bufio.NewWriter(io.Discard), req) == nil && len(req.Body()) > len(in) {
+			t.Errorf("a body of %d bytes came out of %d", len(req.Body()), len(in))
+		}
+	})
+}
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -210,8 +210,8 @@
 	defer stopCalls()
 
 	g, control := errgroup.WithContext(control)
-	callers := httpconn.NewServer((&callhttp.Callers{Callee: d.outer}).Handle)
-	forwarded := httpconn.NewServer((&callhttp.Daemons{Callee: d.inner}).Handle)
+	callers := httpconn.NewServer(&callhttp.Callers{Callee: d.outer}, 0)
+	forwarded := httpconn.NewServer(&callhttp.Daemons{Callee: d.inner}, callhttp.ProgressInterval)
 	var serving errgroup.Group
 	serving.Go(func() error { return callers.Run(calls, wrap(d.listeners.Callers, d.links.wrapCallers)) })
 	serving.Go(func() error { return forwarded.Run(calls, wrap(d.listeners.Calls, d.links.wrapCalls)) })
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -24,6 +24,10 @@
 	// Attempt counts the attempts made so far by the daemon that took the
 	// call.
 	Attempt int
+	// NewConnection asks for a connection that no call has used before.
+	NewConnection bool
+	// Suspect says that a backend server crashed while it ran the request.
+	Suspect bool
 	// Class is set once the call is classified.
 	Class *target.Class
 	// ClassName names the class when another daemon classified the call.
--- a/mesh/call/verdict.go
+++ b/mesh/call/verdict.go
@@ -2,7 +2,11 @@
 // encoding: the request, its answer, and the verdict of a call that failed.
 package call
 
-import "fmt"
+import (
+	"context"
+	"errors"
+	"fmt"
+)
 
 // Verdict says whether a request may have run.
 type Verdict uint8
@@ -53,6 +57,19 @@
 	Shed        Reason = "shed"
 	Cut         Reason = "cut"
 	Canceled    Reason = "canceled"
+	// Silent says that nothing more came over a connection that stayed open.
+	Silent Reason = "silent"
+	// Crashed says that the backend server ended while it ran the request.
+	Crashed Reason = "crashed"
+	// Quarantined says that the request is refused because backend servers
+	// crashed whenever they ran it.
+	Quarantined Reason = "quarantined"
+	// Unrecorded says that the request could not be recorded as one that runs
+	// at most once.
+	Unrecorded Reason = "unrecorded"
+	// Repeated says that an earlier copy of the request may have run, and that
+	// its outcome is not known.
+	Repeated Reason = "repeated"
 )
 
 // Failure is the error of a call that got no answer.
@@ -74,6 +91,17 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// ReasonOf returns why a call failed: that its context ended, or else other.
+func ReasonOf(ctx context.Context, other Reason) Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Deadline
+	case ctx.Err() != nil:
+		return Canceled
+	}
+	return other
+}
+
 // Refuse returns a failure of a request that no backend server ran.
 func Refuse(reason Reason, err error) *Failure {
 	return &Failure{Verdict: NotRun, Reason: reason, Err: err}
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -80,7 +80,10 @@
 		if !step.Again || wait.For(ctx, step.Delay) != nil {
 			return nil, last
 		}
-		query.Tried = append(query.Tried, server.Server)
+		r.NewConnection = last.Reason == call.Silent
+		if !r.NewConnection {
+			query.Tried = append(query.Tried, server.Server)
+		}
 		query.NeedRoom = step.NeedRoom
 	}
 }
