Show forecast and status in the demonstration

Cause: the demonstration stopped a server by its process alone and showed neither status nor forecast. Change: it forecasts and plans a stop through the platform, asks what a larger stop would do, takes the status near the end, samples versions, and checks that no call was cut before the first fault and that the stopped server got no work 3 s after its stop began. Views of the platform moved to fescuehoist/view, for the command line and the demonstration.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -264,6 +264,20 @@
 // Reports returns the counts of each stream.
 func (g *Generator) Reports() []*Report { return g.reports }
 
+// Cut returns the number of calls so far after which the caller does not know
+// whether its request ran.
+func (g *Generator) Cut() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, fate := range g.fates {
+		if fate.Verdict == call.MayHaveRun {
+			n++
+		}
+	}
+	return n
+}
+
 // Violations compares what callers were told with the number of times that
 // each request ran, summed over all backend servers.
 func (g *Generator) Violations(runs map[string]int) []string {
--- a/fescuehoist/demo/demo.go
+++ b/fescuehoist/demo/demo.go
@@ -14,6 +14,8 @@
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/bench/fleet"
 	"fescuehoist.example/bench/load"
+	"fescuehoist.example/fescuehoist/view"
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/standin/platform"
@@ -22,7 +24,10 @@
 // Limits of the demonstration.
 const (
 	convergeLimit = 10 * time.Second
-	minDuration   = 5 * time.Second
+	minDuration   = 6 * time.Second
+	// statusInterval is the time between reports of status.
+	statusInterval = 250 * time.Millisecond
+	statusWindows  = 8
 )
 
 // Options choose what is demonstrated.
@@ -45,6 +50,10 @@
 	// every daemon had it in force, in milliseconds.
 	ConvergenceMS float64     `json:"convergence_ms"`
 	Invariants    []Invariant `json:"invariants"`
+	// Forecast answers what happens if all but one of a service's backend
+	// servers stop; Status is taken near the end.
+	Forecast *view.Forecast `json:"forecast"`
+	Status   *view.Status   `json:"status"`
 }
 
 // ClassResult is what one class got.
@@ -86,8 +95,11 @@
 	editor     *manifest.Editor
 	generator  *load.Generator
 	result     *Result
+	client     *platformhttp.Client
 	gone       []*fleet.Member
 	started    time.Time
+	versions   versions
+	planned    plannedStop
 }
 
 // Run carries the demonstration out.
@@ -108,7 +120,9 @@
 }
 
 func (d *demo) run(ctx context.Context) (*Result, error) {
-	f, err := fleet.Start(ctx, d.deployment, fleet.Options{Log: d.Log})
+	f, err := fleet.Start(ctx, d.deployment, fleet.Options{Log: d.Log, Tune: func(c *daemon.Config) {
+		c.Status.Interval, c.Status.Windows = statusInterval, statusWindows
+	}})
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +130,7 @@
 	defer func() { _ = f.Close() }()
 	client := platformhttp.NewClient(f.PlatformAddress)
 	defer client.Close()
+	d.client = client
 	d.editor = manifest.NewEditor(&platformhttp.Repository{Client: client})
 	if err := d.begin(ctx); err != nil {
 		return nil, err
@@ -128,11 +143,17 @@
 		d.generator.Run(calls)
 		close(done)
 	}()
+	sampled := make(chan struct{})
+	go func() {
+		d.versions.sample(calls, d.fleet.Members)
+		close(sampled)
+	}()
 	err = d.events(calls)
 	if err != nil {
 		endCalls()
 	}
 	<-done
+	<-sampled
 	if err != nil {
 		return nil, err
 	}
@@ -165,7 +186,7 @@
 		share float64
 		do    func(context.Context) error
 	}{
-		{0.15, d.edit}, {0.30, d.drain}, {0.45, d.kill}, {0.60, d.outage},
+		{0.10, d.edit}, {0.24, d.plan}, {0.45, d.drain}, {0.58, d.kill}, {0.65, d.outage}, {0.95, d.look},
 	} {
 		if err := d.until(ctx, step.share); err != nil {
 			return err
@@ -204,17 +225,18 @@
 	return err
 }
 
-// drain carries out a planned stop of the second server.
+// drain sends the first server of the last service away, as SIGTERM does.
 func (d *demo) drain(context.Context) error {
-	m := d.fleet.Members[1]
+	m := d.lastService()[0]
 	d.leave(m)
 	m.Stop()
-	d.say("server %s has left as planned", m.Server.Name)
+	d.say("server %s was told to leave and has left", m.Server.Name)
 	return nil
 }
 
 // kill ends the third server without warning.
 func (d *demo) kill(context.Context) error {
+	d.planned.cut = d.generator.Cut()
 	m := d.fleet.Members[2]
 	d.leave(m)
 	m.Kill()
--- a/fescuehoist/demo/report.go
+++ b/fescuehoist/demo/report.go
@@ -68,7 +68,10 @@
 	d.check("verdicts agree with what ran, and nothing that may not be repeated ran twice", violations)
 	d.check("every answer is the whole one to its own request", counted(mistaken, "answers were not"))
 	d.check("the edit is in force within 6 s", over(d.result.ConvergenceMS, 6000))
-	d.check("every live daemon has the same version in force", d.versions())
+	d.check("no daemon ever had a lower version in force than before", d.versions.reverted())
+	d.check("the planned stop and the departure cut no call", counted(d.planned.cut, "calls were cut before the kill"))
+	d.check("the stopped server got no new work 3 s after its stop began", d.planned.lateWork())
+	d.check("every live daemon has the same version in force", d.agreement())
 }
 
 func (d *demo) check(name string, details []string) {
@@ -89,7 +92,7 @@
 	return []string{fmt.Sprintf("%.0f is over %.0f", value, bound)}
 }
 
-func (d *demo) versions() []string {
+func (d *demo) agreement() []string {
 	var details []string
 	want := d.live()[0].Daemon.State().InForce
 	for _, m := range d.live() {
@@ -122,8 +125,13 @@
 	return 0
 }
 
-// Print writes the result as a table.
+// Print writes the forecast, the status, and the result as a table.
 func (r *Result) Print(w io.Writer) {
+	fmt.Fprintln(w, "\n== forecast, if all servers but one of the first service stopped in 24 h")
+	r.Forecast.Print(w)
+	fmt.Fprintln(w, "\n== status near the end")
+	r.Status.Print(w)
+	fmt.Fprintln(w, "\n== what the callers saw")
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "class\toffered\tanswered\tNotRun\tMayHaveRun\tp50 ms\tp99 ms\tgood\ttarget\tmet\t")
 	for _, c := range r.Classes {
--- a/fescuehoist/edit.go
+++ b/fescuehoist/edit.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/google/uuid"
 
 	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/fescuehoist/view"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/review"
 	"fescuehoist.example/mesh/target"
@@ -198,7 +198,7 @@
 	out.printf("accepted in between:")
 	for i := range c.Changes {
 		change := &c.Changes[i]
-		out.printf("  version %d by %s at %s (edit %s)", change.Version, change.Author, stamp(change.At), change.EditID)
+		out.printf("  version %d by %s at %s (edit %s)", change.Version, change.Author, view.Time(change.At), change.EditID)
 		differences, err := s.review.Change(ctx, table, change)
 		if err != nil {
 			return err
@@ -213,5 +213,3 @@
 	out.printf("fetch the newest with fescuehoist get, put your change in again, and apply with --expect %d", c.Found)
 	return nil
 }
-
-func stamp(t time.Time) string { return t.UTC().Format(time.RFC3339) }
--- a/fescuehoist/forecast.go
+++ b/fescuehoist/forecast.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"text/tabwriter"
 	"time"
 
+	"fescuehoist.example/fescuehoist/view"
 	"fescuehoist.example/mesh/forecast"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/stop"
@@ -24,38 +24,33 @@
 // if one is given.
 func (c *forecastCommand) Run(ctx context.Context, out *output) error {
 	return c.with(ctx, func(ctx context.Context, s *session) error {
-		v, err := s.view(ctx)
+		v, err := view.Load(ctx, s.client)
 		if err != nil {
 			return err
 		}
-		list := v.stops
+		list := v.Stops
 		horizon := c.Horizon
 		if c.given() {
-			from, err := startTime(c.Start, v.at)
+			from, err := startTime(c.Start, v.At)
 			if err != nil {
 				return err
 			}
 			one := c.stop("asked-about", "", from, c.Length)
-			if err := v.checkStop(&one); err != nil {
+			if err := checkStop(v, &one); err != nil {
 				return err
 			}
-			list = list.With(one, v.at)
-			horizon = max(horizon, one.Until.Sub(v.at))
+			list = list.With(one, v.At)
+			horizon = max(horizon, one.Until.Sub(v.At))
 		}
-		f := forecast.Run(v.input(list, horizon))
+		f := forecast.Run(v.Input(list, horizon))
 		if c.JSON {
-			return out.json(newForecastReport(f))
+			return out.json(view.NewForecast(f))
 		}
-		newForecastReport(f).print(out)
+		view.NewForecast(f).Print(out)
 		return nil
 	})
 }
 
-// input returns what a forecast with a list of planned stops rests on.
-func (v *view) input(l *stop.List, horizon time.Duration) *forecast.Input {
-	return &forecast.Input{Now: v.at, Horizon: horizon, Services: v.services, Status: v.overview, Stops: l.Stops}
-}
-
 // whatFlags say what a stop is of.
 type whatFlags struct {
 	Server []string `placeholder:"NAME" help:"Backend servers that stop."`
@@ -86,127 +81,3 @@
 	}
 	return t, nil
 }
-
-// forecastReport is a forecast as it is printed.
-type forecastReport struct {
-	From    time.Time             `json:"from"`
-	Until   time.Time             `json:"until"`
-	Classes []classForecastReport `json:"classes"`
-	Misses  []missReport          `json:"misses"`
-	Notices []noticeReport        `json:"clients_to_tell"`
-}
-
-type classForecastReport struct {
-	Class      string    `json:"class"`
-	Target     string    `json:"target"`
-	At         time.Time `json:"worst_at"`
-	Demand     float64   `json:"calls_per_second"`
-	Slots      int       `json:"slots"`
-	Load       float64   `json:"service_load"`
-	Served     float64   `json:"served_share"`
-	Good       float64   `json:"good_share"`
-	P99MS      float64   `json:"p99_ms"`
-	Met        bool      `json:"met"`
-	Confidence string    `json:"confidence"`
-}
-
-type missReport struct {
-	Class      string    `json:"class"`
-	Target     string    `json:"target"`
-	From       time.Time `json:"from"`
-	Until      time.Time `json:"until"`
-	Good       float64   `json:"good_share"`
-	Shortfall  float64   `json:"shortfall"`
-	P99MS      float64   `json:"p99_ms"`
-	Stops      []string  `json:"stops,omitempty"`
-	DueToStops bool      `json:"due_to_stops"`
-	Confidence string    `json:"confidence"`
-}
-
-type noticeReport struct {
-	Client string        `json:"client"`
-	Class  string        `json:"class"`
-	Rate   float64       `json:"calls_per_second"`
-	From   time.Time     `json:"from"`
-	Until  time.Time     `json:"until"`
-	CallBy time.Time     `json:"call_by"`
-	Left   time.Duration `json:"notice_left_ns"`
-}
-
-func newForecastReport(f *forecast.Forecast) *forecastReport {
-	r := &forecastReport{From: f.From, Until: f.Until, Misses: missReports(f.Misses)}
-	for i := range f.Classes {
-		c := &f.Classes[i]
-		r.Classes = append(r.Classes, classForecastReport{
-			Class: c.Class.String(), Target: c.Target.Target(), At: c.At, Demand: c.Demand, Slots: c.Slots, Load: c.Load,
-			Served: c.Served, Good: c.Good, P99MS: millis(c.P99), Met: c.Good >= c.Target.Success, Confidence: string(c.Confidence),
-		})
-	}
-	r.Notices = noticeReports(f.Notices)
-	return r
-}
-
-func noticeReports(notices []forecast.Notice) []noticeReport {
-	reports := []noticeReport{}
-	for _, n := range notices {
-		reports = append(reports, noticeReport{
-			Client: n.Client, Class: n.Class.String(), Rate: n.Rate, From: n.From, Until: n.Until, CallBy: n.CallBy, Left: n.Left,
-		})
-	}
-	return reports
-}
-
-func missReports(misses []forecast.Miss) []missReport {
-	reports := []missReport{}
-	for i := range misses {
-		m := &misses[i]
-		reports = append(reports, missReport{
-			Class: m.Class.String(), Target: m.Target.Target(), From: m.From, Until: m.Until, Good: m.Worst.Good,
-			Shortfall: m.Shortfall(), P99MS: millis(m.Worst.P99), Stops: m.Stops, DueToStops: m.DueToStops, Confidence: string(m.Confidence),
-		})
-	}
-	return reports
-}
-
-func (r *forecastReport) print(out *output) {
-	out.printf("forecast from %s until %s; each class at its worst moment:", stamp(r.From), stamp(r.Until))
-	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "class\ttarget\tcalls/s\tslots\tload\tserved\tgood\tp99 ms\tmet\tconfidence")
-	for _, c := range r.Classes {
-		fmt.Fprintf(t, "%s\t%s\t%.1f\t%d\t%.0f%%\t%.1f%%\t%.1f%%\t%.1f\t%s\t%s\n", c.Class, c.Target, c.Demand, c.Slots,
-			100*c.Load, 100*c.Served, 100*c.Good, c.P99MS, yesNo(c.Met), c.Confidence)
-	}
-	_ = t.Flush()
-	if len(r.Misses) == 0 {
-		out.printf("no target will be missed")
-	}
-	for i := range r.Misses {
-		out.printf("%s", &r.Misses[i])
-	}
-	printNotices(out, r.Notices)
-}
-
-// String formats the miss as one line.
-func (m *missReport) String() string {
-	line := fmt.Sprintf("%s will miss its target (%s) from %s until %s: %.1f%% good, %.1f points short; confidence %s",
-		m.Class, m.Target, stamp(m.From), stamp(m.Until), 100*m.Good, 100*m.Shortfall, m.Confidence)
-	if m.DueToStops {
-		line += fmt.Sprintf("; due to stop %v", m.Stops)
-	}
-	return line
-}
-
-// printNotices lists the clients to tell, the most urgent first.
-func printNotices(out *output, notices []noticeReport) {
-	if len(notices) == 0 {
-		return
-	}
-	out.printf("clients to tell, the most urgent first:")
-	for _, n := range notices {
-		left := fmt.Sprintf("call by %s, %s left", stamp(n.CallBy), n.Left.Round(time.Second))
-		if n.Left < 0 {
-			left = fmt.Sprintf("TOO LATE for the promised notice by %s, call now", (-n.Left).Round(time.Second))
-		}
-		out.printf("  %s, %s, %.1f calls/s: slow from %s until %s; %s", n.Client, n.Class, n.Rate, stamp(n.From), stamp(n.Until), left)
-	}
-}
--- a/fescuehoist/history.go
+++ b/fescuehoist/history.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/fescuehoist/view"
 	"fescuehoist.example/mesh/manifest"
 )
 
@@ -55,7 +56,7 @@
 		}
 		for i := len(head.Changes) - 1; i >= 0 && i >= len(head.Changes)-c.Limit; i-- {
 			change := &head.Changes[i]
-			out.printf("version %d  %s  %s  edit %s  %d updated, %d removed", change.Version, stamp(change.At),
+			out.printf("version %d  %s  %s  edit %s  %d updated, %d removed", change.Version, view.Time(change.At),
 				change.Author, change.EditID, len(change.Updated), len(change.Removed))
 			if !c.Changes {
 				continue
--- a/fescuehoist/stop.go
+++ b/fescuehoist/stop.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
 	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/fescuehoist/view"
 	"fescuehoist.example/mesh/forecast"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
@@ -36,19 +36,19 @@
 func (c *planCommand) Run(ctx context.Context, out *output) error {
 	id := uuid.NewString()[:8]
 	return c.with(ctx, func(ctx context.Context, s *session) error {
-		return s.changeStops(ctx, func(v *view) (*stop.List, error) {
-			if v.stops.Find(id) != nil {
+		return s.changeStops(ctx, func(v *view.View) (*stop.List, error) {
+			if v.Stops.Find(id) != nil {
 				return nil, nil
 			}
-			from, err := startTime(c.Start, v.at)
+			from, err := startTime(c.Start, v.At)
 			if err != nil {
 				return nil, err
 			}
 			one := c.stop(id, c.author(), from, c.Length)
-			if err := v.checkStop(&one); err != nil {
+			if err := checkStop(v, &one); err != nil {
 				return nil, err
 			}
-			list := v.stops.With(one, v.at)
+			list := v.Stops.With(one, v.At)
 			return list, c.foresee(out, v, list, &one)
 		}, func() {
 			out.printf("planned stop %s; the daemons take no new calls from its start on and come back after its end", id)
@@ -58,22 +58,22 @@
 
 // foresee prints what the stop does to the targets, and refuses it if it breaks
 // one and that was not accepted.
-func (c *planCommand) foresee(out *output, v *view, list *stop.List, one *stop.Stop) error {
-	if len(v.overview.Classes) == 0 {
+func (c *planCommand) foresee(out *output, v *view.View, list *stop.List, one *stop.Stop) error {
+	if len(v.Overview.Classes) == 0 {
 		out.printf("no status has been reported yet, so nothing can be foreseen")
 		return c.accept()
 	}
-	horizon := one.Until.Sub(v.at)
-	in := v.input(list, horizon)
-	added := forecast.Compare(forecast.Run(v.input(v.stops, horizon)), forecast.Run(in))
+	horizon := one.Until.Sub(v.At)
+	in := v.Input(list, horizon)
+	added := forecast.Compare(forecast.Run(v.Input(v.Stops, horizon)), forecast.Run(in))
 	if len(added) == 0 {
 		out.printf("the stop breaks no target")
 		return nil
 	}
-	for _, m := range missReports(added) {
+	for _, m := range view.Misses(added) {
 		out.printf("%s", &m)
 	}
-	printNotices(out, noticeReports(forecast.Notices(in, added)))
+	view.PrintNotices(out, view.Notices(forecast.Notices(in, added)))
 	return c.accept()
 }
 
@@ -86,20 +86,20 @@
 }
 
 // checkStop reports what is wrong with a stop as it stands.
-func (v *view) checkStop(s *stop.Stop) error {
+func checkStop(v *view.View, s *stop.Stop) error {
 	if err := s.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", errInput, err)
 	}
-	if !s.Until.After(v.at) {
-		return fmt.Errorf("%w: the stop would end at %s, in the past", errInput, stamp(s.Until))
+	if !s.Until.After(v.At) {
+		return fmt.Errorf("%w: the stop would end at %s, in the past", errInput, view.Time(s.Until))
 	}
-	if len(v.stops.Stops) >= stop.MaxStops {
+	if len(v.Stops.Stops) >= stop.MaxStops {
 		return fmt.Errorf("%w: %d stops are planned already; cancel one first", errInput, stop.MaxStops)
 	}
 	known, domain := map[member.ServerID]bool{}, false
-	for i := range v.overview.Servers {
-		known[v.overview.Servers[i].Server] = true
-		domain = domain || v.overview.Servers[i].Domain == s.Domain
+	for i := range v.Overview.Servers {
+		known[v.Overview.Servers[i].Server] = true
+		domain = domain || v.Overview.Servers[i].Domain == s.Domain
 	}
 	for _, name := range s.Servers {
 		if !known[name] {
@@ -115,11 +115,11 @@
 // changeStops makes a conditional change of the planned stops. It decides again
 // after a conflict, and after a write of unknown outcome. A nil list from
 // decide says that the change is there already.
-func (s *session) changeStops(ctx context.Context, decide func(*view) (*stop.List, error), done func()) error {
+func (s *session) changeStops(ctx context.Context, decide func(*view.View) (*stop.List, error), done func()) error {
 	store := &platformhttp.StatusStore{Client: s.client}
 	var written error
 	for {
-		v, err := s.view(ctx)
+		v, err := view.Load(ctx, s.client)
 		if err != nil {
 			return errors.Join(written, err)
 		}
@@ -162,7 +162,7 @@
 		if err != nil {
 			return err
 		}
-		reports := stopReports(list, time.Now())
+		reports := view.Stops(list, time.Now())
 		if c.JSON {
 			return out.json(reports)
 		}
@@ -185,11 +185,11 @@
 func (c *cancelCommand) Run(ctx context.Context, out *output) error {
 	found := false
 	return c.with(ctx, func(ctx context.Context, s *session) error {
-		return s.changeStops(ctx, func(v *view) (*stop.List, error) {
+		return s.changeStops(ctx, func(v *view.View) (*stop.List, error) {
 			switch {
-			case v.stops.Find(c.ID) != nil:
+			case v.Stops.Find(c.ID) != nil:
 				found = true
-				return v.stops.Without(c.ID, v.at), nil
+				return v.Stops.Without(c.ID, v.At), nil
 			case found:
 				return nil, nil
 			}
@@ -197,50 +197,3 @@
 		}, func() { out.printf("cancelled stop %s", c.ID) })
 	})
 }
-
-// stopReport is a planned stop as it is printed.
-type stopReport struct {
-	ID      string            `json:"id"`
-	Author  string            `json:"author"`
-	Servers []member.ServerID `json:"servers,omitempty"`
-	Domain  string            `json:"domain,omitempty"`
-	From    time.Time         `json:"from"`
-	Until   time.Time         `json:"until"`
-	State   string            `json:"state"`
-}
-
-func stopReports(l *stop.List, at time.Time) []stopReport {
-	reports := []stopReport{}
-	for i := range l.Stops {
-		reports = append(reports, newStopReport(&l.Stops[i], at))
-	}
-	return reports
-}
-
-func newStopReport(s *stop.Stop, at time.Time) stopReport {
-	state := "planned"
-	switch {
-	case s.Active(at):
-		state = "under way"
-	case !s.Until.After(at):
-		state = "ended"
-	}
-	return stopReport{ID: s.ID, Author: s.Author, Servers: s.Servers, Domain: s.Domain, From: s.From, Until: s.Until, State: state}
-}
-
-// String formats the stop as one line.
-func (r *stopReport) String() string {
-	return fmt.Sprintf("stop %s of %s by %s: from %s until %s, %s", r.ID, r.subject(), r.Author,
-		stamp(r.From), stamp(r.Until), r.State)
-}
-
-func (r *stopReport) subject() string {
-	var parts []string
-	for _, s := range r.Servers {
-		parts = append(parts, string(s))
-	}
-	if r.Domain != "" {
-		parts = append(parts, "failure domain "+r.Domain)
-	}
-	return strings.Join(parts, ", ")
-}
