--- a/adapters/platformhttp/repository.go
+++ b/adapters/platformhttp/repository.go
@@ -158,15 +158,16 @@
 }
 
 // putContent stores content under a key that names it. An object that is there
-// already stays if it is good and is replaced if it is not.
+// already stays if it is good and is replaced if it is not. After a lost answer
+// the object that is there tells whether the write took effect.
 func (r *Repository) putContent(ctx context.Context, key string, value any, check func(*Object) error) error {
 	_, err := r.Client.Put(ctx, key, value, 0)
-	if !errors.Is(err, manifest.ErrConflict) {
+	if !errors.Is(err, manifest.ErrConflict) && !errors.Is(err, manifest.ErrUnknown) {
 		return err
 	}
-	o, err := r.Client.Get(ctx, key)
-	if err != nil {
-		return err
+	o, readErr := r.Client.Get(ctx, key)
+	if readErr != nil {
+		return errors.Join(err, readErr)
 	}
 	if check(o) == nil {
 		return nil
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -205,12 +205,12 @@
 
 // AwaitVersion waits until every given member has a version in force.
 func (f *Fleet) AwaitVersion(ctx context.Context, members []*Member, v manifest.Version) error {
-	return f.await(ctx, members, func(s daemon.State) bool { return s.InForce >= v })
+	return f.Await(ctx, members, func(s daemon.State) bool { return s.InForce >= v })
 }
 
 // AwaitReady waits until every given member sees count ready servers.
 func (f *Fleet) AwaitReady(ctx context.Context, members []*Member, count int) error {
-	return f.await(ctx, members, func(s daemon.State) bool {
+	return f.Await(ctx, members, func(s daemon.State) bool {
 		n := 0
 		for _, m := range s.Members {
 			if m.State == "ready" && m.Health != "failed" {
@@ -221,7 +221,8 @@
 	})
 }
 
-func (f *Fleet) await(ctx context.Context, members []*Member, reached func(daemon.State) bool) error {
+// Await waits until the state of every given member is as wanted.
+func (f *Fleet) Await(ctx context.Context, members []*Member, reached func(daemon.State) bool) error {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for _, m := range members {
--- a/bench/fleet/tls_test.go
+++ b/bench/fleet/tls_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/adapters/tlsfiles"
@@ -79,12 +80,12 @@
 	if err := f.AwaitReady(ctx, f.Members, len(f.Members)); err != nil {
 		t.Fatal(err)
 	}
-	caller := &fasthttp.Client{TLSConfig: source.Client("127.0.0.1")}
-	defer caller.CloseIdleConnections()
-	for range 40 {
-		for _, m := range f.Members {
-			get(t, caller, "https://"+m.Callers+"/")
+	for _, m := range f.Members {
+		caller := httpconn.NewPool(m.Callers, tlsfiles.Dial(nil, source.Client("127.0.0.1")))
+		for range 40 {
+			get(ctx, t, caller)
 		}
+		caller.Close()
 	}
 	for _, m := range f.Members {
 		if len(m.Backend.Runs()) == 0 {
@@ -93,16 +94,15 @@
 	}
 }
 
-func get(t *testing.T, c *fasthttp.Client, uri string) {
+func get(ctx context.Context, t *testing.T, caller *httpconn.Pool) {
 	t.Helper()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(uri)
-	req.UseHostHeader = true
+	req.SetRequestURI("/")
 	req.Header.SetHost("lookup")
 	req.Header.Set("X-Request-Id", uuid.NewString())
-	if err := c.DoTimeout(req, resp, waitLimit); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+	if err := caller.Do(ctx, req, resp); err != nil || resp.StatusCode() != fasthttp.StatusOK {
 		t.Fatalf("status %d, error %v, %s", resp.StatusCode(), err, resp.Body())
 	}
 }
--- a/mesh/manifest/manifesttest/history.go
+++ b/mesh/manifest/manifesttest/history.go
@@ -41,22 +41,34 @@
 
 // EditBodies adds the next version, whose bodies may be any.
 func (h *History) EditBodies(services []*target.Service, bodies []manifest.Body) {
-	last := h.Tables[len(h.Tables)-1]
-	c := manifest.Change{
-		Version: last.Version + 1, EditID: fmt.Sprintf("%s-%d", h.name, last.Version+1),
-		Author: "test", At: time.Unix(1, 0).UTC(),
-	}
+	c := h.next()
 	for i, s := range services {
 		c.Updated = append(c.Updated, manifest.Ref{Service: s.Name, Digest: bodies[i].Digest})
 		h.Bodies[bodies[i].Digest] = bodies[i]
 	}
-	next, err := last.Apply(&c)
+	h.add(c)
+}
+
+// Remove adds the next version, which lacks a service.
+func (h *History) Remove(service string) {
+	c := h.next()
+	c.Removed = []string{service}
+	h.add(c)
+}
+
+func (h *History) next() *manifest.Change {
+	v := h.Version() + 1
+	return &manifest.Change{Version: v, EditID: fmt.Sprintf("%s-%d", h.name, v), Author: "test", At: time.Unix(1, 0).UTC()}
+}
+
+func (h *History) add(c *manifest.Change) {
+	next, err := h.Tables[h.Version()].Apply(c)
 	if err != nil {
 		panic(err)
 	}
 	c.Table = next.Digest()
 	h.Tables = append(h.Tables, next)
-	h.Changes = append(h.Changes, c)
+	h.Changes = append(h.Changes, *c)
 }
 
 // Version returns the newest version.
