Compare servers per class, hold slots for urgent classes, eject failing servers

Three things together: a server's mean service time over all classes said more about its mix of calls than about its speed, so calls crowded on servers with few exports; a new server's limit grew too slowly for slow classes; and 200 ms exports held every slot at once.

Change: answers carry the service time of their own class, and servers are compared by it. The limit of a new server grows by half a slot a call until it first falls. Less urgent classes leave free the slots that a more urgent class used of late, up to the share that it keeps. A server that cannot be reached, or fails three calls in a row, is left out for 0.2 s, doubled up to 5 s, unless more than half of the service would be. Observations of servers not called for a minute are dropped when their number has doubled.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -23,7 +23,7 @@
 }
 
 // Load returns the number of calls that run.
-func (g *OpenGate) Load() call.Load { return call.Load{Running: int(g.running.Load())} }
+func (g *OpenGate) Load(string) call.Load { return call.Load{Running: int(g.running.Load())} }
 
 // SetSlots does nothing.
 func (g *OpenGate) SetSlots(int) {}
@@ -107,7 +107,7 @@
 }
 
 // Load returns the gate's load.
-func (g *FIFOGate) Load() call.Load {
+func (g *FIFOGate) Load(string) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return call.Load{Running: g.running, Queued: len(g.waiting), Limit: g.slots}
--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"fescuehoist.example/mesh/target"
@@ -19,6 +20,10 @@
 	minPatience = 0.25
 	// serviceGain is the weight of one call in the mean service time.
 	serviceGain = 0.05
+	// demandWindow is the time over which the demand of a class is averaged.
+	demandWindow = 300 * time.Millisecond
+	// demandSlack is the demand for which no slot is held.
+	demandSlack = 0.1
 	// maxClasses bounds the classes remembered.
 	maxClasses = 256
 )
@@ -33,6 +38,9 @@
 	service, unloaded time.Duration
 	// due is when the next call of the share that the class keeps may start.
 	due time.Time
+	// demand is the mean number of calls that run or wait, as of observed.
+	demand   float64
+	observed time.Time
 }
 
 // classes holds the classes by name.
@@ -62,25 +70,21 @@
 	}
 }
 
-// next returns the class whose waiter is to be admitted: the one that is
-// longest overdue for its share, else the most urgent. Some call must wait.
-func (cs classes) next(now time.Time) *class {
-	var overdue, urgent *class
-	for _, c := range cs {
-		if c.queue.len() == 0 {
-			continue
-		}
-		if c.target.Keep > 0 && !c.due.After(now) && (overdue == nil || c.due.Before(overdue.due)) {
-			overdue = c
-		}
-		if urgent == nil || c.before(urgent) {
-			urgent = c
-		}
-	}
-	if overdue != nil {
-		return overdue
-	}
-	return urgent
+// overdue reports whether the class has had less than the share that it keeps.
+func (c *class) overdue(now time.Time) bool { return c.target.Keep > 0 && !c.due.After(now) }
+
+// observe takes the calls that run and wait into the mean demand, before they
+// change.
+func (c *class) observe(now time.Time) {
+	passed := now.Sub(c.observed)
+	c.observed = now
+	c.demand += (float64(c.running+c.queue.len()) - c.demand) * (1 - math.Exp(-float64(passed)/float64(demandWindow)))
+}
+
+// held returns the slots that less urgent classes leave to this one: what it
+// used of late, up to the share that it keeps.
+func (c *class) held(limit float64) float64 {
+	return min(math.Ceil(c.demand-demandSlack), c.target.Keep*limit)
 }
 
 // before orders classes by rank; those of one rank take turns by their dues.
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -22,13 +22,11 @@
 // has had the least of the share that it keeps, then to the most urgent class;
 // within a class, clients take turns.
 type Gate struct {
-	mu      sync.Mutex
-	limit   limiter
-	running int
-	queued  int
-	classes classes
-	// service is the mean service time of all classes.
-	service  time.Duration
+	mu       sync.Mutex
+	limit    limiter
+	running  int
+	queued   int
+	classes  classes
 	draining bool
 	idle     chan struct{}
 }
@@ -108,7 +106,8 @@
 		}
 		w.expires = earlier(w.expires, latest)
 	}
-	if g.running < g.limit.value() && g.queued == 0 {
+	c.observe(now)
+	if g.running < g.limit.value() && c.queue.len() == 0 && g.mayStart(c, now) {
 		g.admit(w, now)
 		return w, nil
 	}
@@ -159,7 +158,7 @@
 		if other == c {
 			continue
 		}
-		used := float64(other.running + other.queue.len())
+		used := max(float64(other.running+other.queue.len()), other.held(limit))
 		if other.target.Rank > c.target.Rank {
 			used = min(used, other.target.Keep*limit)
 		}
@@ -168,6 +167,46 @@
 	return max(slots, c.target.Keep*limit)
 }
 
+// mayStart reports whether a free slot may go to a class, rather than be held
+// for more urgent ones.
+func (g *Gate) mayStart(c *class, now time.Time) bool {
+	if c.overdue(now) {
+		return true
+	}
+	limit := float64(g.limit.value())
+	running, open := 0, limit
+	for _, other := range g.classes {
+		if other.target.Rank < c.target.Rank {
+			open -= other.held(limit)
+			continue
+		}
+		running += other.running
+	}
+	return float64(running) < max(open, 1)
+}
+
+// next returns the class whose waiter is to be admitted, or nil if the free
+// slots are held for others: the class that is longest overdue for its share,
+// else the most urgent one.
+func (g *Gate) next(now time.Time) *class {
+	var overdue, urgent *class
+	for _, c := range g.classes {
+		if c.queue.len() == 0 {
+			continue
+		}
+		if c.overdue(now) && (overdue == nil || c.due.Before(overdue.due)) {
+			overdue = c
+		}
+		if (urgent == nil || c.before(urgent)) && g.mayStart(c, now) {
+			urgent = c
+		}
+	}
+	if overdue != nil {
+		return overdue
+	}
+	return urgent
+}
+
 // refuse ends the wait of a call that was taken out of its queue.
 func (g *Gate) refuse(w *waiter, reason call.Reason, err error) {
 	g.queued--
@@ -192,6 +231,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.learn(w, now.Sub(w.started), err)
+	w.class.observe(now)
 	g.running--
 	w.class.running--
 	g.admitNext(now)
@@ -209,7 +249,6 @@
 			return
 		}
 	}
-	g.service = mean(g.service, took, serviceGain)
 	alone := g.running <= max(g.limit.value()/2, 1) || g.limit.atFloor()
 	g.limit.ended(w.class.learn(took, alone), g.running)
 }
@@ -217,7 +256,11 @@
 // admitNext fills the free slots from the queues.
 func (g *Gate) admitNext(now time.Time) {
 	for g.running < g.limit.value() && g.queued > 0 {
-		w := g.classes.next(now).queue.pop()
+		c := g.next(now)
+		if c == nil {
+			return
+		}
+		w := c.queue.pop()
 		if !now.Before(w.expires) {
 			g.refuse(w, call.Deadline, errTooLate)
 			continue
@@ -277,9 +320,13 @@
 	}
 }
 
-// Load returns the gate's load.
-func (g *Gate) Load() call.Load {
+// Load returns the gate's load, with the service time of the named class.
+func (g *Gate) Load(class string) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value(), Service: g.service}
+	load := call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
+	if c := g.classes[class]; c != nil {
+		load.Service = c.service
+	}
+	return load
 }
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -16,6 +16,9 @@
 	// growth is how much the limit grows while as many calls run as it allows
 	// and end.
 	growth = 1.0
+	// startGrowth is by how much each call raises the limit of a new server,
+	// until calls take too long for the first time.
+	startGrowth = 0.5
 	// shedFactor is what is left of the limit after the server shed a call.
 	shedFactor = 0.9
 	// busyShare is the part of the limit from which on a server counts as busy.
@@ -30,6 +33,8 @@
 	limit float64
 	// ratio is the mean of the times that calls took over their unloaded ones.
 	ratio float64
+	// settled says that the limit has fallen or reached the slots before.
+	settled bool
 }
 
 func (l *limiter) setSlots(slots int) {
@@ -72,8 +77,13 @@
 	switch {
 	case l.ratio > tolerated:
 		l.limit *= 1 - fallGain*(1-tolerated/l.ratio)
-	case float64(running) >= busyShare*l.limit:
+		l.settled = true
+	case float64(running) < busyShare*l.limit:
+	case l.settled:
 		l.limit += growth / max(l.limit, 1)
+	default:
+		l.limit += startGrowth
 	}
+	l.settled = l.settled || l.limit >= float64(l.slots)
 	l.bound()
 }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -38,7 +38,8 @@
 type Load struct {
 	// Running and Queued count calls; Limit is how many may run at once.
 	Running, Queued, Limit int
-	// Service is the mean time that calls run, 0 if not known yet.
+	// Service is the mean time that calls of the answered call's class run, 0
+	// if not known.
 	Service time.Duration
 }
 
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -63,7 +63,7 @@
 // send makes the attempts of a call.
 func (p *Outer) send(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.First(r.Service)
-	var query route.Query
+	query := route.Query{Class: r.ClassName}
 	var last *call.Failure
 	for {
 		server := p.pick(r.Service, query)
@@ -105,7 +105,7 @@
 	} else {
 		answer, err = p.Remote.Forward(ctx, server.CallAddress, r)
 	}
-	var o route.Outcome
+	o := route.Outcome{Class: r.ClassName}
 	if answer != nil {
 		o.Load = answer.Load
 	}
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -11,15 +11,6 @@
 	"fescuehoist.example/mesh/member"
 )
 
-// LoadLifetime is how long a reported load counts.
-const LoadLifetime = time.Second
-
-// RefusalLifetime is how long a backend server that refused a call is avoided.
-const RefusalLifetime = 50 * time.Millisecond
-
-// RoomLifetime is how long a server is thought to have the room that it had.
-const RoomLifetime = 200 * time.Millisecond
-
 const (
 	// crossingCost is the time that a call takes to another failure domain and
 	// back.
@@ -28,6 +19,13 @@
 	defaultService = 50 * time.Millisecond
 	// draws is the number of random servers that are compared.
 	draws = 2
+	// maxEjected is the share of a service's servers that may be left out; if
+	// more fail, none is.
+	maxEjected = 0.5
+	// minSeen is the number of servers below which none is dropped, and
+	// forgetAfter how long a server goes without calls before it may be.
+	minSeen     = 64
+	forgetAfter = time.Minute
 	// anywhere stands for any failure domain.
 	anywhere = ""
 )
@@ -38,25 +36,19 @@
 
 	mu   sync.Mutex
 	seen map[member.ServerID]*observation
-}
-
-// observation is what this daemon knows of one backend server's load.
-type observation struct {
-	inflight int
-	load     call.Load
-	loadAt   time.Time
-	// inflightThen is what was in flight when the load was reported.
-	inflightThen int
-	refusedAt    time.Time
+	// forgetAt is the number of servers at which old ones are dropped.
+	forgetAt int
 }
 
 // NewPicker returns a picker for a daemon in the given failure domain.
 func NewPicker(domain string) *Picker {
-	return &Picker{domain: domain, seen: map[member.ServerID]*observation{}}
+	return &Picker{domain: domain, seen: map[member.ServerID]*observation{}, forgetAt: minSeen}
 }
 
 // Query says what a call needs of a server.
 type Query struct {
+	// Class names the class of the call.
+	Class string
 	// Tried lists the servers that the call was sent to already.
 	Tried []member.ServerID
 	// NeedRoom asks for a server that likely has room.
@@ -65,6 +57,8 @@
 
 // Outcome is what a call told of its server.
 type Outcome struct {
+	// Class names the class of the call.
+	Class string
 	// Load is zero if the answer carried none.
 	Load call.Load
 	// Failure is nil if the call was answered.
@@ -79,25 +73,28 @@
 	defer p.mu.Unlock()
 	chosen := p.choose(s.Servers, q)
 	if chosen != nil {
-		p.observe(chosen.Server).inflight++
+		o := p.observe(chosen.Server)
+		o.inflight++
+		o.usedAt = time.Now()
 	}
 	return chosen
 }
 
 func (p *Picker) choose(servers []*member.Record, q Query) *member.Record {
 	if q.NeedRoom {
-		return p.roomy(servers, q.Tried)
+		return p.roomy(servers, q)
 	}
+	d := draw{picker: p, servers: servers, tried: q.Tried, now: time.Now()}
 	var best *member.Record
 	for range draws {
-		best = p.cheaper(best, p.draw(servers, q.Tried, best, anywhere))
+		best = p.cheaper(q.Class, best, d.next(best, anywhere))
 	}
-	return p.cheaper(best, p.draw(servers, q.Tried, best, p.domain))
+	return p.cheaper(q.Class, best, d.next(best, p.domain))
 }
 
 // cheaper returns the server with the lower cost; either may be nil.
-func (p *Picker) cheaper(a, b *member.Record) *member.Record {
-	if a == nil || (b != nil && p.cost(b) < p.cost(a)) {
+func (p *Picker) cheaper(class string, a, b *member.Record) *member.Record {
+	if a == nil || (b != nil && p.cost(class, b) < p.cost(class, a)) {
 		return b
 	}
 	return a
@@ -107,16 +104,17 @@
 const maxLooked = 16
 
 // roomy returns the cheapest of some servers that likely have room, or nil.
-func (p *Picker) roomy(servers []*member.Record, tried []member.ServerID) *member.Record {
+func (p *Picker) roomy(servers []*member.Record, q Query) *member.Record {
 	var best *member.Record
+	now := time.Now()
 	for i, r := range around(servers) {
 		if i >= maxLooked {
 			break
 		}
-		if slices.Contains(tried, r.Server) || !p.hasRoom(r) {
+		if slices.Contains(q.Tried, r.Server) || !p.observe(r.Server).hasRoom(now) {
 			continue
 		}
-		if best == nil || p.cost(r) < p.cost(best) {
+		if best == nil || p.cost(q.Class, r) < p.cost(q.Class, best) {
 			best = r
 		}
 	}
@@ -138,44 +136,68 @@
 	}
 }
 
-// hasRoom reports whether a server said of late that it has a free slot, and
-// did not refuse a call since.
-func (p *Picker) hasRoom(r *member.Record) bool {
-	o := p.observe(r.Server)
-	return time.Since(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) &&
-		o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
+// draw is one call's choice of random servers.
+type draw struct {
+	picker  *Picker
+	servers []*member.Record
+	tried   []member.ServerID
+	now     time.Time
+	// counted says that keepEjected is known: whether so many servers fail
+	// that none is left out.
+	counted, keepEjected bool
 }
 
-// draw returns a random server of a failure domain, or of any, that was not
-// tried and is not other.
-func (p *Picker) draw(servers []*member.Record, tried []member.ServerID, other *member.Record, domain string) *member.Record {
-	for _, r := range around(servers) {
-		if r == other || (domain != anywhere && r.Domain != domain) || slices.Contains(tried, r.Server) {
+// next returns a random server of a failure domain, or of any, that was not
+// tried, is not ejected and is not other.
+func (d *draw) next(other *member.Record, domain string) *member.Record {
+	for _, r := range around(d.servers) {
+		if r == other || (domain != anywhere && r.Domain != domain) || slices.Contains(d.tried, r.Server) {
 			continue
 		}
-		return r
+		if !d.leftOut(r) {
+			return r
+		}
 	}
 	return nil
 }
 
-// cost estimates how long a call would take, the more so the less room the
-// server has.
-func (p *Picker) cost(r *member.Record) time.Duration {
-	o := p.observe(r.Server)
-	busy, limit, service := o.inflight, max(r.Slots, 1), defaultService
-	if time.Since(o.loadAt) < LoadLifetime {
-		busy = max(busy, o.load.Running+o.load.Queued+o.inflight-o.inflightThen)
-		limit = max(o.load.Limit, 1)
+func (d *draw) leftOut(r *member.Record) bool {
+	if !d.picker.observe(r.Server).ejected(d.now) {
+		return false
+	}
+	if !d.counted {
+		d.keepEjected = !d.picker.mayEject(d.servers, d.now)
+		d.counted = true
 	}
-	if o.load.Service > 0 {
-		service = o.load.Service
+	return !d.keepEjected
+}
+
+// mayEject reports whether few enough servers are ejected to leave them out.
+func (p *Picker) mayEject(servers []*member.Record, now time.Time) bool {
+	n := 0
+	for _, r := range servers {
+		if p.observe(r.Server).ejected(now) {
+			n++
+		}
+	}
+	return float64(n) <= maxEjected*float64(len(servers))
+}
+
+// cost estimates how long a call of a class would take, the more so the less room the
+// server has.
+func (p *Picker) cost(class string, r *member.Record) time.Duration {
+	o, now := p.observe(r.Server), time.Now()
+	busy, limit := o.busy(r.Slots, now)
+	service := o.services[class]
+	if service == 0 {
+		service = defaultService
 	}
 	share := float64(busy+1) / float64(limit)
 	cost := service + time.Duration(share*float64(service))
 	if r.Domain != p.domain {
 		cost += crossingCost
 	}
-	if r.Health == member.Suspected || time.Since(o.refusedAt) < RefusalLifetime {
+	if r.Health == member.Suspected || now.Sub(o.refusedAt) < RefusalLifetime {
 		cost += service
 	}
 	return cost
@@ -187,20 +209,30 @@
 	defer p.mu.Unlock()
 	o := p.observe(server)
 	o.inflight--
-	now := time.Now()
-	if out.Load.Limit > 0 {
-		o.load, o.loadAt, o.inflightThen = out.Load, now, o.inflight
-	}
-	if out.Failure != nil {
-		o.refusedAt = now
-	}
+	o.note(out, time.Now())
 }
 
 func (p *Picker) observe(server member.ServerID) *observation {
 	o := p.seen[server]
 	if o == nil {
-		o = &observation{}
+		p.forget()
+		o = &observation{services: map[string]time.Duration{}}
 		p.seen[server] = o
 	}
 	return o
 }
+
+// forget drops servers that were not called for long, whenever the number of
+// servers has doubled since the last time.
+func (p *Picker) forget() {
+	if len(p.seen) < p.forgetAt {
+		return
+	}
+	now := time.Now()
+	for id, o := range p.seen {
+		if o.inflight == 0 && now.Sub(o.usedAt) > forgetAfter {
+			delete(p.seen, id)
+		}
+	}
+	p.forgetAt = max(2*len(p.seen), minSeen)
+}
