Leave calls open at a lost daemon out of the bound of the others

Change: such calls are shown as severed and no bound counts them; wrong answers, cuts by other daemons and refusals still count.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -22,8 +22,11 @@
 	return func(error) { g.running.Add(-1) }, nil
 }
 
+// LoadFor returns the gate's load.
+func (g *OpenGate) LoadFor(string) call.Load { return g.Load() }
+
 // Load returns the number of calls that run.
-func (g *OpenGate) Load(string) call.Load { return call.Load{Running: int(g.running.Load())} }
+func (g *OpenGate) Load() call.Load { return call.Load{Running: int(g.running.Load())} }
 
 // SetSlots does nothing.
 func (g *OpenGate) SetSlots(int) {}
@@ -106,8 +109,11 @@
 	}
 }
 
+// LoadFor returns the gate's load.
+func (g *FIFOGate) LoadFor(string) call.Load { return g.Load() }
+
 // Load returns the gate's load.
-func (g *FIFOGate) Load(string) call.Load {
+func (g *FIFOGate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return call.Load{Running: g.running, Queued: len(g.waiting), Limit: g.slots}
--- a/bench/calls/result.go
+++ b/bench/calls/result.go
@@ -17,6 +17,9 @@
 	// floodedGood is the share of its entitlement that a flooded most urgent
 	// class must turn into good calls.
 	floodedGood = 0.9
+	// severed is the reason of calls that were open at a daemon when it was
+	// lost: no daemon is left to answer them, so no bound counts them.
+	severed = "caller: cut"
 )
 
 // Figure is one measured value with its bound.
@@ -49,7 +52,9 @@
 	GoodShare  float64 `json:"good_share"`
 	NotRun     int     `json:"not_run"`
 	MayHaveRun int     `json:"may_have_run"`
-	Wasted     int     `json:"wasted"`
+	// Severed counts the calls that were open at a daemon when it was lost.
+	Severed int `json:"severed"`
+	Wasted  int `json:"wasted"`
 	// Attempts is per call.
 	Attempts float64 `json:"attempts"`
 	P50MS    float64 `json:"p50_ms"`
@@ -99,6 +104,9 @@
 	var offered, good, attempts int
 	for _, i := range m.streams {
 		offered += reports[i].Offered
+		if s.LoseDomain {
+			offered -= reports[i].Reasons[severed]
+		}
 		good += reports[i].Good
 		attempts += reports[i].Attempts
 	}
@@ -134,7 +142,7 @@
 func cut(reports []*load.Report) int {
 	n := 0
 	for _, r := range reports {
-		n += r.Mistaken + r.Reasons["cut"] + r.Reasons["caller: cut"] + r.Reasons["no verdict"]
+		n += r.Mistaken + r.Reasons["cut"] + r.Reasons[severed] + r.Reasons["no verdict"]
 	}
 	return n
 }
@@ -143,7 +151,7 @@
 	return &Row{
 		Class: r.Stream.Service + "/" + r.Stream.Class, Clients: len(r.Stream.Clients),
 		Offered: r.Offered, Good: r.Good, GoodShare: share(r.Good, r.Offered),
-		NotRun: r.NotRun, MayHaveRun: r.MayHaveRun, Wasted: r.Wasted, Attempts: share(r.Attempts, r.Offered),
+		NotRun: r.NotRun, MayHaveRun: r.MayHaveRun, Severed: r.Reasons[severed], Wasted: r.Wasted, Attempts: share(r.Attempts, r.Offered),
 		P50MS: quantile(r.Latency, 50), P99MS: quantile(r.Latency, 99), P999MS: quantile(r.Latency, 99.9),
 		LateP99MS: quantile(r.Late, 99), Reasons: r.Reasons,
 	}
@@ -159,10 +167,10 @@
 		fmt.Fprintln(w, f)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, r.Name+"\toffered\tgood\tgood %\tNotRun\tMayHaveRun\twasted\tattempts\tp50 ms\tp99 ms\tp99.9 ms\tgenerator late p99 ms\t")
+	fmt.Fprintln(t, r.Name+"\toffered\tgood\tgood %\tNotRun\tMayHaveRun\tsevered\twasted\tattempts\tp50 ms\tp99 ms\tp99.9 ms\tgenerator late p99 ms\t")
 	for _, row := range r.Rows {
-		fmt.Fprintf(t, "%s (%d clients)\t%d\t%d\t%.2f\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", row.Class, row.Clients,
-			row.Offered, row.Good, 100*row.GoodShare, row.NotRun, row.MayHaveRun, row.Wasted, row.Attempts,
+		fmt.Fprintf(t, "%s (%d clients)\t%d\t%d\t%.2f\t%d\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", row.Class, row.Clients,
+			row.Offered, row.Good, 100*row.GoodShare, row.NotRun, row.MayHaveRun, row.Severed, row.Wasted, row.Attempts,
 			row.P50MS, row.P99MS, row.P999MS, row.LateP99MS)
 	}
 	_ = t.Flush()
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -4,6 +4,7 @@
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/announce"
+	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
@@ -13,6 +14,7 @@
 type Gate interface {
 	proxy.Gate
 	announce.Gate
+	Load() call.Load
 }
 
 // Policy is what decides about calls under load. Each daemon needs its own.
--- a/fescuehoistd/daemon/state.go
+++ b/fescuehoistd/daemon/state.go
@@ -51,7 +51,7 @@
 
 // State returns the daemon's current state.
 func (d *Daemon) State() State {
-	load := d.gate.Load("")
+	load := d.gate.Load()
 	s := State{
 		Server: d.cfg.Settings.Server, Domain: d.cfg.Settings.Domain,
 		State:   d.announcer.State().String(),
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -320,8 +320,11 @@
 	}
 }
 
-// Load returns the gate's load, with the service time of the named class.
-func (g *Gate) Load(class string) call.Load {
+// Load returns the gate's load.
+func (g *Gate) Load() call.Load { return g.LoadFor("") }
+
+// LoadFor returns the gate's load, with the service time of the named class.
+func (g *Gate) LoadFor(class string) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load := call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer.Load = p.Gate.Load(r.ClassName)
+	answer.Load = p.Gate.LoadFor(r.ClassName)
 	return answer, nil
 }
 
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -15,8 +15,8 @@
 	// call's error and ends it. An error of Enter is a *call.Failure with
 	// verdict NotRun.
 	Enter(ctx context.Context, r *call.Request) (func(error), error)
-	// Load returns the load, with the service time of the named class.
-	Load(class string) call.Load
+	// LoadFor returns the load, with the service time of the named class.
+	LoadFor(class string) call.Load
 }
 
 // Picker chooses a backend server for each call and learns from its outcome.
