Measure what gathering status costs

Cause: the design size allows 25 KB a second and daemon for all control, and platform writes must not grow with the fleet. Change: bench-status runs the collectors of a domain of up to 2,000 daemons and 3,300 services with counted messages; a summary covers 32 services instead of 64; a starting daemon reports after a second, to learn of a stop under way.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 trial:
 	tools/trial/processes.sh
 
-.PHONY: bench bench-calls bench-forecast
-bench: bench-calls bench-forecast
+.PHONY: bench bench-calls bench-forecast bench-status
+bench: bench-calls bench-forecast bench-status
 
 # What each class of work gets under load and faults.
 bench-calls:
@@ -30,6 +30,10 @@
 bench-forecast:
 	go run ./bench/cmd/bench-forecast $(BENCH_FLAGS)
 
+# What gathering status costs a failure domain.
+bench-status:
+	go run ./bench/cmd/bench-status
+
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet $(PACKAGES)
--- a/adapters/platformhttp/status.go
+++ b/adapters/platformhttp/status.go
@@ -132,6 +132,15 @@
 	return summaries, unreadable, nil
 }
 
+// SummarySize returns the number of bytes of a summary as it is stored.
+func SummarySize(s *status.Summary) int {
+	data, err := json.Marshal(summaryToJSON(s))
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
 func summaryToJSON(s *status.Summary) *summaryJSON {
 	out := &summaryJSON{
 		Domain: s.Domain, Shard: s.Shard, At: s.At, By: string(s.By), WindowMS: s.Window.Milliseconds(),
--- a/adapters/statusgrpc/codec.go
+++ b/adapters/statusgrpc/codec.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fescuehoist.example/adapters/statusgrpc/statuspb"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
@@ -12,6 +14,9 @@
 	"fescuehoist.example/mesh/target"
 )
 
+// Size returns the number of bytes of a report as it is sent.
+func Size(r *status.Report) int { return proto.Size(encodeReport(r)) }
+
 func encodeReport(r *status.Report) *statuspb.ReportRequest {
 	out := &statuspb.ReportRequest{From: string(r.From), Shard: uint32(r.Shard)}
 	for k, c := range r.Classes {
--- a/mesh/status/collector.go
+++ b/mesh/status/collector.go
@@ -10,6 +10,7 @@
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/stop"
+	"fescuehoist.example/mesh/wait"
 )
 
 // Logger takes short messages about the gathering.
@@ -75,8 +76,16 @@
 	c.shards[shard].Add(classes)
 }
 
+// joinDelay is how long after its start a daemon reports for the first time, to
+// learn of a planned stop that is under way.
+const joinDelay = time.Second
+
 // Run reports and writes summaries until ctx ends.
 func (c *Collector) Run(ctx context.Context) error {
+	if wait.For(ctx, min(joinDelay, c.cfg.Interval)) != nil {
+		return nil
+	}
+	c.join(ctx)
 	tick := time.NewTicker(c.cfg.Interval)
 	defer tick.Stop()
 	for {
@@ -89,6 +98,16 @@
 	}
 }
 
+// join reports for the first time. A daemon that seems to come first in the
+// tree may just not know the others yet, so it waits for its first pass.
+func (c *Collector) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Interval)
+	defer cancel()
+	if daemons := c.daemons(); !isRoot(c.self, daemons, 0) {
+		c.report(ctx, 0, nil, daemons)
+	}
+}
+
 // pass sends on what was gathered in one interval.
 func (c *Collector) pass(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Interval)
--- a/mesh/status/config.go
+++ b/mesh/status/config.go
@@ -19,5 +19,5 @@
 
 // DefaultConfig returns the settings for a fleet of any size.
 func DefaultConfig() Config {
-	return Config{Interval: 10 * time.Second, Windows: 6, Fanout: 16, ServicesPerShard: 64, Expiry: 3}
+	return Config{Interval: 10 * time.Second, Windows: 6, Fanout: 16, ServicesPerShard: 32, Expiry: 3}
 }
