Measure how configuration and records spread: bench-spread

Cause: nothing measured convergence, control traffic, platform calls, memory and processor time of many daemons.

Routes share the services that did not change, and a comparison sends up to 4,096 records a message instead of 512, since each message makes every store of a starting daemon build again.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 trial:
 	tools/trial/processes.sh
 
-.PHONY: bench bench-calls bench-forecast bench-status
-bench: bench-calls bench-forecast bench-status
+.PHONY: bench bench-calls bench-forecast bench-status bench-spread
+bench: bench-calls bench-forecast bench-status bench-spread
 
 # What each class of work gets under load and faults.
 bench-calls:
@@ -34,6 +34,10 @@
 bench-status:
 	go run ./bench/cmd/bench-status
 
+# Convergence and cost of configuration and membership among many daemons.
+bench-spread:
+	go run ./bench/cmd/bench-spread $(BENCH_FLAGS)
+
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet $(PACKAGES)
--- a/mesh/route/router.go
+++ b/mesh/route/router.go
@@ -19,6 +19,7 @@
 // NewRouter returns a router; Run keeps it up to date.
 func NewRouter(log *manifest.Log, members *member.Table) *Router {
 	r := &Router{log: log, members: members}
+	r.table.Store(&Table{})
 	r.rebuild()
 	return r
 }
@@ -27,7 +28,7 @@
 func (r *Router) Table() *Table { return r.table.Load() }
 
 func (r *Router) rebuild() {
-	r.table.Store(Build(r.log.Snapshot(), r.members.View()))
+	r.table.Store(r.table.Load().next(r.log.Snapshot(), r.members.View()))
 }
 
 // Run builds new routes after each change, until ctx ends.
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -20,21 +20,43 @@
 	Config *target.Service
 	// Servers lists the backend servers that take new calls.
 	Servers []*member.Record
+	// records are those of the view that Servers were taken from.
+	records []*member.Record
 }
 
 // Build returns the routes of a snapshot and a view.
 func Build(snapshot *manifest.Snapshot, view *member.View) *Table {
-	t := &Table{version: snapshot.Version(), services: make(map[string]*Service, snapshot.Len())}
+	return (&Table{}).next(snapshot, view)
+}
+
+// next returns the routes of a snapshot and a view. Services whose
+// configuration and records did not change are shared with t.
+func (t *Table) next(snapshot *manifest.Snapshot, view *member.View) *Table {
+	n := &Table{version: snapshot.Version(), services: make(map[string]*Service, snapshot.Len())}
 	snapshot.Each(func(config *target.Service) {
-		s := &Service{Config: config}
-		for _, r := range view.Service(config.Name) {
-			if r.Routable() {
-				s.Servers = append(s.Servers, r)
-			}
+		records := view.Service(config.Name)
+		s := t.services[config.Name]
+		if s == nil || s.Config != config || !identical(s.records, records) {
+			s = newService(config, records)
 		}
-		t.services[config.Name] = s
+		n.services[config.Name] = s
 	})
-	return t
+	return n
+}
+
+func newService(config *target.Service, records []*member.Record) *Service {
+	s := &Service{Config: config, records: records}
+	for _, r := range records {
+		if r.Routable() {
+			s.Servers = append(s.Servers, r)
+		}
+	}
+	return s
+}
+
+// identical reports whether two lists of views are one and the same.
+func identical(a, b []*member.Record) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // Version returns the configuration version of the routes.
--- a/mesh/spread/outbox.go
+++ b/mesh/spread/outbox.go
@@ -10,7 +10,7 @@
 
 // Limits that keep a message well below the transport's limit.
 const (
-	maxRecordsPerMessage  = 512
+	maxRecordsPerMessage  = 4096
 	maxVersionsPerMessage = 4096
 )
 
