Run keyed requests at most once, and quarantine requests that crash servers

Cause: a caller that sent a submission again at another daemon had it run twice; a request that crashes its server could take down a whole service; a planned stop refused calls of daemons that had not heard of it yet.

Change: mesh/once records a key at three homes in three failure domains before the request runs; a majority must have recorded it, no home may know another run, and homes that lost their records of late are no evidence that there was none. Homes check that they agree on who the homes are. Keys are copied to daemons that become homes and handed over by daemons that leave. A repeat waits for the first outcome or is told that the request may have run.

mesh/crash: a request cut while its server refuses connections is a suspect. A suspect runs beside no other one; a second crash under it refuses it for a time at all daemons of the service, which are told before the caller is answered. A request that ended well is no suspect.

A leaving server takes calls for one more second after it announced that it leaves; the drain lasts as long as the longest call may; callers are told Connection: close meanwhile.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 
 	"github.com/valyala/fasthttp"
 
@@ -65,6 +66,19 @@
 	return c.pool
 }
 
+// Alive reports whether the backend server accepts connections. Only a refused
+// connection shows that it does not.
+func (c *Client) Alive(ctx context.Context) bool {
+	c.mu.Lock()
+	address := c.address
+	c.mu.Unlock()
+	nc, err := httpconn.Dialer().DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = nc.Close()
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -48,8 +48,7 @@
 	if r.Suspect {
 		req.Header.Set(headerSuspect, "1")
 	}
-	number := strconv.FormatUint(f.calls.Add(1), 36)
-	req.Header.Set(headerCall, number)
+	number := f.number(req)
 	o := httpconn.Options{NewConnection: r.NewConnection, Check: func(resp *fasthttp.Response) error {
 		return checkNumber(number, resp)
 	}}
@@ -62,6 +61,13 @@
 	return answerOf(resp)
 }
 
+// number numbers a request, so that its answer can be told from others.
+func (f *Forwarder) number(req *fasthttp.Request) string {
+	number := strconv.FormatUint(f.calls.Add(1), 36)
+	req.Header.Set(headerCall, number)
+	return number
+}
+
 var (
 	errNoVerdict = errors.New("the answer carries no verdict")
 	errCrossed   = errors.New("the answer belongs to another call")
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -24,12 +24,20 @@
 func (h *Callers) Refuse(resp *fasthttp.Response) { markUnread(resp) }
 
 // Daemons answers calls that other daemons forward.
-type Daemons struct{ Callee call.Callee }
+type Daemons struct {
+	Callee call.Callee
+	// Control takes messages that are not calls; nil refuses them.
+	Control *Control
+}
 
 // Handle takes one forwarded call through.
 func (h *Daemons) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := ReadRequest(req)
 	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
+	if h.Control != nil && len(req.Header.Peek(headerControl)) > 0 {
+		h.Control.handle(ctx, req, resp)
+		return
+	}
 	r.Service = string(req.Header.Peek(headerService))
 	r.ClassName = string(req.Header.Peek(headerClass))
 	attempt, err := strconv.Atoi(string(req.Header.Peek(headerAttempt)))
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -101,13 +101,18 @@
 	if r.Client != "" {
 		req.Header.Set(HeaderClient, r.Client)
 	}
+	setTimeout(ctx, req)
+	if len(r.Body) > 0 {
+		req.SetBodyRaw(r.Body)
+	}
+}
+
+// setTimeout declares the time left until the deadline of ctx.
+func setTimeout(ctx context.Context, req *fasthttp.Request) {
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
 	}
-	if len(r.Body) > 0 {
-		req.SetBodyRaw(r.Body)
-	}
 }
 
 // ReadAnswer copies an answer out of a response.
--- a/adapters/tlsfiles/config.go
+++ b/adapters/tlsfiles/config.go
@@ -77,7 +77,7 @@
 // plain TCP, and makes the handshake on them.
 func Dial(dial httpconn.DialFunc, cfg *tls.Config) httpconn.DialFunc {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: httpconn.DialTimeout}).DialContext
+		dial = httpconn.Dialer().DialContext
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, httpconn.DialTimeout)
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -23,8 +23,10 @@
 	"fescuehoist.example/adapters/statusgrpc"
 	"fescuehoist.example/adapters/telemetry"
 	"fescuehoist.example/mesh/announce"
+	"fescuehoist.example/mesh/crash"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/once"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/reader"
 	"fescuehoist.example/mesh/route"
@@ -54,6 +56,8 @@
 	Spread   spread.Config
 	Reader   reader.Config
 	Status   status.Config
+	Once     once.Config
+	Crash    crash.Config
 	Log      *logrus.Logger
 	// Dial opens connections to other daemons for calls; nil uses plain TCP.
 	Dial httpconn.DialFunc
@@ -65,6 +69,7 @@
 func DefaultConfig(s *settings.Settings, log *logrus.Logger) Config {
 	return Config{
 		Settings: s, Spread: spread.DefaultConfig(), Reader: reader.DefaultConfig(), Status: status.DefaultConfig(),
+		Once: once.DefaultConfig(), Crash: crash.DefaultConfig(),
 		Log: log, Policy: DefaultPolicy(s),
 	}
 }
@@ -123,6 +128,10 @@
 	reports   *statusgrpc.Client
 	stops     *stop.Executor
 	collector *status.Collector
+	homes     *once.Homes
+	ledger    *once.Ledger
+	once      *once.Runner
+	crashes   *crash.Log
 	inner     *proxy.Inner
 	outer     *proxy.Outer
 	leaving   atomic.Bool
@@ -188,10 +197,16 @@
 
 func (d *Daemon) buildCalls(self member.ServerID) {
 	d.router = route.NewRouter(d.log, d.members)
-	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
+	d.homes = once.NewHomes(d.cfg.Once, d.members)
+	d.ledger = once.NewLedger(d.cfg.Once, d.homes)
+	d.once = once.NewRunner(d.cfg.Once, self, d.homes, d.ledger, d.forwarder)
+	d.crashes = crash.NewLog(d.cfg.Crash, self, d.backend,
+		&crash.Members{Self: self, Table: d.members, Link: d.forwarder}, d.announcer.Lost)
+	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
-		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
+		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
+		Once: d.once, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
 	}
 }
 
@@ -211,7 +226,9 @@
 
 	g, control := errgroup.WithContext(control)
 	callers := httpconn.NewServer(&callhttp.Callers{Callee: d.outer}, 0)
-	forwarded := httpconn.NewServer(&callhttp.Daemons{Callee: d.inner}, callhttp.ProgressInterval)
+	forwarded := httpconn.NewServer(&callhttp.Daemons{
+		Callee: d.inner, Control: &callhttp.Control{Ledger: d.ledger, Runner: d.once, Crashes: d.crashes},
+	}, callhttp.ProgressInterval)
 	var serving errgroup.Group
 	serving.Go(func() error { return callers.Run(calls, wrap(d.listeners.Callers, d.links.wrapCallers)) })
 	serving.Go(func() error { return forwarded.Run(calls, wrap(d.listeners.Calls, d.links.wrapCalls)) })
@@ -222,6 +239,7 @@
 	g.Go(func() error { return d.node.Run(control) })
 	g.Go(func() error { return d.reader.Run(control) })
 	g.Go(func() error { return d.router.Run(control) })
+	g.Go(func() error { return d.homes.Run(control, d.once.Joined) })
 	g.Go(func() error {
 		server := peergrpc.NewServer(d.node, d.links.accept)
 		server.Traffic = d.traffic
@@ -245,6 +263,7 @@
 		}
 		d.leaving.Store(true)
 		out.Info("draining")
+		callers.Drain()
 		d.drain(control, stopCalls, serving.Wait)
 		out.Info("left")
 		return nil
@@ -258,11 +277,13 @@
 // drain leaves in order: no new calls, the running ones end, then the peers
 // learn that the server has left.
 func (d *Daemon) drain(ctx context.Context, stopCalls func(), served func() error) {
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.drainTimeout())
 	defer cancel()
 	if err := d.announcer.Drain(ctx); err != nil {
 		d.prefixed("daemon").Warn("the drain timeout passed while calls ran")
 	}
+	d.once.Leave(ctx)
+	d.announcer.Left()
 	stopCalls()
 	done := make(chan struct{})
 	go func() {
@@ -276,7 +297,19 @@
 	time.Sleep(farewellPeriod)
 }
 
+// drainTimeout is the time in which the longest calls that run can end.
+func (d *Daemon) drainTimeout() time.Duration {
+	longest := d.cfg.Settings.DrainTimeout
+	if s := d.router.Table().Service(d.announcer.Service()); s != nil {
+		for i := range s.Config.Classes {
+			longest = max(longest, s.Config.Classes[i].Timeout+2*announce.NoticePeriod)
+		}
+	}
+	return longest
+}
+
 func (d *Daemon) close() {
+	d.once.Wait()
 	d.forwarder.Close()
 	d.backend.Close()
 	d.reports.Close()
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/wait"
 )
 
 // Backend is what a backend server says of itself.
@@ -33,6 +34,10 @@
 // Callee is told where the backend server takes calls.
 type Callee interface{ SetAddress(address string) }
 
+// NoticePeriod is how long a leaving backend server still takes calls, from
+// daemons that do not know yet that it leaves.
+const NoticePeriod = time.Second
+
 // Announcer keeps the record in step with the backend server. An announcement
 // lapses unless the backend server repeats it.
 type Announcer struct {
@@ -98,6 +103,10 @@
 	a.publisher.Announce(a.own)
 }
 
+// Lost takes the backend server out of the routes after it crashed, until it
+// announces itself again.
+func (a *Announcer) Lost() { a.lapsed() }
+
 // Suspend announces that the backend server takes no new calls for the time of
 // a planned stop. The calls that it runs end.
 func (a *Announcer) Suspend() {
@@ -109,7 +118,15 @@
 	a.suspended = true
 	a.own.State = member.Draining
 	a.publisher.Announce(a.own)
-	a.gate.Close()
+	time.AfterFunc(NoticePeriod, a.closeIfSuspended)
+}
+
+func (a *Announcer) closeIfSuspended() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.suspended {
+		a.gate.Close()
+	}
 }
 
 // Resume ends a planned stop. The backend server is ready again at its next
@@ -126,15 +143,19 @@
 	a.gate.Open()
 }
 
-// Drain announces that the backend server leaves, waits for its calls to end,
-// and announces that it has left.
+// Drain announces that the backend server leaves, takes the calls that still
+// come for the notice period, and waits for its calls to end.
 func (a *Announcer) Drain(ctx context.Context) error {
 	a.set(member.Draining)
-	err := a.gate.Drain(ctx)
-	a.set(member.Left)
-	return err
+	if err := wait.For(ctx, NoticePeriod); err != nil {
+		return err
+	}
+	return a.gate.Drain(ctx)
 }
 
+// Left announces that the backend server has left.
+func (a *Announcer) Left() { a.set(member.Left) }
+
 func (a *Announcer) set(s member.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -149,6 +170,13 @@
 	a.publisher.Announce(a.own)
 }
 
+// Service returns the service announced last.
+func (a *Announcer) Service() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.own.Service
+}
+
 // State returns the state announced last.
 func (a *Announcer) State() member.State {
 	a.mu.Lock()
--- /dev/null
+++ b/mesh/once/homes.go
@@ -0,0 +1,186 @@
+package once
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/wait"
+)
+
+const (
+	// restartJump is the least growth of an incarnation that shows a restart;
+	// a refuted accusation grows it by one.
+	restartJump = 1000
+	// settleDelay is how long changes of membership are gathered.
+	settleDelay = 20 * time.Millisecond
+)
+
+// home is a daemon that may keep keys.
+type home struct {
+	id              member.ServerID
+	domain, address string
+	hash            uint64
+	incarnation     uint64
+	gone, left      bool
+	// forgotAt is when the daemon was seen to have lost its records.
+	forgotAt time.Time
+}
+
+// Homes chooses the homes of keys. It remembers daemons that failed, since
+// they may hold keys or be cut off rather than dead.
+type Homes struct {
+	cfg   Config
+	table *member.Table
+	known atomic.Pointer[[]*home]
+}
+
+// NewHomes returns the homes among the members of a table; Run keeps them up
+// to date.
+func NewHomes(cfg Config, table *member.Table) *Homes {
+	h := &Homes{cfg: cfg, table: table}
+	h.known.Store(&[]*home{})
+	h.update(time.Now())
+	return h
+}
+
+// Run follows changes of membership until ctx ends, and calls joined after
+// each with the daemons that are new.
+func (h *Homes) Run(ctx context.Context, joined func(context.Context, []member.ServerID)) error {
+	for {
+		changed := h.table.Changed()
+		if news := h.update(time.Now()); len(news) > 0 {
+			joined(ctx, news)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+		if wait.For(ctx, settleDelay) != nil {
+			return nil
+		}
+	}
+}
+
+// update takes the current view and returns the daemons that are new in it.
+func (h *Homes) update(now time.Time) []member.ServerID {
+	before := map[member.ServerID]*home{}
+	for _, k := range *h.known.Load() {
+		before[k.id] = k
+	}
+	var known []*home
+	var news []member.ServerID
+	for _, r := range h.table.View().All() {
+		k := next(before[r.Server], r, now)
+		if k.left || (k.gone && now.Sub(k.forgotAt) > h.cfg.Retention) {
+			// Left daemons are remembered by the table; they keep no keys.
+			continue
+		}
+		if before[r.Server] == nil {
+			news = append(news, r.Server)
+		}
+		known = append(known, k)
+	}
+	h.known.Store(&known)
+	return news
+}
+
+// next returns what is known of a daemon after its record was seen.
+func next(old *home, r *member.Record, now time.Time) *home {
+	k := &home{
+		id: r.Server, domain: r.Domain, address: r.CallAddress, incarnation: r.Incarnation,
+		hash: xxhash.Sum64String(string(r.Server)),
+		gone: r.Health == member.Failed, left: r.State == member.Left,
+	}
+	switch {
+	case old == nil && k.gone:
+		k.forgotAt = now
+	case old == nil:
+	case r.Incarnation >= old.incarnation+restartJump:
+		k.forgotAt = now
+	case k.gone && !old.gone:
+		k.forgotAt = now
+	case k.gone || old.forgotAt.IsZero() || !old.gone:
+		k.forgotAt = old.forgotAt
+	}
+	return k
+}
+
+// Of returns the homes of a key, the first in each of the first failure
+// domains in the order of their scores.
+func (h *Homes) Of(id ID) []*home { return h.choose(id, "") }
+
+// without returns the homes that a key has once a daemon has left.
+func (h *Homes) without(left member.ServerID, id ID) []member.ServerID {
+	return idsOf(h.choose(id, left))
+}
+
+func (h *Homes) choose(id ID, except member.ServerID) []*home {
+	key := xxhash.Sum64String(id.Service + "\x00" + id.Key)
+	best := map[string]*home{}
+	known := *h.known.Load()
+	for _, k := range known {
+		if k.id == except {
+			continue
+		}
+		if b := best[k.domain]; b == nil || score(k, key) > score(b, key) {
+			best[k.domain] = k
+		}
+	}
+	order := func(a, b *home) int { return cmp.Compare(score(b, key), score(a, key)) }
+	var chosen []*home
+	for _, k := range best {
+		chosen = append(chosen, k)
+	}
+	slices.SortFunc(chosen, order)
+	if len(chosen) >= h.cfg.Homes {
+		return chosen[:h.cfg.Homes]
+	}
+	var rest []*home
+	for _, k := range known {
+		if best[k.domain] != k && k.id != except {
+			rest = append(rest, k)
+		}
+	}
+	slices.SortFunc(rest, order)
+	return append(chosen, rest[:min(len(rest), h.cfg.Homes-len(chosen))]...)
+}
+
+// score orders daemons for a key (rendezvous hashing with a 64-bit finalizer).
+func score(k *home, key uint64) uint64 {
+	x := k.hash ^ key
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// forgetful reports whether a home lost its records within the retention time.
+func (h *Homes) forgetful(k *home) bool {
+	return !k.forgotAt.IsZero() && time.Since(k.forgotAt) < h.cfg.Retention
+}
+
+func idsOf(homes []*home) []member.ServerID {
+	ids := make([]member.ServerID, len(homes))
+	for i, k := range homes {
+		ids[i] = k.id
+	}
+	return ids
+}
+
+// find returns the daemon with a name, or nil.
+func (h *Homes) find(id member.ServerID) *home {
+	for _, k := range *h.known.Load() {
+		if k.id == id {
+			return k
+		}
+	}
+	return nil
+}
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -21,6 +21,7 @@
 type Inner struct {
 	Routes  *route.Router
 	Gate    Gate
+	Crashes Crashes
 	Backend call.Callee
 }
 
@@ -29,13 +30,18 @@
 	if err := classify(p.Routes.Table(), r); err != nil {
 		return nil, err
 	}
+	pass, err := p.Crashes.Enter(ctx, r)
+	if err != nil {
+		return nil, err
+	}
 	leave, err := p.Gate.Enter(ctx, r)
 	if err != nil {
+		pass.Release()
 		return nil, err
 	}
 	answer, err := p.Backend.Call(ctx, r)
 	leave(err)
-	if err != nil {
+	if err := pass.End(ctx, err); err != nil {
 		return nil, err
 	}
 	answer.Load = p.Gate.LoadFor(r.ClassName)
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -28,6 +28,7 @@
 	Picker   Picker
 	Retries  Retries
 	Throttle Throttle
+	Once     Once
 	Remote   Forwarder
 	Local    call.Callee
 	Observe  Observer
@@ -50,7 +51,7 @@
 	if !p.Throttle.Allow(r.Service, r.ClassName, r.Client) {
 		return nil, call.Refuse(call.Overloaded, errThrottled)
 	}
-	answer, err := p.send(ctx, r)
+	answer, err := p.run(ctx, r)
 	p.Throttle.Done(r.Service, r.ClassName, r.Client, !refused(err))
 	return answer, err
 }
@@ -60,6 +61,14 @@
 	return err != nil && failure(err).Reason == call.Overloaded
 }
 
+// run sends a call, at most once if it has a key and is not idempotent.
+func (p *Outer) run(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	if r.Class.Idempotent || r.Key == "" {
+		return p.send(ctx, r)
+	}
+	return p.Once.Run(ctx, r, p.send)
+}
+
 // send makes the attempts of a call.
 func (p *Outer) send(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.First(r.Service)
@@ -76,6 +85,9 @@
 			return answer, nil
 		}
 		last = worse(last, failure(err))
+		if crashedAgain(r, last) {
+			return nil, last
+		}
 		step := p.Retries.Next(r, last)
 		if !step.Again || wait.For(ctx, step.Delay) != nil {
 			return nil, last
@@ -88,6 +100,17 @@
 	}
 }
 
+// crashedAgain reports whether a second server crashed under a request, and
+// notes the first.
+func crashedAgain(r *call.Request, f *call.Failure) bool {
+	if f.Reason != call.Crashed {
+		return false
+	}
+	again := r.Suspect
+	r.Suspect = true
+	return again
+}
+
 // pick chooses from the routes of this moment, so that a retry sees changes.
 func (p *Outer) pick(service string, q route.Query) *member.Record {
 	s := p.Routes.Table().Service(service)
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/crash"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
@@ -37,6 +38,19 @@
 	Return(service string)
 }
 
+// Crashes keeps requests that crash backend servers from running again.
+type Crashes interface {
+	// Enter lets a request run. An error is a *call.Failure with verdict
+	// NotRun.
+	Enter(ctx context.Context, r *call.Request) (*crash.Pass, error)
+}
+
+// Once runs requests with a key at most once each.
+type Once interface {
+	Run(ctx context.Context, r *call.Request,
+		send func(context.Context, *call.Request) (*call.Answer, error)) (*call.Answer, error)
+}
+
 // Throttle turns calls away before they cross the network.
 type Throttle interface {
 	// Allow reports whether a call may be sent on.
