--- a/bench/fleet/tls_test.go
+++ b/bench/fleet/tls_test.go
@@ -15,8 +15,10 @@
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/adapters/tlsfiles"
 	"fescuehoist.example/bench/fleet"
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/manifest/manifesttest"
+	"fescuehoist.example/mesh/status"
 	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/standin/authority"
 )
@@ -61,6 +63,7 @@
 			Authority: ca, PlatformAuthority: ca, PlatformName: "127.0.0.1",
 		},
 		PlatformTLS: source.Server(),
+		Tune:        func(c *daemon.Config) { c.Status.Interval = 500 * time.Millisecond },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -80,6 +83,9 @@
 	if err := f.AwaitReady(ctx, f.Members, len(f.Members)); err != nil {
 		t.Fatal(err)
 	}
+	await(ctx, t, &platformhttp.StatusStore{Client: client}, "reports of all daemons", func(o *status.Overview) bool {
+		return daemons(o, change.Version) == len(f.Members)
+	})
 	for _, m := range f.Members {
 		caller := httpconn.NewPool(m.Callers, tlsfiles.Dial(nil, source.Client("127.0.0.1")))
 		for range 40 {
--- a/fescuehoist/main_test.go
+++ b/fescuehoist/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"os"
@@ -10,6 +11,8 @@
 	"strings"
 	"testing"
 
+	"fescuehoist.example/adapters/tlsfiles"
+	"fescuehoist.example/standin/authority"
 	"fescuehoist.example/standin/platform"
 )
 
@@ -40,6 +43,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return benchOn(t, ln)
+}
+
+func benchOn(t *testing.T, ln net.Listener) *bench {
+	t.Helper()
 	p := platform.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -115,3 +123,43 @@
 		})
 	}
 }
+
+func TestPlatformOverTLS(t *testing.T) {
+	folder := t.TempDir()
+	ca := filepath.Join(folder, "authority.crt")
+	a, err := authority.New("platform")
+	if err == nil {
+		err = a.WriteCertificate(ca)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := a.Issue(folder, "platform", net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := tlsfiles.Open(tlsfiles.Files{Certificate: pair.Certificate, Key: pair.Key, Authority: ca}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := benchOn(t, tls.NewListener(ln, source.Server()))
+	on := "--platform=" + b.address
+	for _, step := range []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"with the authority", []string{"history", on, "--platform-authority=" + ca}, exitDone},
+		{"plain", []string{"history", on}, exitAway},
+		{"wrong name", []string{"history", on, "--platform-authority=" + ca, "--platform-name=elsewhere"}, exitAway},
+		{"no such file", []string{"history", on, "--platform-authority=" + ca + "x"}, exitBadInput},
+	} {
+		if code, out := b.run(step.args...); code != step.code {
+			t.Errorf("%s: exit code %d, want %d; printed:\n%s", step.name, code, step.code, out)
+		}
+	}
+}
--- a/fescuehoist/status.go
+++ b/fescuehoist/status.go
@@ -13,7 +13,8 @@
 )
 
 type statusCommand struct {
-	Platform string        `env:"FESCUEHOIST_PLATFORM" placeholder:"IP:PORT" help:"Address of the platform's object API."`
+	Platform string `env:"FESCUEHOIST_PLATFORM" placeholder:"IP:PORT" help:"Address of the platform's object API."`
+	tlsFlags
 	Daemon   string        `env:"FESCUEHOIST_DAEMON" placeholder:"IP:PORT" help:"Admin address of one daemon to ask instead."`
 	Watch    bool          `help:"Print again and again until interrupted."`
 	Interval time.Duration `default:"10s" help:"Time between prints with --watch."`
@@ -41,7 +42,7 @@
 	case c.Daemon != "":
 		return c.daemon(out)
 	case c.Platform != "":
-		return (&platformFlag{c.Platform}).with(ctx, func(ctx context.Context, s *session) error {
+		return (&platformFlag{c.Platform, c.tlsFlags}).with(ctx, func(ctx context.Context, s *session) error {
 			v, err := view.Load(ctx, s.client)
 			if err != nil {
 				return err
