--- a/fescuehoist/edit.go
+++ b/fescuehoist/edit.go
@@ -28,7 +28,7 @@
 	for _, s := range services {
 		classes += len(s.Classes)
 	}
-	out.printf("%s: %d services with %d classes, no problems", c.File, len(services), classes)
+	out.printf("%s: no problems; services: %d, classes: %d", c.File, len(services), classes)
 	return nil
 }
 
--- /dev/null
+++ b/fescuehoist/examples_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/adapters/targetfile"
+)
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/*.toml")
+	if err != nil || len(files) < 6 {
+		t.Fatalf("%d examples, %v", len(files), err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "targets.toml") {
+			_, err = targetfile.Load(name)
+		} else {
+			_, err = settings.Load(name)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/fescuehoist/main_test.go
+++ b/fescuehoist/main_test.go
@@ -94,7 +94,7 @@
 		{"no such file", platform.Faults{}, []string{"check", "absent.toml"}, exitBadInput, []string{"absent.toml"}},
 		{"bad file", platform.Faults{}, []string{"check", bad}, exitBadInput,
 			[]string{"targets.toml:6: service[0].class[0].rank: 99; write 1", "targets.toml:7:", "unknown key", "targets.toml:8:", "6 hours"}},
-		{"good file", platform.Faults{}, []string{"check", good}, exitDone, []string{"1 services with 1 classes"}},
+		{"good file", platform.Faults{}, []string{"check", good}, exitDone, []string{"no problems; services: 1, classes: 1"}},
 		{"difference from nothing", platform.Faults{}, []string{"diff", good, on}, exitDone, []string{`service "lookup": added, 1 class`}},
 		{"first edit", platform.Faults{}, []string{"apply", good, on, "--author=amal"}, exitDone, []string{"accepted as version 1"}},
 		{"same again", platform.Faults{}, []string{"apply", good, on}, exitDone, []string{"nothing changes"}},
