--- /dev/null
+++ b/mesh/retry/retry_test.go
@@ -0,0 +1,87 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/target"
+)
+
+func TestNext(t *testing.T) {
+	cases := []struct {
+		reason     call.Reason
+		verdict    call.Verdict
+		idempotent bool
+		attempts   int
+		want       Step
+	}{
+		{call.Unreachable, call.NotRun, false, 1, Step{Again: true}},
+		{call.Draining, call.NotRun, false, 1, Step{Again: true}},
+		{call.Overloaded, call.NotRun, false, 1, Step{Again: true, NeedRoom: true}},
+		{call.Shed, call.NotRun, true, 1, Step{Again: true, NeedRoom: true}},
+		{call.Cut, call.MayHaveRun, true, 1, Step{Again: true}},
+		{call.Cut, call.MayHaveRun, false, 1, Step{}},
+		{call.Unreachable, call.NotRun, true, MaxAttempts, Step{}},
+		{call.Deadline, call.NotRun, true, 1, Step{}},
+		{call.Canceled, call.NotRun, true, 1, Step{}},
+		{call.NoRoute, call.NotRun, true, 1, Step{}},
+		{call.BadRequest, call.NotRun, true, 1, Step{}},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.reason, c.verdict, c.idempotent, c.attempts), func(t *testing.T) {
+			r := &call.Request{Service: "lookup", Class: &target.Class{Idempotent: c.idempotent}, Attempt: c.attempts}
+			got := NewPolicy().Next(r, &call.Failure{Verdict: c.verdict, Reason: c.reason})
+			if got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLaterRetriesWait(t *testing.T) {
+	for attempt := 2; attempt < 5; attempt++ {
+		if d := delay(attempt); d < 0 || d >= BaseDelay<<(attempt-2) {
+			t.Errorf("after attempt %d the pause is %s", attempt, d)
+		}
+	}
+}
+
+// TestBudgetBoundsRetries checks that retries never exceed the saved ones and
+// the share of first attempts, in any order.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := NewBudget()
+		first, taken := 0, 0
+		for _, retried := range rapid.SliceOf(rapid.Bool()).Draw(rt, "retried") {
+			first++
+			b.First()
+			if retried && b.Take() {
+				taken++
+			}
+			if most := BudgetBurst + BudgetShare*float64(first); float64(taken) > most {
+				rt.Fatalf("%d retries for %d first attempts", taken, first)
+			}
+		}
+	})
+}
+
+func TestBudgetsAreApartAndBounded(t *testing.T) {
+	p := NewPolicy()
+	r := &call.Request{Service: "archive", Class: &target.Class{}, Attempt: 1}
+	refused := call.Refuse(call.Unreachable, nil)
+	for p.Next(r, refused).Again {
+	}
+	r.Service = "lookup"
+	if !p.Next(r, refused).Again {
+		t.Error("another service's retries used up this one's")
+	}
+	for i := range 2 * maxBudgets {
+		p.First(fmt.Sprint(i))
+	}
+	if n := len(p.budgets); n > maxBudgets {
+		t.Errorf("%d budgets are remembered", n)
+	}
+}
--- a/mesh/route/observation.go
+++ b/mesh/route/observation.go
@@ -96,8 +96,8 @@
 }
 
 // hasRoom reports whether the server said of late that it has a free slot, and
-// did not refuse a call since.
+// neither refused a call nor failed since.
 func (o *observation) hasRoom(now time.Time) bool {
-	return now.Sub(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) &&
+	return !o.ejected(now) && now.Sub(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) &&
 		o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
 }
