Start a new server's limit low and learn unloaded times at low load

Cause: in 1 of 20 runs of the test under the race detector the limit settled at 8 for 4 true slots: the first six calls ran at once and took 60 ms, which then counted as unloaded; so did calls at up to half of the limit.

Change: the limit starts at a quarter of the slots, and calls count as almost alone up to a quarter of the limit.

--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -249,7 +249,7 @@
 			return
 		}
 	}
-	alone := g.running <= max(g.limit.value()/2, 1) || g.limit.atFloor()
+	alone := g.limit.alone(g.running)
 	g.limit.ended(w.class.learn(took, alone), g.running)
 }
 
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -3,7 +3,7 @@
 const (
 	// startShare is the part of its slots that a new backend server starts
 	// with.
-	startShare = 0.5
+	startShare = 0.25
 	// floorShare is the least part of its slots that a server is left with.
 	floorShare = 0.25
 	// tolerated is how many times its unloaded time a call may take before the
@@ -21,6 +21,8 @@
 	startGrowth = 0.5
 	// shedFactor is what is left of the limit after the server shed a call.
 	shedFactor = 0.9
+	// aloneShare is the part of the limit up to which calls run almost alone.
+	aloneShare = 0.25
 	// busyShare is the part of the limit from which on a server counts as busy.
 	busyShare = 0.7
 )
@@ -58,8 +60,11 @@
 	return max(int(l.limit+0.5), 1)
 }
 
-// atFloor reports whether the limit cannot fall further.
-func (l *limiter) atFloor() bool { return l.limit <= floorShare*float64(l.slots) }
+// alone reports whether so few calls run that they take their unloaded time.
+// At its floor the limit takes what it sees for that.
+func (l *limiter) alone(running int) bool {
+	return float64(running) <= max(aloneShare*l.limit, 1) || l.limit <= floorShare*float64(l.slots)
+}
 
 // shed takes note that the backend server refused a call.
 func (l *limiter) shed() {
