Measure what a change of configuration costs

Change: make bench-config measures both. The digest of a table is computed without a copy of the table. Tests pin the digest of a service, prove that it depends on every field, and go through every check of targets.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,12 @@
 trial:
 	tools/trial/processes.sh
 
-.PHONY: bench bench-calls bench-forecast bench-status bench-spread
-bench: bench-calls bench-forecast bench-status bench-spread
+.PHONY: bench bench-calls bench-forecast bench-status bench-spread bench-config
+bench: bench-calls bench-forecast bench-status bench-spread bench-config
+
+# What a change of configuration costs a daemon and the platform.
+bench-config:
+	go run ./bench/cmd/bench-config $(BENCH_FLAGS)
 
 # What each class of work gets under load and faults.
 bench-calls:
--- /dev/null
+++ b/bench/versions/versions.go
@@ -0,0 +1,261 @@
+// Package versions measures what a change of configuration costs a daemon and
+// the platform.
+package versions
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"syscall"
+	"time"
+
+	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/target"
+	"fescuehoist.example/standin/platform"
+)
+
+// Figure is one measured value. A Bound of 0 means that no target states one.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	Bound float64 `json:"bound"`
+}
+
+// OK reports whether the figure keeps its bound.
+func (f *Figure) OK() bool { return f.Bound == 0 || f.Value <= f.Bound }
+
+// String returns the figure's line.
+func (f *Figure) String() string {
+	state, bound := "ok", "none"
+	if f.Bound > 0 {
+		bound = fmt.Sprintf("%.3f", f.Bound)
+	}
+	if !f.OK() {
+		state = "over"
+	}
+	return fmt.Sprintf("bench: %s %.3f %s bound %s %s", f.Name, f.Value, f.Unit, bound, state)
+}
+
+// Bounds from the targets of the developers' page.
+const (
+	changesPerDay = 24_000
+	// daemonShare is the share of a core that a daemon may spend on control.
+	daemonShare = 0.028
+	// daemonMemory is what a daemon may hold, in MB.
+	daemonMemory = 128
+	// maxValue is the largest value that the platform holds, in bytes.
+	maxValue = 1 << 20
+	// classesPerService is typical of the examples.
+	classesPerService = 2
+)
+
+// Options choose what is measured.
+type Options struct {
+	// Services is the number of services.
+	Services int
+	// Changes is the number of changes whose cost is averaged.
+	Changes int
+	Seed    uint64
+}
+
+// world is a configuration that is edited one service at a time.
+type world struct {
+	Options
+	random *rand.Rand
+	edits  int
+}
+
+func (w *world) service(i int) *target.Service {
+	w.edits++
+	s := &target.Service{Name: fmt.Sprintf("service-%05d", i)}
+	for c := range classesPerService {
+		s.Classes = append(s.Classes, target.Class{
+			Name: fmt.Sprintf("class-%d", c), Method: "GET", Path: fmt.Sprintf("/path-%d", c), Rank: c + 1,
+			Latency: time.Second + time.Duration(w.edits)*time.Microsecond,
+			Success: 0.99, Keep: 0.4, Timeout: time.Hour, Idempotent: true,
+		})
+	}
+	return s
+}
+
+func (w *world) all() []*target.Service {
+	services := make([]*target.Service, w.Services)
+	for i := range services {
+		services[i] = w.service(i)
+	}
+	return services
+}
+
+func (w *world) edit() *manifest.Edit {
+	s := w.service(w.random.IntN(w.Services))
+	return &manifest.Edit{ID: fmt.Sprintf("00000000-0000-4000-8000-%012d", w.edits), Author: "operator", Update: []*target.Service{s}}
+}
+
+// Run measures and returns the figures.
+func Run(ctx context.Context, o Options) ([]*Figure, error) {
+	w := &world{Options: o, random: rand.New(rand.NewPCG(o.Seed, 0))}
+	daemon, err := w.daemon()
+	if err != nil {
+		return nil, err
+	}
+	store, err := w.platform(ctx)
+	return append(daemon, store...), err
+}
+
+func (w *world) figure(name string, value float64, unit string, bound float64) *Figure {
+	return &Figure{Name: fmt.Sprintf("config-%d-%s", w.Services, name), Value: value, Unit: unit, Bound: bound}
+}
+
+// daemon measures the log of one daemon.
+func (w *world) daemon() ([]*Figure, error) {
+	before := heap()
+	log := manifest.NewLog()
+	if err := w.fill(log); err != nil {
+		return nil, err
+	}
+	held := float64(heap()-before) / (1 << 20)
+	updates := w.updates(log)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	allocated := stats.TotalAlloc
+	start := processorTime()
+	for _, u := range updates {
+		if _, err := log.Receive(u); err != nil {
+			return nil, err
+		}
+	}
+	spent := processorTime() - start
+	runtime.ReadMemStats(&stats)
+	allocated = stats.TotalAlloc - allocated
+	start = processorTime()
+	for range updates {
+		log.Since(log.Known() - 1)
+	}
+	sent := processorTime() - start
+	n := float64(len(updates))
+	runtime.KeepAlive(log)
+	return []*Figure{
+		w.figure("receive-processor", spent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3),
+		w.figure("receive-allocated", float64(allocated)/n/1024, "KiB/change", 0),
+		w.figure("since-processor", sent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3),
+		w.figure("log-heap", held, "MB", daemonMemory),
+	}, nil
+}
+
+// fill puts all services into the log as one version.
+func (w *world) fill(log *manifest.Log) error {
+	_, err := log.Receive(next(log.Table(), w.all()))
+	return err
+}
+
+// next returns the update that changes services of a table.
+func next(table *manifest.Table, services []*target.Service) *manifest.Update {
+	c := manifest.Change{Version: table.Version + 1, EditID: fmt.Sprint("edit-", table.Version+1), Author: "operator", At: time.Now()}
+	u := &manifest.Update{}
+	for _, s := range services {
+		c.Updated = append(c.Updated, manifest.Ref{Service: s.Name, Digest: s.Digest()})
+		u.Bodies = append(u.Bodies, manifest.Body{Digest: s.Digest(), Service: s})
+	}
+	after, err := table.Apply(&c)
+	if err != nil {
+		panic(err)
+	}
+	c.Table = after.Digest()
+	u.Changes = []manifest.Change{c}
+	return u
+}
+
+// updates returns changes of one service each that follow the known version.
+func (w *world) updates(log *manifest.Log) []*manifest.Update {
+	table := log.Table()
+	var updates []*manifest.Update
+	for range w.Changes {
+		u := next(table, []*target.Service{w.service(w.random.IntN(w.Services))})
+		after, err := table.Apply(&u.Changes[0])
+		if err != nil {
+			panic(err)
+		}
+		table = after
+		updates = append(updates, u)
+	}
+	return updates
+}
+
+// platform measures what edits write and what a reader reads for each.
+func (w *world) platform(ctx context.Context) ([]*Figure, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := platform.New()
+	go func() { _ = p.Run(ctx, ln) }()
+	client := platformhttp.NewClient(ln.Addr().String())
+	defer client.Close()
+	repo := &platformhttp.Repository{Client: client}
+	editor := manifest.NewEditor(repo)
+	services := w.all()
+	if _, err := editor.Publish(ctx, &manifest.Edit{ID: "first", Author: "operator", Update: services}); err != nil {
+		return nil, err
+	}
+	bodies := p.Counts().Written - size(p, "config/head")
+	p.ResetCounts()
+	heads, largest := 0, 0
+	for range w.Changes {
+		if _, err := editor.Publish(ctx, w.edit()); err != nil {
+			return nil, err
+		}
+		n := size(p, "config/head")
+		heads += n
+		largest = max(largest, n)
+	}
+	counts, n := p.Counts(), float64(w.Changes)
+	table, err := w.table(ctx, editor, p)
+	if err != nil {
+		return nil, err
+	}
+	return []*Figure{
+		w.figure("written", float64(counts.Written)/n, "bytes/change", 0),
+		w.figure("writes", float64(counts.Puts)/n, "calls/change", 0),
+		w.figure("head-read", float64(heads)/n, "bytes/change/reader", 0),
+		w.figure("head-largest", float64(largest), "bytes", maxValue),
+		w.figure("one-manifest-of-digests", float64(table), "bytes/change", 0),
+		w.figure("one-manifest-of-bodies", float64(bodies), "bytes/change", 0),
+	}, nil
+}
+
+func size(p *platform.Platform, key string) int {
+	value, _ := p.Load(key)
+	return len(value)
+}
+
+// table stores the newest table as one object and returns its size.
+func (w *world) table(ctx context.Context, e *manifest.Editor, p *platform.Platform) (int, error) {
+	_, table, _, err := e.Current(ctx)
+	if err != nil {
+		return 0, err
+	}
+	before := p.Counts().Written
+	_, err = e.Repo.PutTable(ctx, table)
+	return p.Counts().Written - before, err
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/mesh/manifest/manifest.go
+++ b/mesh/manifest/manifest.go
@@ -127,9 +127,11 @@
 
 // Digest identifies the content of the table.
 func (t *Table) Digest() target.Digest {
-	texts := make([]string, 0, 2*len(t.Refs))
-	for _, r := range t.Refs {
-		texts = append(texts, r.Service, string(r.Digest))
+	sum := target.NewSum()
+	sum.Number(uint64(t.Version))
+	for i := range t.Refs {
+		sum.Text(t.Refs[i].Service)
+		sum.Text(string(t.Refs[i].Digest))
 	}
-	return target.DigestOf(uint64(t.Version), texts...)
+	return sum.Digest()
 }
--- a/mesh/target/digest.go
+++ b/mesh/target/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"math"
 )
 
@@ -26,60 +27,72 @@
 // Digest returns the SHA-256 of the service's fields, in hexadecimal. It does
 // not depend on any encoding of messages.
 func (s *Service) Digest() Digest {
-	var f fields
-	f.str(s.Name)
-	f.num(uint64(len(s.Classes)))
+	sum := NewSum()
+	sum.Text(s.Name)
+	sum.Number(uint64(len(s.Classes)))
 	for i := range s.Classes {
 		c := &s.Classes[i]
-		f.str(c.Name)
-		f.str(c.Method)
-		f.str(c.Path)
-		f.num(uint64(c.Rank))
-		f.num(uint64(c.Latency))
-		f.num(math.Float64bits(c.Success))
-		f.num(math.Float64bits(c.Keep))
-		f.num(uint64(c.Timeout))
-		f.flag(c.Idempotent)
-		f.flag(c.Internal)
-		f.num(uint64(c.Notice))
+		sum.Text(c.Name)
+		sum.Text(c.Method)
+		sum.Text(c.Path)
+		sum.Number(uint64(c.Rank))
+		sum.Number(uint64(c.Latency))
+		sum.Number(math.Float64bits(c.Success))
+		sum.Number(math.Float64bits(c.Keep))
+		sum.Number(uint64(c.Timeout))
+		sum.flag(c.Idempotent)
+		sum.flag(c.Internal)
+		sum.Number(uint64(c.Notice))
 	}
-	return f.digest()
+	return sum.Digest()
 }
 
-// fields collects what is hashed: each text with its length, each number with
-// a fixed width.
-type fields struct{ buf []byte }
+// sumBuffer is the number of bytes that a sum collects before it hashes them.
+const sumBuffer = 4 << 10
 
-func (f *fields) num(n uint64) { f.buf = binary.BigEndian.AppendUint64(f.buf, n) }
+// Sum computes a digest over texts and numbers, each text with its length and
+// each number with a fixed width.
+type Sum struct {
+	hash hash.Hash
+	buf  []byte
+}
+
+// NewSum returns a sum over nothing.
+func NewSum() *Sum { return &Sum{hash: sha256.New(), buf: make([]byte, 0, sumBuffer)} }
+
+// Number adds a number.
+func (s *Sum) Number(n uint64) {
+	s.room(8)
+	s.buf = binary.BigEndian.AppendUint64(s.buf, n)
+}
 
-func (f *fields) str(s string) {
-	f.num(uint64(len(s)))
-	f.buf = append(f.buf, s...)
+// Text adds a text.
+func (s *Sum) Text(text string) {
+	s.Number(uint64(len(text)))
+	s.room(len(text))
+	s.buf = append(s.buf, text...)
 }
 
-func (f *fields) flag(b bool) {
+func (s *Sum) flag(b bool) {
 	if b {
-		f.num(1)
+		s.Number(1)
 		return
 	}
-	f.num(0)
+	s.Number(0)
 }
 
-func (f *fields) digest() Digest {
-	sum := sha256.Sum256(f.buf)
-	return Digest(hex.EncodeToString(sum[:]))
+// room hashes what was collected if size more bytes do not fit.
+func (s *Sum) room(size int) {
+	if len(s.buf)+size <= sumBuffer {
+		return
+	}
+	s.hash.Write(s.buf)
+	s.buf = s.buf[:0]
 }
 
-// DigestOf returns the SHA-256 over a number and texts, in hexadecimal.
-func DigestOf(number uint64, texts ...string) Digest {
-	size := 8
-	for _, s := range texts {
-		size += 8 + len(s)
-	}
-	f := fields{buf: make([]byte, 0, size)}
-	f.num(number)
-	for _, s := range texts {
-		f.str(s)
-	}
-	return f.digest()
+// Digest returns the SHA-256 of all that was added, in hexadecimal.
+func (s *Sum) Digest() Digest {
+	s.hash.Write(s.buf)
+	s.buf = s.buf[:0]
+	return Digest(hex.EncodeToString(s.hash.Sum(nil)))
 }
--- /dev/null
+++ b/mesh/target/target_test.go
@@ -0,0 +1,86 @@
+package target_test
+
+import (
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"fescuehoist.example/mesh/target"
+)
+
+func good() *target.Service {
+	return &target.Service{Name: "lookup", Classes: []target.Class{
+		{Name: "search", Method: "GET", Path: "/search", Rank: 1, Latency: time.Second, Success: 0.99, Keep: 0.5, Timeout: time.Second, Idempotent: true},
+		{Name: "submission", Method: "POST", Path: "/places", Rank: 2, Latency: time.Second, Success: 0.9, Keep: 0.5, Timeout: time.Minute, Notice: time.Hour},
+	}}
+}
+
+// pinned is the digest of good. Stored bodies are named by their digests, so
+// a change of the function would make all of them unreadable.
+const pinned = "67f510248e70edbffef107106d2d98a41b31e096ce2f206895b78d11bf36d434"
+
+func TestDigestIsTheSameInEveryRelease(t *testing.T) {
+	if d := good().Digest(); d != pinned || !d.Valid() {
+		t.Errorf("digest %s", d)
+	}
+}
+
+func TestDigestDependsOnEveryField(t *testing.T) {
+	seen := map[target.Digest]string{good().Digest(): "none"}
+	fields := reflect.TypeFor[target.Class]()
+	for i := range fields.NumField() {
+		s := good()
+		field := reflect.ValueOf(&s.Classes[0]).Elem().Field(i)
+		switch field.Kind() {
+		case reflect.String:
+			field.SetString(field.String() + "x")
+		case reflect.Bool:
+			field.SetBool(!field.Bool())
+		case reflect.Float64:
+			field.SetFloat(field.Float() / 2)
+		default:
+			field.SetInt(field.Int() + 1)
+		}
+		if other, ok := seen[s.Digest()]; ok {
+			t.Errorf("the same digest with a change of %s as of %s", fields.Field(i).Name, other)
+		}
+		seen[s.Digest()] = fields.Field(i).Name
+	}
+}
+
+func TestValidateNamesEveryProblem(t *testing.T) {
+	if problems := good().Validate(); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	for _, c := range []struct {
+		field, text string
+		position    int
+		spoil       func(s *target.Service, c *target.Class)
+	}{
+		{"name", "a letter first", 0, func(s *target.Service, _ *target.Class) { s.Name = "9" }},
+		{"class", "at least one", 0, func(s *target.Service, _ *target.Class) { s.Classes = nil }},
+		{"keep", "keep 1.10 of the capacity", 0, func(_ *target.Service, c *target.Class) { c.Keep = 0.6 }},
+		{"keep", "from 0 to 1", 1, func(_ *target.Service, c *target.Class) { c.Keep = math.NaN() }},
+		{"success", "above 0 and below 1", 1, func(_ *target.Service, c *target.Class) { c.Success = math.NaN() }},
+		{"success", "above 0 and below 1", 1, func(_ *target.Service, c *target.Class) { c.Success = 1 }},
+		{"name", "write 1 to 63", 1, func(_ *target.Service, c *target.Class) { c.Name = strings.Repeat("x", 64) }},
+		{"name", "declared twice", 2, func(_ *target.Service, c *target.Class) { c.Name = "submission" }},
+		{"path", "starts with /", 1, func(_ *target.Service, c *target.Class) { c.Path = "/a b" }},
+		{"path", "starts with /", 1, func(_ *target.Service, c *target.Class) { c.Path = "/a\x00" }},
+		{"path", "the same calls as class \"search\"", 2, func(_ *target.Service, c *target.Class) { c.Method, c.Path = "POST", "/places" }},
+		{"method", "in capitals", 1, func(_ *target.Service, c *target.Class) { c.Method = "get" }},
+		{"rank", "1 (most urgent) to 16", 1, func(_ *target.Service, c *target.Class) { c.Rank = -1 }},
+		{"latency", "from 1ms to 1h0m0s", 1, func(_ *target.Service, c *target.Class) { c.Latency = 0 }},
+		{"timeout", "from the latency, 1s, to", 1, func(_ *target.Service, c *target.Class) { c.Timeout = time.Millisecond }},
+		{"notice", "from 0 to", 1, func(_ *target.Service, c *target.Class) { c.Notice = -1 }},
+	} {
+		s := good()
+		c.spoil(s, &s.Classes[0])
+		problems := s.Validate()
+		if len(problems) != 1 || problems[0].Field != c.field || problems[0].Position != c.position || !strings.Contains(problems[0].Error(), c.text) {
+			t.Errorf("want %s of class %d: %q; got %v", c.field, c.position, c.text, problems)
+		}
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -44,6 +44,9 @@
 	Gets, Puts, Lists, Watches int
 	// Refused counts the calls of all kinds that an outage refused.
 	Refused int
+	// Written and Read are the bytes of the values that were stored and of
+	// those that were returned.
+	Written, Read int
 	// Peak is the largest number of calls within one second of the clock.
 	Peak int
 }
@@ -201,6 +204,7 @@
 	p.mu.Lock()
 	p.counts.Gets++
 	o, ok := p.objects[r.PathValue("key")]
+	p.counts.Read += len(o.Value)
 	p.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such object", http.StatusNotFound)
@@ -257,6 +261,7 @@
 	}
 	o := object{Key: key, Version: expect + 1, Value: value}
 	p.objects[key] = o
+	p.counts.Written += len(value)
 	p.wake()
 	return o, true
 }
@@ -293,6 +298,9 @@
 	for {
 		p.mu.Lock()
 		o, changed, outage := p.objects[key], p.changed, p.faults.Outage
+		if o.Version > after && !outage {
+			p.counts.Read += len(o.Value)
+		}
 		p.mu.Unlock()
 		if outage {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
