--- a/fescuehoist/forecast.go
+++ b/fescuehoist/forecast.go
@@ -28,6 +28,9 @@
 		if err != nil {
 			return err
 		}
+		if v.Fault != nil {
+			return v.Fault
+		}
 		list := v.Stops
 		horizon := c.Horizon
 		if c.given() {
--- a/fescuehoist/stop_test.go
+++ b/fescuehoist/stop_test.go
@@ -94,6 +94,15 @@
 		})
 	}
 	b.platform.SetFaults(platform.Faults{})
+	good, _ := b.platform.Load("config/head")
+	b.platform.Store("config/head", []byte(`{"version":9}`))
+	if code, out := b.run("status", on); code != exitDone || !strings.Contains(out, "CANNOT BE READ") || !strings.Contains(out, "cairo-a: 3 of 4") {
+		t.Errorf("status with a malformed head: %d: %s", code, out)
+	}
+	if code, out := b.run("forecast", on); code != exitFailure {
+		t.Errorf("forecast with a malformed head: %d: %s", code, out)
+	}
+	b.platform.Store("config/head", good)
 	_, listed := b.run("stop", "list", on)
 	for _, line := range strings.Split(strings.TrimSpace(listed), "\n") {
 		id := strings.Fields(line)[1]
--- a/fescuehoist/view/status.go
+++ b/fescuehoist/view/status.go
@@ -19,6 +19,7 @@
 	Classes    []Class   `json:"classes"`
 	Domains    []Domain  `json:"failure_domains"`
 	Stops      []Stop    `json:"stops"`
+	Fault      string    `json:"fault,omitempty"`
 	Unreadable []string  `json:"unreadable,omitempty"`
 }
 
@@ -73,12 +74,29 @@
 			r.Classes = append(r.Classes, newClass(v.Overview, s, &s.Classes[i]))
 		}
 	}
+	if v.Fault != nil {
+		r.Fault = v.Fault.Error()
+		r.Classes = withoutTargets(v.Overview)
+	}
 	for i := range v.Overview.Domains {
 		r.Domains = append(r.Domains, newDomain(&v.Overview.Domains[i]))
 	}
 	return r
 }
 
+// withoutTargets lists the classes that were measured.
+func withoutTargets(o *status.Overview) []Class {
+	var classes []Class
+	for i := range o.Classes {
+		c := &o.Classes[i]
+		s := &target.Service{Name: c.Service}
+		one := newClass(o, s, &target.Class{Name: c.ClassKey.Class})
+		one.Target = "unknown"
+		classes = append(classes, one)
+	}
+	return classes
+}
+
 func newClass(o *status.Overview, s *target.Service, c *target.Class) Class {
 	r := Class{Service: s.Name, Class: c.Name, Target: c.Target(), Latency: c.Latency, Success: c.Success, Met: true, Good: 1}
 	measured := o.Class(status.ClassKey{Service: s.Name, Class: c.Name})
@@ -113,6 +131,9 @@
 const staleAfter = time.Minute
 
 func (r *Status) Print(out io.Writer) {
+	if r.Fault != "" {
+		printf(out, "THE CONFIGURATION CANNOT BE READ: %s; the daemons keep what they have in force", r.Fault)
+	}
 	printf(out, "version %d accepted; status at %s", r.Version, Time(r.At))
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "class\ttarget\tcalls/s\tgood\trefused\tp50 ms\tp99 ms\tmet\tsince")
--- a/fescuehoist/view/view.go
+++ b/fescuehoist/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -26,19 +27,19 @@
 	Stops    *stop.List
 	// Unreadable names summaries that cannot be decoded.
 	Unreadable []string
+	// Fault says why the configuration cannot be read; without it the view
+	// holds no targets.
+	Fault error
 }
 
 // Load reads a view.
 func Load(ctx context.Context, client *platformhttp.Client) (*View, error) {
-	repo := &platformhttp.Repository{Client: client}
-	_, table, _, err := manifest.NewEditor(repo).Current(ctx)
-	if err != nil {
-		return nil, err
-	}
-	services, err := (&review.Reviewer{Repo: repo}).Services(ctx, table)
-	if err != nil {
+	version, services, err := configuration(ctx, client)
+	var malformed *manifest.Malformed
+	if err != nil && !errors.As(err, &malformed) {
 		return nil, err
 	}
+	v := &View{Version: version, Services: services, Fault: err}
 	store := &platformhttp.StatusStore{Client: client}
 	summaries, unreadable, err := store.Summaries(ctx)
 	if err != nil {
@@ -48,10 +49,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &View{
-		At: time.Now(), Version: table.Version, Services: services, Overview: status.Combine(summaries),
-		Stops: stops, Unreadable: unreadable,
-	}, nil
+	v.At, v.Overview, v.Stops, v.Unreadable = time.Now(), status.Combine(summaries), stops, unreadable
+	return v, nil
+}
+
+func configuration(ctx context.Context, client *platformhttp.Client) (manifest.Version, []*target.Service, error) {
+	repo := &platformhttp.Repository{Client: client}
+	_, table, _, err := manifest.NewEditor(repo).Current(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	services, err := (&review.Reviewer{Repo: repo}).Services(ctx, table)
+	return table.Version, services, err
 }
 
 // Input returns what a forecast with a list of planned stops rests on.
--- a/tools/trial/transcript.sh
+++ b/tools/trial/transcript.sh
@@ -44,7 +44,7 @@
 printf '## An edit\n\n'
 run fescuehoist check targets.toml
 run fescuehoist apply targets.toml --author amal
-start bench-caller --targets targets.toml --daemons 127.0.0.1:7100,127.0.0.1:7200,127.0.0.1:7300 --rate 350 --duration 150s
+start bench-caller --targets targets.toml --daemons 127.0.0.1:7100,127.0.0.1:7200,127.0.0.1:7300 --rate 350 --duration 170s
 sed 's/latency = "100ms"/latency = "80ms"/' targets.toml >faster.toml
 run fescuehoist diff faster.toml
 run fescuehoist apply faster.toml --expect 1 --author amal
@@ -59,20 +59,24 @@
 printf '## A bad file, and a bad version in the platform\n\n'
 sed -e 's/rank = 1/rank = 99/' -e 's/success = 0.95/sucess = 0.95/' targets.toml >bad.toml
 run fescuehoist check bad.toml
-printf '# past the command line: a version whose content the platform lacks\n'
-head=$(curl -s "http://127.0.0.1:7000/v1/objects/config/head")
-printf '%s' "$head" | python3 -c '
+printf '# past the command line: a head that no edit wrote\n'
+curl -s "$FESCUEHOIST_PLATFORM/v1/objects/config/head" | python3 -c '
 import json, sys
 o = json.load(sys.stdin); v = o["value"]
+json.dump(v, open("good.json", "w"))
 v["changes"].append({"version": v["version"] + 1, "edit_id": "by-hand", "author": "nobody", "at": "2026-01-01T00:00:00Z",
                      "updated": [{"service": "lookup", "digest": "0" * 64}]})
 v["version"] += 1
-json.dump(v, open("head.json", "w")); print(o["version"], file=open("revision", "w"))'
-run curl -s -o answer -w '%{http_code}\n' -X PUT -H "If-Match: $(cat revision)" -d @head.json http://127.0.0.1:7000/v1/objects/config/head
-sleep 25
+json.dump(v, open("bad.json", "w"))'
+put_head() { curl -s -o answer -w 'status %{http_code}\n' -X PUT -H "If-Match: $1" -d "@$2" "$FESCUEHOIST_PLATFORM/v1/objects/config/head"; }
+run put_head 2 bad.json
+sleep 20
 run fescuehoist status
 run fescuehoist apply faster.toml --author amal
-sleep 25
+printf '# the value before it is put back\n'
+run put_head 3 good.json
+run fescuehoist apply targets.toml --author amal
+sleep 20
 run fescuehoist status
 
 printf '## A planned stop with a forecast\n\n'
