Send keyed requests twice in the demonstration

Change: callers of classes that are not idempotent send every fifth request again at another daemon once the first may have run; the invariant covers them.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -37,6 +37,9 @@
 	Idempotent bool
 	// BodySize is the number of bytes sent with a call.
 	BodySize int
+	// RepeatEvery makes the caller send every so many calls a second time,
+	// with the same key, once the first may have run; 0 means none.
+	RepeatEvery int
 }
 
 // Report counts what became of the calls of a stream.
@@ -47,6 +50,8 @@
 	// Attempts counts the attempts that the daemons made; Wasted counts calls
 	// that ran without being answered in time.
 	Attempts, Wasted int
+	// Repeated counts the calls that were sent a second time.
+	Repeated int
 	// Latency is measured from the intended time of each call, in
 	// microseconds, of the calls that were answered.
 	Latency *hdrhistogram.Histogram
@@ -172,6 +177,22 @@
 	}
 	err := g.pool().Do(ctx, req, resp)
 	g.note(&outcome{stream: i, id: id, due: due, late: late, took: time.Since(due)}, resp, err)
+	if verdict, _ := verdictOf(resp, err); s.RepeatEvery > 0 && n%s.RepeatEvery == 0 && verdict != call.NotRun {
+		g.repeat(ctx, i, id, req, resp)
+	}
+}
+
+// repeat sends a request again. Violations finds it if it runs again.
+func (g *Generator) repeat(ctx context.Context, i int, id string, req *fasthttp.Request, resp *fasthttp.Response) {
+	resp.Reset()
+	err := g.pool().Do(ctx, req, resp)
+	verdict, _ := verdictOf(resp, err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reports[i].Repeated++
+	if verdict == call.Ran && !whole(id, resp) {
+		g.reports[i].Mistaken++
+	}
 }
 
 func (g *Generator) pool() *httpconn.Pool {
--- a/fescuehoist/demo/report.go
+++ b/fescuehoist/demo/report.go
@@ -40,10 +40,18 @@
 	return load.Stream{
 		Service: s.Name, Class: c.Name, Method: c.Method, Path: c.Path, Clients: clients,
 		Rate: capacity * utilization / float64(len(s.Classes)), Latency: c.Latency, Idempotent: c.Idempotent,
-		BodySize: bodySize(c.Method),
+		BodySize: bodySize(c.Method), RepeatEvery: repeatEvery(c),
 	}
 }
 
+// repeatEvery returns which calls of a class the callers send twice.
+func repeatEvery(c *target.Class) int {
+	if c.Idempotent {
+		return 0
+	}
+	return 5
+}
+
 func bodySize(method string) int {
 	if method == "GET" {
 		return 0
@@ -59,13 +67,14 @@
 			runs[id] += n
 		}
 	}
-	mistaken := 0
+	mistaken, repeated := 0, 0
 	for _, r := range d.generator.Reports() {
 		d.result.Classes = append(d.result.Classes, d.classResult(r))
 		mistaken += r.Mistaken
+		repeated += r.Repeated
 	}
 	violations := d.generator.Violations(runs)
-	d.check("verdicts agree with what ran, and nothing that may not be repeated ran twice", violations)
+	d.check(fmt.Sprintf("verdicts agree with what ran, and nothing that may not be repeated ran twice (%d requests were sent twice)", repeated), violations)
 	d.check("every answer is the whole one to its own request", counted(mistaken, "answers were not"))
 	d.check("the edit is in force within 6 s", over(d.result.ConvergenceMS, 6000))
 	d.check("no daemon ever had a lower version in force than before", d.versions.reverted())
