--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,13 @@
 bench-config:
 	go run ./bench/cmd/bench-config $(BENCH_FLAGS)
 
+.PHONY: bench-overhead
+bench: bench-overhead
+
+# The time that two daemons add to a call.
+bench-overhead:
+	go run ./bench/cmd/bench-overhead $(BENCH_FLAGS)
+
 # What each class of work gets under load and faults.
 bench-calls:
 	go run ./bench/cmd/bench-calls $(BENCH_FLAGS)
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Backend *backend.Backend
 	// Callers, Peers and Admin are the daemon's addresses.
 	Callers, Peers, Admin string
+	// Serving is the backend server's address.
+	Serving string
 
 	endDaemon  context.CancelCauseFunc
 	endBackend context.CancelFunc
@@ -121,7 +123,7 @@
 	m := &Member{
 		Server: s, Daemon: d,
 		Callers: listeners.Callers.Addr().String(), Peers: listeners.Peers.Addr().String(),
-		Admin: listeners.Admin.Addr().String(),
+		Admin: listeners.Admin.Addr().String(), Serving: backendListener.Addr().String(),
 	}
 	m.Backend = backend.New(backend.Config{
 		Service: s.Service, Slots: s.Slots, Announced: s.Announced, Connections: f.deployment.Connections,
