Carry the URI of a call as it was sent, and parse less on the way

Cause: setting the host of a request made the library parse the URI and write it anew, so a backend server got /places/b/c for /places//a/../b%2Fc (seen to fail).

--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -94,7 +94,8 @@
 	req.Header.DisableNormalizing()
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.URI)
-	req.SetHost(r.Service)
+	// Set in the header, so that the URI is neither parsed nor rewritten.
+	req.Header.SetHost(r.Service)
 	for _, f := range r.Header {
 		req.Header.Add(f.Name, f.Value)
 	}
@@ -183,11 +184,17 @@
 }
 
 func parseLoad(text string) call.Load {
-	var l call.Load
-	var service int64
-	if _, err := fmt.Sscanf(text, "%d %d %d %d", &l.Running, &l.Queued, &l.Limit, &service); err != nil {
-		return call.Load{}
+	var numbers [4]int
+	for i := range numbers {
+		field, rest, _ := strings.Cut(text, " ")
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return call.Load{}
+		}
+		numbers[i], text = n, rest
+	}
+	return call.Load{
+		Running: numbers[0], Queued: numbers[1], Limit: numbers[2],
+		Service: time.Duration(numbers[3]) * time.Microsecond,
 	}
-	l.Service = time.Duration(service) * time.Microsecond
-	return l
 }
--- a/adapters/callhttp/path_test.go
+++ b/adapters/callhttp/path_test.go
@@ -367,3 +367,23 @@
 		t.Fatal(err)
 	}
 }
+
+func TestTheURIArrivesAsItWasSent(t *testing.T) {
+	uri := make(chan string, 1)
+	s := startScript(t, func(_ *script, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		uri <- req.RequestURI
+		_, _ = io.WriteString(c, ok)
+	})
+	r := request("1", false)
+	r.URI = "/places//a/../b%2Fc?q=%D9%82&x"
+	if _, err := forwardTo(t, startDaemon(t, s.address))(context.Background(), r); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-uri; got != r.URI {
+		t.Errorf("got %s, want %s", got, r.URI)
+	}
+}
