Take the lease of a reader that is gone, and recover from a lost history

Cause: after the death of all readers of all failure domains an accepted edit waited for their leases to lapse. A platform that lost versions left daemons refusing all that followed, with no way out for operators. A head spoilt by hand was reported as a platform that is away.

Change: a claim for a lease does not wait for a holder that the mesh knows to be gone; the lease only bounds the number of readers. fescuehoist recover puts a file in place of the head, in a version above all that daemons know. A daemon that is aborted, as by a fault, no longer gives its lease back, so the tests see real deaths.

--- a/adapters/platformhttp/contract_test.go
+++ b/adapters/platformhttp/contract_test.go
@@ -61,7 +61,7 @@
 	p, client := start(t)
 	l := platformhttp.NewLeases(client())
 	for range 4 {
-		if err := l.Acquire(t.Context(), "l", "a", time.Hour); err != nil {
+		if err := l.Acquire(t.Context(), reader.Claim{Name: "l", Holder: "a", TTL: time.Hour}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/adapters/platformhttp/leases.go
+++ b/adapters/platformhttp/leases.go
@@ -43,52 +43,53 @@
 
 // Acquire takes or renews a lease, or returns reader.ErrHeld. A renewal is one
 // call as long as nobody else wrote the lease.
-func (l *Leases) Acquire(ctx context.Context, name string, holder member.ServerID, ttl time.Duration) error {
-	if s := l.sighting(name); s.own {
-		err := l.write(ctx, name, holder, ttl, s.version)
+func (l *Leases) Acquire(ctx context.Context, c reader.Claim) error {
+	if s := l.sighting(c.Name); s.own {
+		err := l.write(ctx, &c, s.version)
 		if !errors.Is(err, reader.ErrHeld) {
 			return err
 		}
 	}
-	o, err := l.Client.Get(ctx, leasePrefix+name)
+	o, err := l.Client.Get(ctx, leasePrefix+c.Name)
 	if isNotFound(err) {
-		return l.write(ctx, name, holder, ttl, 0)
+		return l.write(ctx, &c, 0)
 	}
 	if err != nil {
 		return err
 	}
-	if l.heldByOther(name, o, holder) {
+	if l.heldByOther(&c, o) {
 		return reader.ErrHeld
 	}
-	return l.write(ctx, name, holder, ttl, o.Version)
+	return l.write(ctx, &c, o.Version)
 }
 
-// write stores the lease for holder if its version is still the expected one.
-func (l *Leases) write(ctx context.Context, name string, holder member.ServerID, ttl time.Duration, expect uint64) error {
-	version, err := l.Client.Put(ctx, leasePrefix+name, leaseJSON{Holder: string(holder), TTL: ttl.String()}, expect)
+// write stores the claimed lease if its version is still the expected one.
+func (l *Leases) write(ctx context.Context, c *reader.Claim, expect uint64) error {
+	value := leaseJSON{Holder: string(c.Holder), TTL: c.TTL.String()}
+	version, err := l.Client.Put(ctx, leasePrefix+c.Name, value, expect)
 	if errors.Is(err, manifest.ErrConflict) {
-		l.forget(name)
+		l.forget(c.Name)
 		return reader.ErrHeld
 	}
 	if err == nil {
-		l.note(name, sighting{version: version, own: true})
+		l.note(c.Name, sighting{version: version, own: true})
 	}
 	return err
 }
 
 // heldByOther reports whether another daemon holds the lease.
-func (l *Leases) heldByOther(name string, o *Object, holder member.ServerID) bool {
+func (l *Leases) heldByOther(c *reader.Claim, o *Object) bool {
 	var have leaseJSON
-	if json.Unmarshal(o.Value, &have) != nil || have.Holder == "" || have.Holder == string(holder) {
+	if json.Unmarshal(o.Value, &have) != nil || !c.HeldBy(member.ServerID(have.Holder)) {
 		return false
 	}
 	ttl, err := time.ParseDuration(have.TTL)
 	if err != nil {
 		return false
 	}
-	s := l.sighting(name)
+	s := l.sighting(c.Name)
 	if s.version != o.Version {
-		l.note(name, sighting{version: o.Version, at: time.Now()})
+		l.note(c.Name, sighting{version: o.Version, at: time.Now()})
 		return true
 	}
 	return time.Since(s.at) < min(ttl, MaxLeaseTTL)
--- a/bench/fleet/config_test.go
+++ b/bench/fleet/config_test.go
@@ -95,7 +95,9 @@
 		if err := json.Unmarshal(o.Value, &lease); err != nil {
 			m.t.Fatal(err)
 		}
-		holders[lease.Holder] = true
+		if lease.Holder != "" {
+			holders[lease.Holder] = true
+		}
 	}
 	return holders
 }
@@ -113,6 +115,20 @@
 	return readers, others
 }
 
+// killReaders waits until all readers have their leases, kills them, and
+// returns the members that are left.
+func (m *mesh) killReaders() []*fleet.Member {
+	const domains = 2
+	for len(m.readers()) < domains*reader.DefaultConfig().PerDomain {
+		time.Sleep(10 * time.Millisecond)
+	}
+	readers, others := m.split()
+	for _, r := range readers {
+		r.Kill()
+	}
+	return others
+}
+
 func TestAcceptedEditIsInForceEverywhere(t *testing.T) {
 	const outage = time.Second
 	for _, c := range []struct {
@@ -126,29 +142,24 @@
 		}},
 		{name: "answer lost after the write", before: func(m *mesh) []*fleet.Member {
 			m.Platform.SetFaults(platform.Faults{LoseAnswers: true, Writes: "config/"})
-			return nil
+			return m.Members
 		}},
 		{name: "write lands late", before: func(m *mesh) []*fleet.Member {
 			m.Platform.SetFaults(platform.Faults{LateWrites: 300 * time.Millisecond, Writes: "config/head"})
-			return nil
+			return m.Members
 		}},
 		{name: "slow platform", before: func(m *mesh) []*fleet.Member {
 			m.Platform.SetFaults(platform.Faults{Delay: 300 * time.Millisecond})
-			return nil
-		}},
-		{name: "all readers die", after: func(m *mesh) []*fleet.Member {
-			readers, others := m.split()
-			for _, r := range readers {
-				r.Kill()
-			}
-			return others
+			return m.Members
 		}},
+		{name: "all readers die right after the write", after: (*mesh).killReaders},
+		{name: "all readers die right before the write", before: (*mesh).killReaders},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := begin(t, small(8), func(cfg *daemon.Config) { cfg.Reader.LeaseTTL = time.Second })
+			m := begin(t, small(8), nil)
 			live := m.Members
 			if c.before != nil {
-				c.before(m)
+				live = c.before(m)
 			}
 			v := m.publish(2)
 			if c.after != nil {
--- a/fescuehoist/exit.go
+++ b/fescuehoist/exit.go
@@ -31,7 +31,7 @@
 	switch {
 	case err == nil:
 		return exitDone
-	case targetfile.IsProblems(err), errors.Is(err, fs.ErrNotExist), errors.Is(err, errInput):
+	case targetfile.IsProblems(err), errors.Is(err, fs.ErrNotExist), errors.Is(err, errInput), invalid(err):
 		return exitBadInput
 	case errors.Is(err, manifest.ErrConflict):
 		return exitConflict
@@ -51,7 +51,13 @@
 // that the platform could not be asked.
 func settled(err error) bool {
 	var malformed *manifest.Malformed
-	return errors.Is(err, manifest.ErrConflict) || errors.Is(err, manifest.ErrUnknown) ||
+	return invalid(err) || errors.Is(err, manifest.ErrConflict) || errors.Is(err, manifest.ErrUnknown) ||
 		errors.Is(err, manifest.ErrNotFound) || errors.Is(err, errInput) || errors.Is(err, errSlowdown) ||
 		errors.As(err, &malformed)
 }
+
+// invalid reports whether daemons would refuse what an edit leads to.
+func invalid(err error) bool {
+	var e *manifest.Invalid
+	return errors.As(err, &e)
+}
--- a/fescuehoist/main.go
+++ b/fescuehoist/main.go
@@ -22,6 +22,7 @@
 	Apply    applyCommand    `cmd:"" help:"Check a file of targets and make it the next version."`
 	Remove   removeCommand   `cmd:"" help:"Remove services from the configuration."`
 	Get      getCommand      `cmd:"" help:"Print the targets of a version as a file."`
+	Recover  recoverCommand  `cmd:"" help:"Put a file in place of a configuration that daemons refuse because the platform lost versions."`
 	History  historyCommand  `cmd:"" help:"List the edits: who, when, and what they changed."`
 	Status   statusCommand   `cmd:"" help:"Show whether each class meets its target, and what each failure domain has in force."`
 	Forecast forecastCommand `cmd:"" help:"Foresee which classes will miss their targets, and which clients to tell."`
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -256,6 +256,8 @@
 			return nil
 		}
 		if errors.Is(context.Cause(ctx), ErrAborted) {
+			// A daemon that dies does not give its lease back.
+			d.platform.Close()
 			stopCalls()
 			callers.Abort()
 			forwarded.Abort()
--- a/mesh/manifest/editor.go
+++ b/mesh/manifest/editor.go
@@ -82,7 +82,11 @@
 		}
 		table = base
 	}
-	return table.ApplyAll(head.Changes)
+	table, err := table.ApplyAll(head.Changes)
+	if err != nil {
+		return nil, &Malformed{Object: fmt.Sprintf("head %d", head.Version), Err: err}
+	}
+	return table, nil
 }
 
 // Publish makes the edit the next version and returns the change. An edit that
@@ -167,7 +171,7 @@
 		err = next.Check()
 	}
 	if err != nil {
-		return nil, &Invalid{Problems: []target.Problem{{Text: err.Error()}}}
+		return nil, invalid("%v", err)
 	}
 	return c, nil
 }
--- a/mesh/reader/pausable_test.go
+++ b/mesh/reader/pausable_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"sync"
-	"time"
 
-	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/reader"
 )
 
@@ -27,7 +25,7 @@
 	p.resume = nil
 }
 
-func (p *pausable) Acquire(ctx context.Context, name string, holder member.ServerID, ttl time.Duration) error {
+func (p *pausable) Acquire(ctx context.Context, c reader.Claim) error {
 	p.mu.Lock()
 	resume := p.resume
 	p.mu.Unlock()
@@ -38,5 +36,5 @@
 		case <-resume:
 		}
 	}
-	return p.Leases.Acquire(ctx, name, holder, ttl)
+	return p.Leases.Acquire(ctx, c)
 }
--- a/mesh/reader/reader.go
+++ b/mesh/reader/reader.go
@@ -20,10 +20,28 @@
 // ErrHeld says that another daemon holds the lease.
 var ErrHeld = errors.New("another daemon holds the lease")
 
+// Claim asks for a lease.
+type Claim struct {
+	// Name is the lease's name.
+	Name string
+	// Holder is the daemon that wants it.
+	Holder member.ServerID
+	// TTL is how long the lease lasts without renewal.
+	TTL time.Duration
+	// Gone reports whether another holder is known to be gone, so that its
+	// lease need not lapse first. Nil means that nobody is.
+	Gone func(member.ServerID) bool
+}
+
+// HeldBy reports whether a lease of other stands in the way of the claim.
+func (c *Claim) HeldBy(other member.ServerID) bool {
+	return other != "" && other != c.Holder && (c.Gone == nil || !c.Gone(other))
+}
+
 // Leases grants leases that the platform keeps.
 type Leases interface {
-	// Acquire takes or renews the named lease, or returns ErrHeld.
-	Acquire(ctx context.Context, name string, holder member.ServerID, ttl time.Duration) error
+	// Acquire takes or renews a lease, or returns ErrHeld.
+	Acquire(ctx context.Context, c Claim) error
 	// Release gives the lease up if holder has it.
 	Release(ctx context.Context, name string, holder member.ServerID) error
 }
@@ -166,7 +184,7 @@
 func (r *Reader) hold(ctx context.Context, lease string) error {
 	delay := r.delay()
 	for {
-		err := r.leases.Acquire(ctx, lease, r.self, r.cfg.LeaseTTL)
+		err := r.leases.Acquire(ctx, r.claim(lease))
 		if err == nil {
 			delay.Reset()
 			r.out.Infof("holds lease %s", lease)
@@ -178,17 +196,25 @@
 	}
 }
 
+// claim asks for a lease, also for that of a daemon that has left or failed: two
+// readers at once do no harm, none for the rest of a lease would.
+func (r *Reader) claim(lease string) Claim {
+	gone := func(holder member.ServerID) bool {
+		m, known := r.members.Get(holder)
+		return known && m.Terminal()
+	}
+	return Claim{Name: lease, Holder: r.self, TTL: r.cfg.LeaseTTL, Gone: gone}
+}
+
 // watchUnderLease watches until the lease cannot be renewed.
 func (r *Reader) watchUnderLease(ctx context.Context, lease string) {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return r.renew(ctx, lease) })
 	g.Go(func() error { return r.watch(ctx) })
 	_ = g.Wait()
-	if ctx.Err() != nil {
-		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-		defer cancel()
-		_ = r.leases.Release(release, lease, r.self)
-	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	_ = r.leases.Release(release, lease, r.self)
 }
 
 // renew keeps the lease. While the platform is away the watch goes on: it
@@ -198,7 +224,7 @@
 		if err := wait.For(ctx, r.cfg.LeaseTTL/3); err != nil {
 			return err
 		}
-		err := r.leases.Acquire(ctx, lease, r.self, r.cfg.LeaseTTL)
+		err := r.leases.Acquire(ctx, r.claim(lease))
 		if errors.Is(err, ErrHeld) {
 			r.out.Infof("lost lease %s", lease)
 			return err
--- a/mesh/reader/readertest/contract.go
+++ b/mesh/reader/readertest/contract.go
@@ -24,26 +24,33 @@
 	t.Run("one daemon holds a lease and renews it", func(t *testing.T) {
 		a, b := start(t)
 		for range 3 {
-			expect(t, a.Acquire(ctx, "l", "a", longTTL), nil)
-			expect(t, b.Acquire(ctx, "l", "b", longTTL), reader.ErrHeld)
+			expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), nil)
+			expect(t, b.Acquire(ctx, reader.Claim{Name: "l", Holder: "b", TTL: longTTL}), reader.ErrHeld)
 		}
-		expect(t, b.Acquire(ctx, "other", "b", longTTL), nil)
+		expect(t, b.Acquire(ctx, reader.Claim{Name: "other", Holder: "b", TTL: longTTL}), nil)
 	})
 	t.Run("a released lease is free", func(t *testing.T) {
 		a, b := start(t)
-		expect(t, a.Acquire(ctx, "l", "a", longTTL), nil)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), nil)
 		expect(t, b.Release(ctx, "l", "b"), reader.ErrHeld)
 		expect(t, a.Release(ctx, "l", "a"), nil)
-		expect(t, b.Acquire(ctx, "l", "b", longTTL), nil)
-		expect(t, a.Acquire(ctx, "l", "a", longTTL), reader.ErrHeld)
+		expect(t, b.Acquire(ctx, reader.Claim{Name: "l", Holder: "b", TTL: longTTL}), nil)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), reader.ErrHeld)
+	})
+	t.Run("the lease of a holder that is gone need not lapse", func(t *testing.T) {
+		a, b := start(t)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), nil)
+		gone := func(holder member.ServerID) bool { return holder == "a" }
+		expect(t, b.Acquire(ctx, reader.Claim{Name: "l", Holder: "b", TTL: longTTL, Gone: gone}), nil)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), reader.ErrHeld)
 	})
 	t.Run("a holder that paused loses the lapsed lease and learns it", func(t *testing.T) {
 		a, b := start(t)
-		expect(t, a.Acquire(ctx, "l", "a", shortTTL), nil)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: shortTTL}), nil)
 		takeOver(t, b, "b")
-		expect(t, a.Acquire(ctx, "l", "a", longTTL), reader.ErrHeld)
+		expect(t, a.Acquire(ctx, reader.Claim{Name: "l", Holder: "a", TTL: longTTL}), reader.ErrHeld)
 		expect(t, a.Release(ctx, "l", "a"), reader.ErrHeld)
-		expect(t, b.Acquire(ctx, "l", "b", longTTL), nil)
+		expect(t, b.Acquire(ctx, reader.Claim{Name: "l", Holder: "b", TTL: longTTL}), nil)
 	})
 }
 
@@ -58,7 +65,7 @@
 func takeOver(t *testing.T, l reader.Leases, holder member.ServerID) {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(shortTTL / 4) {
-		err := l.Acquire(context.Background(), "l", holder, longTTL)
+		err := l.Acquire(context.Background(), reader.Claim{Name: "l", Holder: holder, TTL: longTTL})
 		if err == nil {
 			return
 		}
--- a/mesh/reader/readertest/leases.go
+++ b/mesh/reader/readertest/leases.go
@@ -26,13 +26,13 @@
 func NewLeases() *Leases { return &Leases{held: map[string]lease{}} }
 
 // Acquire takes or renews a lease, or returns reader.ErrHeld.
-func (l *Leases) Acquire(_ context.Context, name string, holder member.ServerID, ttl time.Duration) error {
+func (l *Leases) Acquire(_ context.Context, c reader.Claim) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if have := l.held[name]; have.holder != holder && time.Now().Before(have.until) {
+	if have := l.held[c.Name]; c.HeldBy(have.holder) && time.Now().Before(have.until) {
 		return reader.ErrHeld
 	}
-	l.held[name] = lease{holder: holder, until: time.Now().Add(ttl)}
+	l.held[c.Name] = lease{holder: c.Holder, until: time.Now().Add(c.TTL)}
 	return nil
 }
 
