--- a/bench/foresee/run.go
+++ b/bench/foresee/run.go
@@ -105,7 +105,7 @@
 	before, endBefore := context.WithCancel(ctx)
 	defer endBefore()
 	running := make(chan struct{})
-	first := r.generator()
+	first := r.generator("before-")
 	go func() {
 		first.Run(before)
 		close(running)
@@ -122,7 +122,7 @@
 	}
 	after, endAfter := context.WithTimeout(ctx, r.Observe)
 	defer endAfter()
-	second := r.generator()
+	second := r.generator("after-")
 	endBefore()
 	second.Run(after)
 	<-running
@@ -148,7 +148,7 @@
 	return f, r.store.SaveStops(ctx, list)
 }
 
-func (r *run) generator() *load.Generator {
+func (r *run) generator(name string) *load.Generator {
 	var callers []string
 	for _, m := range r.fleet.Members {
 		callers = append(callers, m.Callers)
@@ -167,7 +167,9 @@
 			})
 		}
 	}
-	return load.New(r.Seed, callers, streams)
+	g := load.New(r.Seed, callers, streams)
+	g.Name = name
+	return g
 }
 
 func (r *run) outcomes(f *forecast.Forecast, g *load.Generator) []Outcome {
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -72,6 +72,9 @@
 
 // Generator drives streams of calls into daemons.
 type Generator struct {
+	// Name starts the ids and keys of all requests; generators that call the
+	// same fleet need different ones.
+	Name string
 	// Warmup is the time from the start whose calls are left out of reports;
 	// they are still checked.
 	Warmup time.Duration
@@ -159,7 +162,7 @@
 
 func (g *Generator) call(ctx context.Context, i, n int, due time.Time) {
 	s := &g.streams[i]
-	id := fmt.Sprintf("%s-%d-%d", s.Class, i, n)
+	id := fmt.Sprintf("%s%s-%d-%d", g.Name, s.Class, i, n)
 	late := time.Since(due)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -108,9 +108,13 @@
 }
 
 // patience returns how long a call may wait and still be answered in time.
-func (c *class) patience() time.Duration {
-	in := time.Duration(queueShare*float64(c.target.Latency)) - c.service
-	return max(in, time.Duration(minPatience*float64(c.service)))
+func (c *class) patience() time.Duration { return Patience(c.target.Latency, c.service) }
+
+// Patience returns how long a call of a class with the given target latency and
+// service time may wait for a slot.
+func Patience(latency, service time.Duration) time.Duration {
+	in := time.Duration(queueShare*float64(latency)) - service
+	return max(in, time.Duration(minPatience*float64(service)))
 }
 
 // learn takes the service time of one call, which ran almost alone or not, and
--- a/mesh/forecast/model.go
+++ b/mesh/forecast/model.go
@@ -65,8 +65,8 @@
 	in       *Input
 	service  *target.Service
 	measured []*status.ClassOverview
-	// work is the mean service time of each class, in seconds.
-	work []float64
+	// work is the mean service time of each class.
+	work []time.Duration
 	base []distribution
 }
 
@@ -78,7 +78,7 @@
 			c = &status.ClassOverview{Counts: &status.Counts{}}
 		}
 		m.measured = append(m.measured, c)
-		m.work = append(m.work, c.Counts.Service.Mean().Seconds())
+		m.work = append(m.work, c.Counts.Service.Mean())
 	}
 	var rates []float64
 	for _, c := range m.measured {
@@ -180,12 +180,11 @@
 		q.busy = 1
 		return q
 	}
-	total, rate, square := 0.0, 0.0, 0.0
+	total, square := 0.0, 0.0
 	for i := range rates {
-		q.load[i] = rates[i] * m.work[i]
+		q.load[i] = rates[i] * m.work[i].Seconds()
 		total += q.load[i]
-		rate += rates[i]
-		square += rates[i] * m.work[i] * m.work[i]
+		square += q.load[i] * m.work[i].Seconds()
 	}
 	q.granted = grant(m.service.Classes, q.load, q.slots)
 	q.pool = q.slots * float64(min(v.choices, servers)) / float64(servers)
@@ -302,14 +301,14 @@
 // minSpare bounds how long a queue is taken to get.
 const minSpare = 0.01
 
-// fullQueue returns the waiting of a class whose queue is always full.
+// fullQueue returns the waiting of a class whose queue is always full: until
+// the calls before have run, at most as long as the gate lets a call wait.
 func (m *model) fullQueue(i int, q *queueing) waiting {
-	c := &m.service.Classes[i]
-	limit := max(c.Timeout.Seconds()-m.work[i], 0)
+	limit := admit.Patience(m.service.Classes[i].Latency, m.work[i]).Seconds()
 	if q.granted[i] == 0 {
 		return waiting{busy: 1, fixed: limit}
 	}
-	rate := q.granted[i] / m.work[i]
+	rate := q.granted[i] / m.work[i].Seconds()
 	return waiting{busy: 1, fixed: min(admit.QueuePerSlot*q.slots/rate, limit)}
 }
 
