Make NotRun hold for all copies of a keyed request, and choose homes faster

Cause: a daemon that turned a keyed request away for overload said NotRun also when an earlier copy had run (seen to fail). Two clients that used the same key shared its outcome.

Change: the throttle comes after the homes were asked; keys are apart for each client; homes are chosen among the daemons of the first three failure domains.

--- a/bench/fleet/calls_test.go
+++ b/bench/fleet/calls_test.go
@@ -17,6 +17,7 @@
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/adapters/targetfile"
 	"fescuehoist.example/bench/fleet"
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/standin/backend"
@@ -28,7 +29,12 @@
 	if work != nil {
 		d.Work = work
 	}
-	f, err := fleet.Start(ctx, d, fleet.Options{})
+	return start(ctx, t, d, fleet.Options{})
+}
+
+// start starts a deployment with Nuqta's targets in force.
+func start(ctx context.Context, t *testing.T, d *fleet.Deployment, o fleet.Options) *fleet.Fleet {
+	f, err := fleet.Start(ctx, d, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,3 +232,173 @@
 		}
 	}
 }
+
+// submission is one request that its caller sends again until it is answered.
+type submission struct {
+	id      string
+	replies []reply
+}
+
+// resend sends a submission to one daemon after another.
+func (s *submission) resend(addresses []string, first int) {
+	for n := range 4 {
+		got := do("POST", addresses[(first+n)%len(addresses)], "lookup", "/places", s.id, map[string]string{callhttp.HeaderKey: s.id})
+		s.replies = append(s.replies, got)
+		if got.verdict == call.Ran.String() {
+			return
+		}
+	}
+}
+
+func TestSubmissionsRunAtMostOnceWhileDaemonsDieAndLeave(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	defer cancel()
+	f := startNuqta(ctx, t, nil)
+	var addresses []string
+	for _, m := range f.Members {
+		addresses = append(addresses, m.Callers)
+	}
+	var mu sync.Mutex
+	var all []*submission
+	var calls sync.WaitGroup
+	stop := make(chan struct{})
+	for task := range 16 {
+		calls.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				s := &submission{id: fmt.Sprintf("submission-%d-%d", task, n)}
+				s.resend(addresses, task+n)
+				mu.Lock()
+				all = append(all, s)
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.Members[0].Kill()
+	time.Sleep(300 * time.Millisecond)
+	f.Members[5].Stop()
+	f.Members[6].Kill()
+	time.Sleep(300 * time.Millisecond)
+	f.Members[1].Backend.Crash()
+	f.Members[2].Stop()
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	calls.Wait()
+	runs := f.Runs()
+	answered := 0
+	for _, s := range all {
+		ran, unknown := false, false
+		for _, r := range s.replies {
+			ran = ran || r.verdict == call.Ran.String()
+			unknown = unknown || r.verdict != call.NotRun.String()
+			if r.verdict == call.Ran.String() && (len(r.body) < len(s.id) || r.body[:len(s.id)] != s.id) {
+				t.Errorf("%s got the answer %q", s.id, r.body)
+			}
+		}
+		n := runs[s.id]
+		if n > 1 || (ran && n != 1) || (!unknown && n > 0) {
+			t.Errorf("%s ran %d times; replies %v", s.id, n, s.replies)
+		}
+		if ran {
+			answered++
+		}
+	}
+	t.Logf("%d of %d submissions were answered", answered, len(all))
+	if answered == 0 {
+		t.Error("no submission was answered")
+	}
+}
+
+func TestAKilledServerLeavesTrueVerdicts(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f := startNuqta(ctx, t, func(string, string) time.Duration { return 30 * time.Millisecond })
+	var calls sync.WaitGroup
+	for n := range 10 {
+		calls.Go(func() {
+			id := fmt.Sprint("search-", n)
+			if got := do("GET", f.Members[5].Callers, "lookup", "/search?n="+id, id, nil); got.verdict != "ran" {
+				t.Errorf("%s got %v", id, got)
+			}
+		})
+		calls.Go(func() {
+			id := fmt.Sprint("plain-", n)
+			got := do("POST", f.Members[6].Callers, "lookup", "/places?n="+id, id, nil)
+			ran := f.Runs()[id]
+			if ran > 1 || (got.verdict == "not-run" && ran > 0) || (got.verdict == "ran" && ran != 1) {
+				t.Errorf("%s ran %d times and got %v", id, ran, got)
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	f.Members[0].Backend.Crash()
+	calls.Wait()
+}
+
+func TestALeavingServerGetsNoNewWorkAfterThreeSeconds(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f := startNuqta(ctx, t, func(_, path string) time.Duration {
+		if path == "/export" {
+			return 1900 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	})
+	leaving := f.Members[5]
+	go func() { _ = do("GET", leaving.Callers, "archive", "/export", "long", nil) }()
+	begin := time.Now()
+	stopped := make(chan struct{})
+	go func() {
+		leaving.Stop()
+		close(stopped)
+	}()
+	last := time.Time{}
+	for n := 0; time.Since(begin) < 4*time.Second; n++ {
+		id := fmt.Sprint("geometry-", n)
+		sent := time.Now()
+		if got := do("GET", f.Members[n%5].Callers, "archive", "/geometry", id, nil); got.verdict != "ran" {
+			t.Errorf("%s got %v", id, got)
+		}
+		if leaving.Backend.Runs()[id] > 0 {
+			last = sent
+		}
+	}
+	<-stopped
+	if after := last.Sub(begin); after > 3*time.Second {
+		t.Errorf("the leaving server got work %v after its stop began", after)
+	}
+}
+
+// closed is a throttle that turns every call away.
+type closed struct{}
+
+func (closed) Allow(_, _, _ string) bool   { return false }
+func (closed) Done(_, _, _ string, _ bool) {}
+
+func TestNotRunHoldsForAllCopiesOfARequest(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f := start(ctx, t, fleet.Nuqta(), fleet.Options{Tune: func(c *daemon.Config) {
+		if c.Settings.Server == "lookup-2" {
+			c.Policy.Throttle = closed{}
+		}
+	}})
+	submit := func(member int, id string) reply {
+		return do("POST", f.Members[member].Callers, "lookup", "/places", id, map[string]string{callhttp.HeaderKey: id})
+	}
+	first := submit(0, "a")
+	if second := submit(1, "a"); first.verdict != "ran" || second.verdict != "ran" || second.body != first.body {
+		t.Errorf("the copies got %v and %v", first, second)
+	}
+	if got := submit(1, "b"); got.verdict != "not-run" || f.Runs()["b"] != 0 {
+		t.Errorf("a request that is turned away got %v", got)
+	}
+	if got := submit(0, "b"); got.verdict != "ran" || f.Runs()["b"] != 1 {
+		t.Errorf("its copy got %v", got)
+	}
+}
--- a/mesh/once/homes.go
+++ b/mesh/once/homes.go
@@ -37,14 +37,45 @@
 type Homes struct {
 	cfg   Config
 	table *member.Table
-	known atomic.Pointer[[]*home]
+	known atomic.Pointer[fleet]
+}
+
+// fleet is an immutable picture of the daemons that may keep keys.
+type fleet struct {
+	homes   map[member.ServerID]*home
+	domains []*domain
+}
+
+// domain holds the daemons of one failure domain.
+type domain struct {
+	hash uint64
+	// hashes are those of the homes, side by side for speed.
+	hashes []uint64
+	homes  []*home
+}
+
+func newFleet(known []*home) *fleet {
+	f := &fleet{homes: make(map[member.ServerID]*home, len(known))}
+	domains := map[string]*domain{}
+	for _, k := range known {
+		f.homes[k.id] = k
+		d := domains[k.domain]
+		if d == nil {
+			d = &domain{hash: xxhash.Sum64String(k.domain)}
+			domains[k.domain] = d
+			f.domains = append(f.domains, d)
+		}
+		d.hashes = append(d.hashes, k.hash)
+		d.homes = append(d.homes, k)
+	}
+	return f
 }
 
 // NewHomes returns the homes among the members of a table; Run keeps them up
 // to date.
 func NewHomes(cfg Config, table *member.Table) *Homes {
 	h := &Homes{cfg: cfg, table: table}
-	h.known.Store(&[]*home{})
+	h.known.Store(&fleet{})
 	h.update(time.Now())
 	return h
 }
@@ -70,10 +101,7 @@
 
 // update takes the current view and returns the daemons that are new in it.
 func (h *Homes) update(now time.Time) []member.ServerID {
-	before := map[member.ServerID]*home{}
-	for _, k := range *h.known.Load() {
-		before[k.id] = k
-	}
+	before := h.known.Load().homes
 	var known []*home
 	var news []member.ServerID
 	for _, r := range h.table.View().All() {
@@ -87,7 +115,7 @@
 		}
 		known = append(known, k)
 	}
-	h.known.Store(&known)
+	h.known.Store(newFleet(known))
 	return news
 }
 
@@ -112,8 +140,9 @@
 	return k
 }
 
-// Of returns the homes of a key, the first in each of the first failure
-// domains in the order of their scores.
+// Of returns the homes of a key: the first daemon in each of the first failure
+// domains, and further daemons if there are too few domains. Failure domains
+// and daemons are ordered by their scores.
 func (h *Homes) Of(id ID) []*home { return h.choose(id, "") }
 
 // without returns the homes that a key has once a daemon has left.
@@ -122,39 +151,52 @@
 }
 
 func (h *Homes) choose(id ID, except member.ServerID) []*home {
-	key := xxhash.Sum64String(id.Service + "\x00" + id.Key)
-	best := map[string]*home{}
-	known := *h.known.Load()
-	for _, k := range known {
-		if k.id == except {
-			continue
+	key := xxhash.Sum64String(id.Service + "\x00" + id.Client + "\x00" + id.Key)
+	f := h.known.Load()
+	domains := slices.Clone(f.domains)
+	slices.SortFunc(domains, func(a, b *domain) int { return cmp.Compare(score(b.hash, key), score(a.hash, key)) })
+	var chosen []*home
+	for _, d := range domains {
+		if len(chosen) == h.cfg.Homes {
+			return chosen
 		}
-		if b := best[k.domain]; b == nil || score(k, key) > score(b, key) {
-			best[k.domain] = k
+		if k := d.first(key, except); k != nil {
+			chosen = append(chosen, k)
 		}
 	}
-	order := func(a, b *home) int { return cmp.Compare(score(b, key), score(a, key)) }
-	var chosen []*home
-	for _, k := range best {
-		chosen = append(chosen, k)
+	return append(chosen, f.further(key, except, chosen, h.cfg.Homes-len(chosen))...)
+}
+
+// first returns the daemon with the highest score.
+func (d *domain) first(key uint64, except member.ServerID) *home {
+	var best *home
+	highest := uint64(0)
+	for i, hash := range d.hashes {
+		if s := score(hash, key); (best == nil || s > highest) && d.homes[i].id != except {
+			best, highest = d.homes[i], s
+		}
 	}
-	slices.SortFunc(chosen, order)
-	if len(chosen) >= h.cfg.Homes {
-		return chosen[:h.cfg.Homes]
+	return best
+}
+
+// further returns up to count daemons that are not chosen yet.
+func (f *fleet) further(key uint64, except member.ServerID, chosen []*home, count int) []*home {
+	if count == 0 {
+		return nil
 	}
 	var rest []*home
-	for _, k := range known {
-		if best[k.domain] != k && k.id != except {
+	for _, k := range f.homes {
+		if k.id != except && !slices.Contains(chosen, k) {
 			rest = append(rest, k)
 		}
 	}
-	slices.SortFunc(rest, order)
-	return append(chosen, rest[:min(len(rest), h.cfg.Homes-len(chosen))]...)
+	slices.SortFunc(rest, func(a, b *home) int { return cmp.Compare(score(b.hash, key), score(a.hash, key)) })
+	return rest[:min(len(rest), count)]
 }
 
 // score orders daemons for a key (rendezvous hashing with a 64-bit finalizer).
-func score(k *home, key uint64) uint64 {
-	x := k.hash ^ key
+func score(hash, key uint64) uint64 {
+	x := hash ^ key
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
@@ -176,11 +218,4 @@
 }
 
 // find returns the daemon with a name, or nil.
-func (h *Homes) find(id member.ServerID) *home {
-	for _, k := range *h.known.Load() {
-		if k.id == id {
-			return k
-		}
-	}
-	return nil
-}
+func (h *Homes) find(id member.ServerID) *home { return h.known.Load().homes[id] }
--- a/mesh/once/message.go
+++ b/mesh/once/message.go
@@ -8,8 +8,8 @@
 	"fescuehoist.example/mesh/member"
 )
 
-// ID names a request across its repeats.
-type ID struct{ Service, Key string }
+// ID names a request across its repeats. Keys of different clients differ.
+type ID struct{ Service, Client, Key string }
 
 // State is what a home says of a key.
 type State uint8
--- a/mesh/once/once_test.go
+++ b/mesh/once/once_test.go
@@ -198,7 +198,7 @@
 
 func (w *network) homesOf(key string) []*node {
 	var nodes []*node
-	for _, k := range w.nodes["s0"].homes.Of(ID{"lookup", key}) {
+	for _, k := range w.nodes["s0"].homes.Of(ID{Service: "lookup", Key: key}) {
 		nodes = append(nodes, w.nodes[k.address])
 	}
 	return nodes
@@ -341,7 +341,7 @@
 				live = n
 			}
 		}
-		w.leave(number(w.nodes[live.homes.Of(ID{"lookup", "k"})[0].address]))
+		w.leave(number(w.nodes[live.homes.Of(ID{Service: "lookup", Key: "k"})[0].address]))
 	}
 	for _, n := range w.nodes {
 		if !n.dead.Load() {
@@ -493,3 +493,16 @@
 		t.Errorf("ran %d times", c.runs["k"])
 	}
 }
+
+func TestClientsMayUseTheSameKey(t *testing.T) {
+	w, c := newNetwork(3), &counter{}
+	for _, client := range []string{"a", "b"} {
+		r := &call.Request{Service: "lookup", Client: client, Key: "k", Method: "POST", URI: "/places"}
+		if _, err := w.nodes["s0"].runner.Run(context.Background(), r, c.send); err != nil {
+			t.Error(err)
+		}
+	}
+	if c.runs["k"] != 2 {
+		t.Errorf("ran %d times, want once for each client", c.runs["k"])
+	}
+}
--- a/mesh/once/runner.go
+++ b/mesh/once/runner.go
@@ -51,7 +51,7 @@
 // of an earlier copy. An error is a *call.Failure.
 func (p *Runner) Run(ctx context.Context, r *call.Request,
 	send func(context.Context, *call.Request) (*call.Answer, error)) (*call.Answer, error) {
-	u := &run{begin: Begin{ID: ID{Service: r.Service, Key: r.Key}, Request: digest(r)}}
+	u := &run{begin: Begin{ID: ID{Service: r.Service, Client: r.Client, Key: r.Key}, Request: digest(r)}}
 	earlier, err := p.record(ctx, u)
 	if err != nil {
 		return nil, err
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -48,10 +48,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
 	defer cancel()
+	if r.Class.Idempotent || r.Key == "" {
+		return p.admit(ctx, r)
+	}
+	return p.Once.Run(ctx, r, p.admit)
+}
+
+// admit sends a call unless it is turned away here. A request with a key comes
+// here once its homes know of no earlier copy, so that NotRun holds for all
+// copies.
+func (p *Outer) admit(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if !p.Throttle.Allow(r.Service, r.ClassName, r.Client) {
 		return nil, call.Refuse(call.Overloaded, errThrottled)
 	}
-	answer, err := p.run(ctx, r)
+	answer, err := p.send(ctx, r)
 	p.Throttle.Done(r.Service, r.ClassName, r.Client, !refused(err))
 	return answer, err
 }
@@ -61,14 +71,6 @@
 	return err != nil && failure(err).Reason == call.Overloaded
 }
 
-// run sends a call, at most once if it has a key and is not idempotent.
-func (p *Outer) run(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if r.Class.Idempotent || r.Key == "" {
-		return p.send(ctx, r)
-	}
-	return p.Once.Run(ctx, r, p.send)
-}
-
 // send makes the attempts of a call.
 func (p *Outer) send(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.First(r.Service)
