Read status and forecast from the summaries alone

Cause: status and forecast read the content of every service, 3,300 reads at the design size, and a forecast went through all servers for every class. Change: summaries carry the targets in force; a view needs the head, its base table, the summaries and the stops. Servers and classes are looked up by an index. Status lists servers that take no new calls.

--- a/adapters/platformhttp/status.go
+++ b/adapters/platformhttp/status.go
@@ -51,7 +51,7 @@
 
 type classSummaryJSON struct {
 	Service    string       `json:"service"`
-	Class      string       `json:"class"`
+	Target     classJSON    `json:"target"`
 	Offered    uint64       `json:"offered"`
 	Good       uint64       `json:"good"`
 	Answered   uint64       `json:"answered"`
@@ -174,7 +174,7 @@
 
 func classToJSON(c *status.ClassSummary) classSummaryJSON {
 	out := classSummaryJSON{
-		Service: c.Service, Class: c.Class, Offered: c.Counts.Offered, Good: c.Counts.Good,
+		Service: c.Service, Target: targetToJSON(&c.Target), Offered: c.Counts.Offered, Good: c.Counts.Good,
 		Answered: c.Counts.Answered, NotRun: c.Counts.NotRun, MayHaveRun: c.Counts.MayHaveRun,
 		Met: c.Met, Since: c.Since,
 		LatencyUS: barsToJSON(&c.Counts.Latency), ServiceUS: barsToJSON(&c.Counts.Service),
@@ -212,7 +212,11 @@
 		s.Presence = presenceFromJSON(in.Presence)
 	}
 	for i := range in.Classes {
-		s.Classes = append(s.Classes, classFromJSON(&in.Classes[i]))
+		c, err := classFromJSON(&in.Classes[i])
+		if err != nil {
+			return nil, &manifest.Malformed{Object: o.Key, Err: err}
+		}
+		s.Classes = append(s.Classes, c)
 	}
 	for _, r := range in.ServerList {
 		s.Servers = append(s.Servers, status.ServerSummary{
@@ -236,7 +240,11 @@
 	return p
 }
 
-func classFromJSON(in *classSummaryJSON) status.ClassSummary {
+func classFromJSON(in *classSummaryJSON) (status.ClassSummary, error) {
+	class, err := targetFromJSON(&in.Target)
+	if err != nil {
+		return status.ClassSummary{}, err
+	}
 	counts := &status.Counts{
 		Offered: in.Offered, Good: in.Good, Answered: in.Answered, NotRun: in.NotRun, MayHaveRun: in.MayHaveRun,
 		Latency: barsFromJSON(in.LatencyUS), Service: barsFromJSON(in.ServiceUS), Clients: map[string]status.ClientCounts{},
@@ -245,14 +253,14 @@
 		counts.Clients[n.Name] = status.ClientCounts{Offered: n.Offered, Good: n.Good}
 	}
 	c := status.ClassSummary{
-		ClassKey: status.ClassKey{Service: in.Service, Class: in.Class}, Counts: counts, Met: in.Met, Since: in.Since,
+		ClassKey: status.ClassKey{Service: in.Service, Class: class.Name}, Target: class, Counts: counts, Met: in.Met, Since: in.Since,
 	}
 	for _, h := range in.Shape {
 		if h.Hour > 0 {
 			c.Shape[h.Hour%status.Hours] = status.HourPeak{Hour: h.Hour, Rate: h.Rate}
 		}
 	}
-	return c
+	return c, nil
 }
 
 func barsFromJSON(in barsJSON) status.Histogram {
--- a/fescuehoist/forecast.go
+++ b/fescuehoist/forecast.go
@@ -28,9 +28,6 @@
 		if err != nil {
 			return err
 		}
-		if v.Fault != nil {
-			return v.Fault
-		}
 		list := v.Stops
 		horizon := c.Horizon
 		if c.given() {
--- a/fescuehoist/stop.go
+++ b/fescuehoist/stop.go
@@ -63,10 +63,6 @@
 		out.printf("no status has been reported yet, so nothing can be foreseen")
 		return c.accept()
 	}
-	if v.Fault != nil {
-		out.printf("nothing can be foreseen: %v", v.Fault)
-		return c.accept()
-	}
 	horizon := one.Until.Sub(v.At)
 	in := v.Input(list, horizon)
 	added := forecast.Compare(forecast.Run(v.Input(v.Stops, horizon)), forecast.Run(in))
--- a/fescuehoist/view/forecast.go
+++ b/fescuehoist/view/forecast.go
@@ -18,6 +18,7 @@
 	Notices []Notice        `json:"clients_to_tell"`
 }
 
+// ClassForecast is what a class gets at its worst moment.
 type ClassForecast struct {
 	Class      string    `json:"class"`
 	Target     string    `json:"target"`
@@ -32,6 +33,7 @@
 	Confidence string    `json:"confidence"`
 }
 
+// Miss is a target that will be missed.
 type Miss struct {
 	Class      string    `json:"class"`
 	Target     string    `json:"target"`
@@ -45,6 +47,7 @@
 	Confidence string    `json:"confidence"`
 }
 
+// Notice is a client to tell.
 type Notice struct {
 	Client string        `json:"client"`
 	Class  string        `json:"class"`
@@ -55,6 +58,7 @@
 	Left   time.Duration `json:"notice_left_ns"`
 }
 
+// NewForecast returns a forecast for printing.
 func NewForecast(f *forecast.Forecast) *Forecast {
 	r := &Forecast{From: f.From, Until: f.Until, Misses: Misses(f.Misses)}
 	for i := range f.Classes {
@@ -68,6 +72,7 @@
 	return r
 }
 
+// Notices returns clients to tell for printing.
 func Notices(notices []forecast.Notice) []Notice {
 	reports := []Notice{}
 	for _, n := range notices {
@@ -78,6 +83,7 @@
 	return reports
 }
 
+// Misses returns missed targets for printing.
 func Misses(misses []forecast.Miss) []Miss {
 	reports := []Miss{}
 	for i := range misses {
@@ -90,6 +96,7 @@
 	return reports
 }
 
+// Print writes the forecast for people.
 func (r *Forecast) Print(out io.Writer) {
 	printf(out, "forecast from %s until %s; each class at its worst moment:", Time(r.From), Time(r.Until))
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/fescuehoist/view/status.go
+++ b/fescuehoist/view/status.go
@@ -18,11 +18,22 @@
 	At         time.Time `json:"at"`
 	Classes    []Class   `json:"classes"`
 	Domains    []Domain  `json:"failure_domains"`
+	NotReady   []Server  `json:"servers_not_ready"`
 	Stops      []Stop    `json:"stops"`
+	Unreported []string  `json:"services_not_reported,omitempty"`
 	Fault      string    `json:"fault,omitempty"`
 	Unreadable []string  `json:"unreadable,omitempty"`
 }
 
+// Server is a backend server that takes no new calls.
+type Server struct {
+	Server  member.ServerID `json:"server"`
+	Service string          `json:"service"`
+	Domain  string          `json:"domain"`
+	State   string          `json:"state"`
+}
+
+// Class is what a class gets.
 type Class struct {
 	Service string        `json:"service"`
 	Class   string        `json:"class"`
@@ -39,6 +50,7 @@
 	Since   time.Time     `json:"since"`
 }
 
+// Domain is the state of a failure domain.
 type Domain struct {
 	Domain   string            `json:"domain"`
 	At       time.Time         `json:"at"`
@@ -51,24 +63,28 @@
 	Refusals []Refusal         `json:"refusals"`
 }
 
+// VersionCount is the number of daemons with a version in force.
 type VersionCount struct {
 	Version uint64 `json:"version"`
 	Daemons int    `json:"daemons"`
 }
 
+// Laggard is a daemon that is behind.
 type Laggard struct {
 	Server  member.ServerID `json:"server"`
 	Version uint64          `json:"version"`
 }
 
+// Refusal is a version that daemons refuse.
 type Refusal struct {
 	Version uint64 `json:"version"`
 	Daemons int    `json:"daemons"`
 	Reason  string `json:"reason"`
 }
 
+// NewStatus returns the status for printing.
 func NewStatus(v *View) *Status {
-	r := &Status{Version: uint64(v.Version), At: v.At, Unreadable: v.Unreadable, Stops: Stops(v.Stops, v.At)}
+	r := &Status{Version: uint64(v.Version), At: v.At, Unreadable: v.Unreadable, Unreported: v.Unreported, Stops: Stops(v.Stops, v.At)}
 	for _, s := range v.Services {
 		for i := range s.Classes {
 			r.Classes = append(r.Classes, newClass(v.Overview, s, &s.Classes[i]))
@@ -76,7 +92,11 @@
 	}
 	if v.Fault != nil {
 		r.Fault = v.Fault.Error()
-		r.Classes = withoutTargets(v.Overview)
+	}
+	for _, one := range v.Overview.Servers {
+		if one.State != member.Ready.String() {
+			r.NotReady = append(r.NotReady, Server{Server: one.Server, Service: one.Service, Domain: one.Domain, State: one.State})
+		}
 	}
 	for i := range v.Overview.Domains {
 		r.Domains = append(r.Domains, newDomain(&v.Overview.Domains[i]))
@@ -84,19 +104,6 @@
 	return r
 }
 
-// withoutTargets lists the classes that were measured.
-func withoutTargets(o *status.Overview) []Class {
-	var classes []Class
-	for i := range o.Classes {
-		c := &o.Classes[i]
-		s := &target.Service{Name: c.Service}
-		one := newClass(o, s, &target.Class{Name: c.ClassKey.Class})
-		one.Target = "unknown"
-		classes = append(classes, one)
-	}
-	return classes
-}
-
 func newClass(o *status.Overview, s *target.Service, c *target.Class) Class {
 	r := Class{Service: s.Name, Class: c.Name, Target: c.Target(), Latency: c.Latency, Success: c.Success, Met: true, Good: 1}
 	measured := o.Class(status.ClassKey{Service: s.Name, Class: c.Name})
@@ -130,6 +137,7 @@
 // staleAfter is the age from which a failure domain's summary is called old.
 const staleAfter = time.Minute
 
+// Print writes the status for people.
 func (r *Status) Print(out io.Writer) {
 	if r.Fault != "" {
 		printf(out, "THE CONFIGURATION CANNOT BE READ: %s; the daemons keep what they have in force", r.Fault)
@@ -146,12 +154,26 @@
 			100*c.Good, 100*c.Refused, c.P50MS, c.P99MS, yesNo(c.Met), Time(c.Since))
 	}
 	_ = t.Flush()
+	for i, name := range r.Unreported {
+		if i == maxListed {
+			printf(out, "and %d more services that no daemon has reported", len(r.Unreported)-maxListed)
+			break
+		}
+		printf(out, "service %s: no daemon has reported yet", name)
+	}
 	for i := range r.Domains {
 		r.Domains[i].Print(out, r.At)
 	}
 	if len(r.Domains) == 0 {
 		printf(out, "no failure domain has reported yet")
 	}
+	for i, one := range r.NotReady {
+		if i == maxListed {
+			printf(out, "and %d more backend servers that take no new calls", len(r.NotReady)-maxListed)
+			break
+		}
+		printf(out, "%s of %s in %s takes no new calls: %s", one.Server, one.Service, one.Domain, one.State)
+	}
 	for i := range r.Stops {
 		printf(out, "%s", &r.Stops[i])
 	}
@@ -160,6 +182,10 @@
 	}
 }
 
+// maxListed bounds the backend servers that are printed.
+const maxListed = 20
+
+// Print writes the failure domain for people.
 func (d *Domain) Print(out io.Writer, at time.Time) {
 	line := fmt.Sprintf("%s: %d of %d daemons", d.Domain, d.Daemons, d.Expected)
 	for _, v := range d.Versions {
--- a/fescuehoist/view/stop.go
+++ b/fescuehoist/view/stop.go
@@ -20,6 +20,7 @@
 	State   string            `json:"state"`
 }
 
+// Stops returns planned stops for printing.
 func Stops(l *stop.List, at time.Time) []Stop {
 	reports := []Stop{}
 	for i := range l.Stops {
--- a/fescuehoist/view/view.go
+++ b/fescuehoist/view/view.go
@@ -20,26 +20,28 @@
 
 // View is what the platform says of the mesh at one time.
 type View struct {
-	At       time.Time
-	Version  manifest.Version
-	Services []*target.Service
-	Overview *status.Overview
-	Stops    *stop.List
+	At time.Time
+	// Version is the newest version; Fault says why it cannot be read.
+	Version manifest.Version
+	Fault   error
+	// Services are those that daemons reported, with the targets in force;
+	// Unreported names the accepted ones that no daemon reported.
+	Services   []*target.Service
+	Unreported []string
+	Overview   *status.Overview
+	Stops      *stop.List
 	// Unreadable names summaries that cannot be decoded.
 	Unreadable []string
-	// Fault says why the configuration cannot be read; without it the view
-	// holds no targets.
-	Fault error
 }
 
-// Load reads a view.
+// Load reads a view: the head, its base table, the summaries and the stops.
 func Load(ctx context.Context, client *platformhttp.Client) (*View, error) {
-	version, services, err := configuration(ctx, client)
+	_, table, _, err := manifest.NewEditor(&platformhttp.Repository{Client: client}).Current(ctx)
 	var malformed *manifest.Malformed
 	if err != nil && !errors.As(err, &malformed) {
 		return nil, err
 	}
-	v := &View{Version: version, Services: services, Fault: err}
+	fault := err
 	store := &platformhttp.StatusStore{Client: client}
 	summaries, unreadable, err := store.Summaries(ctx)
 	if err != nil {
@@ -49,18 +51,12 @@
 	if err != nil {
 		return nil, err
 	}
-	v.At, v.Overview, v.Stops, v.Unreadable = time.Now(), status.Combine(summaries), stops, unreadable
-	return v, nil
-}
-
-func configuration(ctx context.Context, client *platformhttp.Client) (manifest.Version, []*target.Service, error) {
-	repo := &platformhttp.Repository{Client: client}
-	_, table, _, err := manifest.NewEditor(repo).Current(ctx)
-	if err != nil {
-		return 0, nil, err
+	o := status.Combine(summaries)
+	v := &View{At: time.Now(), Fault: fault, Services: o.Services(), Overview: o, Stops: stops, Unreadable: unreadable}
+	if fault == nil {
+		v.Version, v.Unreported = table.Version, review.Missing(table, v.Services)
 	}
-	services, err := (&review.Reviewer{Repo: repo}).Services(ctx, table)
-	return table.Version, services, err
+	return v, nil
 }
 
 // Input returns what a forecast with a list of planned stops rests on.
--- a/mesh/forecast/forecast.go
+++ b/mesh/forecast/forecast.go
@@ -93,9 +93,9 @@
 // Run computes the forecast.
 func Run(in *Input) *Forecast {
 	f := &Forecast{From: in.Now, Until: in.Now.Add(in.Horizon)}
-	edges := in.edges()
+	edges, x := in.edges(), newIndex(in.Status)
 	for _, s := range in.Services {
-		m := newModel(in, s)
+		m := newModel(in, x, s)
 		for i := range s.Classes {
 			f.addClass(m, i, edges)
 		}
--- a/mesh/forecast/forecast_test.go
+++ b/mesh/forecast/forecast_test.go
@@ -1,6 +1,7 @@
 package forecast_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,3 +134,31 @@
 		t.Errorf("added %+v", added)
 	}
 }
+
+// BenchmarkForecast looks a day ahead at the size that the project is designed
+// for: 3,300 services with two classes each and 18,000 servers.
+func BenchmarkForecast(b *testing.B) {
+	const services, servers = 3300, 18000
+	in := input(0, 0, stop.Stop{ID: "one", Domain: "a", From: now.Add(time.Hour), Until: now.Add(2 * time.Hour)})
+	in.Horizon, in.Services, in.Status = 24*time.Hour, nil, &status.Overview{}
+	for i := range services {
+		s := service()
+		s.Name = fmt.Sprintf("service-%d", i)
+		in.Services = append(in.Services, s)
+		for _, c := range []status.ClassOverview{measured("search", 800), measured("export", 200)} {
+			c.Service = s.Name
+			in.Status.Classes = append(in.Status.Classes, c)
+		}
+	}
+	for i := range servers {
+		in.Status.Servers = append(in.Status.Servers, status.ServerOverview{
+			Domain: string(rune('a' + i%9)),
+			ServerSummary: status.ServerSummary{
+				Server: member.ServerID(fmt.Sprintf("server-%d", i)), Service: fmt.Sprintf("service-%d", i%services), Slots: 10, State: "ready",
+			},
+		})
+	}
+	for b.Loop() {
+		forecast.Run(in)
+	}
+}
--- a/mesh/status/overview.go
+++ b/mesh/status/overview.go
@@ -1,12 +1,14 @@
 package status
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/target"
 )
 
 // Overview is the status of the whole mesh, put together from all summaries.
@@ -19,6 +21,8 @@
 // ClassOverview is what a class gets in all failure domains together.
 type ClassOverview struct {
 	ClassKey
+	// Target is that of the newest summary.
+	Target target.Class
 	Counts *Counts
 	// Rate is in calls a second.
 	Rate float64
@@ -28,6 +32,8 @@
 	Since  time.Time
 	// Shape holds the highest rate of each hour of the day in calls a second.
 	Shape [Hours]HourPeak
+	// at is the time of the newest summary.
+	at time.Time
 }
 
 // DomainOverview is the state of one failure domain.
@@ -70,22 +76,27 @@
 			if classes[k] == nil {
 				classes[k] = &ClassOverview{ClassKey: k, Counts: &Counts{}}
 			}
-			classes[k].add(&s.Classes[i], s.Window)
+			classes[k].add(&s.Classes[i], s)
 		}
 	}
 	for _, c := range classes {
 		o.Classes = append(o.Classes, *c)
 	}
-	slices.SortFunc(o.Classes, func(a, b ClassOverview) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(o.Classes, func(a, b ClassOverview) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), cmp.Compare(a.Target.Rank, b.Target.Rank), strings.Compare(a.Class, b.Class))
+	})
 	slices.SortFunc(o.Domains, func(a, b DomainOverview) int { return strings.Compare(a.Domain, b.Domain) })
 	slices.SortFunc(o.Servers, func(a, b ServerOverview) int { return strings.Compare(string(a.Server), string(b.Server)) })
 	return o
 }
 
-func (c *ClassOverview) add(s *ClassSummary, window time.Duration) {
+func (c *ClassOverview) add(s *ClassSummary, from *Summary) {
 	c.Counts.Add(s.Counts)
-	if window > 0 {
-		c.Rate += float64(s.Counts.Offered) / window.Seconds()
+	if from.Window > 0 {
+		c.Rate += float64(s.Counts.Offered) / from.Window.Seconds()
+	}
+	if !from.At.Before(c.at) {
+		c.at, c.Target = from.At, s.Target
 	}
 	switch {
 	case !s.Met && (!c.Missed || s.Since.Before(c.Since)):
@@ -104,6 +115,20 @@
 	}
 }
 
+// Services returns the services that were reported, with their targets.
+func (o *Overview) Services() []*target.Service {
+	var services []*target.Service
+	for i := range o.Classes {
+		c := &o.Classes[i]
+		if n := len(services); n == 0 || services[n-1].Name != c.Service {
+			services = append(services, &target.Service{Name: c.Service})
+		}
+		s := services[len(services)-1]
+		s.Classes = append(s.Classes, c.Target)
+	}
+	return services
+}
+
 // Class returns a class's overview, or nil.
 func (o *Overview) Class(k ClassKey) *ClassOverview {
 	for i := range o.Classes {
--- a/mesh/status/summary.go
+++ b/mesh/status/summary.go
@@ -5,6 +5,7 @@
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/target"
 )
 
 // Hours is the number of hours of the daily shape.
@@ -33,6 +34,8 @@
 // ClassSummary is what a class got in a failure domain.
 type ClassSummary struct {
 	ClassKey
+	// Target is the class as the writer had it in force.
+	Target target.Class
 	Counts *Counts
 	// Met says whether the target was met in the window, Since from when on.
 	Met   bool
--- a/mesh/status/writer.go
+++ b/mesh/status/writer.go
@@ -77,7 +77,7 @@
 		for i := range service.Classes {
 			c := &service.Classes[i]
 			s.Classes = append(s.Classes, ClassSummary{
-				ClassKey: ClassKey{service.Name, c.Name}, Counts: total.Of(ClassKey{service.Name, c.Name}),
+				ClassKey: ClassKey{service.Name, c.Name}, Target: *c, Counts: total.Of(ClassKey{service.Name, c.Name}),
 			})
 			w.judge(&s.Classes[len(s.Classes)-1], c, s.Window)
 		}
