--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -201,7 +201,7 @@
 	d.ledger = once.NewLedger(d.cfg.Once, d.homes)
 	d.once = once.NewRunner(d.cfg.Once, self, d.homes, d.ledger, d.forwarder)
 	d.crashes = crash.NewLog(d.cfg.Crash, self, d.backend,
-		&crash.Members{Self: self, Table: d.members, Link: d.forwarder}, d.announcer.Lost)
+		&crash.Members{Self: self, Table: d.members, Link: d.forwarder}, d.lost)
 	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
@@ -210,6 +210,15 @@
 	}
 }
 
+// lost takes the backend server out of the routes after a request was cut by
+// its crash.
+func (d *Daemon) lost() {
+	if d.announcer.State() == member.Ready {
+		d.prefixed("crash").Warn("the backend server crashed; the requests that it ran are suspects")
+	}
+	d.announcer.Lost()
+}
+
 // prefixed returns a logger whose messages start with the name of a part.
 func (d *Daemon) prefixed(part string) *logrus.Entry {
 	return d.cfg.Log.WithField("part", part).WithField("server", d.cfg.Settings.Server)
