Leave retries for want of room to the daemon of the outermost call

Cause: calls go up to 19 deep, and each daemon on the way retried refusals from its own budget, so retries multiplied with the depth.

Change: a call carries how many backend servers wait for it (Fescuehoist-Depth, copied by backend servers to the calls they make). A daemon does not retry an inner call that was refused for want of room. Retries of failures to reach a server stay where they are: they cost no server anything.

Limit: a backend server that does not copy the field is counted as a caller from outside.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -50,6 +50,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	callhttp.WriteRequest(ctx, r, req)
+	callhttp.SetDepth(req, r.Depth+1)
 	if err := pool.Do(ctx, req, resp); err != nil {
 		return nil, err
 	}
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -61,6 +61,9 @@
 
 func handle(ctx context.Context, callee call.Callee, r *call.Request, req *fasthttp.Request, resp *fasthttp.Response) {
 	timeout, ok, err := timeoutOf(req)
+	if err == nil {
+		r.Depth, err = depthOf(req)
+	}
 	if err != nil {
 		writeFailure(call.Refuse(call.BadRequest, err), resp)
 		return
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -25,12 +25,18 @@
 	HeaderClient = "Fescuehoist-Client"
 	// HeaderTimeout is the time left for the answer, in milliseconds.
 	HeaderTimeout = "Fescuehoist-Timeout"
+	// HeaderDepth counts the backend servers that wait for a call. A backend
+	// server copies it from the request that it runs to the calls it makes.
+	HeaderDepth = "Fescuehoist-Depth"
 	// HeaderAttempts is the number of attempts made for a call.
 	HeaderAttempts = "Fescuehoist-Attempts"
 	// HeaderKey identifies a request that may not run twice.
 	HeaderKey = "Idempotency-Key"
 )
 
+// MaxDepth bounds the depth of calls, so that a cycle of services ends.
+const MaxDepth = 64
+
 // Header fields between daemons.
 const (
 	headerPrefix  = "Fescuehoist-"
@@ -102,6 +108,9 @@
 	if r.Client != "" {
 		req.Header.Set(HeaderClient, r.Client)
 	}
+	if r.Depth > 0 {
+		SetDepth(req, r.Depth)
+	}
 	setTimeout(ctx, req)
 	if len(r.Body) > 0 {
 		req.SetBodyRaw(r.Body)
@@ -179,6 +188,24 @@
 	return time.Duration(ms) * time.Millisecond, true, nil
 }
 
+// SetDepth declares how many backend servers wait for a call.
+func SetDepth(req *fasthttp.Request, depth int) {
+	req.Header.Set(HeaderDepth, strconv.Itoa(depth))
+}
+
+// depthOf returns how many backend servers wait for a call.
+func depthOf(req *fasthttp.Request) (int, error) {
+	text := string(req.Header.Peek(HeaderDepth))
+	if text == "" {
+		return 0, nil
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil || depth < 0 || depth > MaxDepth {
+		return 0, fmt.Errorf("%s is %.20q; write a whole number from 0 to %d", HeaderDepth, text, MaxDepth)
+	}
+	return depth, nil
+}
+
 func formatLoad(l call.Load) string {
 	return fmt.Sprintf("%d %d %d %d", l.Running, l.Queued, l.Limit, l.Service.Microseconds())
 }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -24,6 +24,9 @@
 	// Attempt counts the attempts made so far by the daemon that took the
 	// call.
 	Attempt int
+	// Depth counts the backend servers that wait for the call, each while it
+	// runs the one before; it is 0 for a call from outside.
+	Depth int
 	// NewConnection asks for a connection that no call has used before.
 	NewConnection bool
 	// Suspect says that a backend server crashed while it ran the request.
--- a/mesh/retry/retry.go
+++ b/mesh/retry/retry.go
@@ -51,7 +51,7 @@
 
 // Next decides about a call whose attempts so far ended in f.
 func (p *Policy) Next(r *call.Request, f *call.Failure) Step {
-	if !Allowed(f, r.Class.Idempotent, r.Attempt) || !p.budget(r.Service).Take() {
+	if leftToOuter(r, f) || !Allowed(f, r.Class.Idempotent, r.Attempt) || !p.budget(r.Service).Take() {
 		return Step{}
 	}
 	return Step{Again: true, Delay: delay(r.Attempt), NeedRoom: full(f)}
@@ -60,6 +60,10 @@
 // full reports whether a server refused a call for want of room.
 func full(f *call.Failure) bool { return f.Reason == call.Overloaded || f.Reason == call.Shed }
 
+// leftToOuter reports whether the retry is the business of the daemon that took
+// the outermost call. Retries for want of room would multiply with the depth.
+func leftToOuter(r *call.Request, f *call.Failure) bool { return r.Depth > 0 && full(f) }
+
 // delay returns a random pause before the retry that follows an attempt.
 func delay(attempt int) time.Duration {
 	if attempt < 2 {
