--- a/bench/fleet/config_test.go
+++ b/bench/fleet/config_test.go
@@ -246,19 +246,36 @@
 	}
 }
 
-func TestHeadThatGoesBackIsRefusedAndShownByReaders(t *testing.T) {
-	m := begin(t, small(6), nil)
-	before, _ := m.Platform.Load("config/head")
-	m.await(m.publish(2), m.Members)
-	m.Platform.Store("config/head", before)
-	readers, _ := m.split()
-	if err := m.Await(m.ctx, readers, func(s daemon.State) bool { return strings.Contains(s.Refused, "went back") }); err != nil {
-		t.Fatal(err)
-	}
-	for _, member := range m.Members {
-		if v := member.Daemon.State().InForce; v != 2 {
-			t.Errorf("%s has version %d in force", member.Server.Name, v)
-		}
+func TestBadHeadIsShownByReadersAndAGoodOneFollows(t *testing.T) {
+	for _, c := range []struct {
+		name, reason string
+		spoil        func(before []byte) []byte
+	}{
+		{"goes back", "went back", func(before []byte) []byte { return before }},
+		{"cannot be decoded", "malformed", func([]byte) []byte { return []byte(`"none"`) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := begin(t, small(6), nil)
+			before, _ := m.Platform.Load("config/head")
+			m.await(m.publish(2), m.Members)
+			m.awaitReaders()
+			m.Platform.Store("config/head", c.spoil(before))
+			readers, _ := m.split()
+			if err := m.Await(m.ctx, readers, func(s daemon.State) bool { return strings.Contains(s.Refused, c.reason) }); err != nil {
+				t.Fatal(err)
+			}
+			for _, member := range m.Members {
+				if v := member.Daemon.State().InForce; v != 2 {
+					t.Errorf("%s has version %d in force", member.Server.Name, v)
+				}
+			}
+			edit := &manifest.Edit{ID: "recovery", Update: []*target.Service{manifesttest.Service("lookup", time.Second)}}
+			change, err := m.editor.Recover(m.ctx, edit, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.awaitState(func(s daemon.State) bool { return s.InForce == change.Version && s.Refused == "" })
+		})
 	}
 }
 
