--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -166,3 +166,18 @@
 func (InstantRetries) Next(r *call.Request, f *call.Failure) retry.Step {
 	return retry.Step{Again: retry.Allowed(f, r.Class.Idempotent, r.Attempt)}
 }
+
+// NoRetries tries no call again.
+type NoRetries struct{ InstantRetries }
+
+// Next ends every call.
+func (NoRetries) Next(*call.Request, *call.Failure) retry.Step { return retry.Step{} }
+
+// PassAll turns no call away.
+type PassAll struct{}
+
+// Allow lets the call pass.
+func (PassAll) Allow(_, _, _ string) bool { return true }
+
+// Done does nothing.
+func (PassAll) Done(_, _, _ string, _ bool) {}
--- a/bench/calls/baseline.go
+++ b/bench/calls/baseline.go
@@ -17,10 +17,21 @@
 		{"no-admission", "flood-both", func(p *daemon.Policy) { p.Gate = &baseline.OpenGate{} }},
 		{"fifo", "flood-both", func(p *daemon.Policy) { p.Gate = &baseline.FIFOGate{} }},
 		{"round-robin", "lying", func(p *daemon.Policy) { p.Picker = &baseline.RoundRobin{} }},
-		{"retry-storm", "flood-both", func(p *daemon.Policy) { p.Retries = baseline.InstantRetries{} }},
+		{"retry-storm", "flood-both", func(p *daemon.Policy) { storm(p) }},
+		{"retry-storm-no-admission", "flood-both", func(p *daemon.Policy) {
+			p.Gate = &baseline.OpenGate{}
+			storm(p)
+		}},
+		{"no-retries", "lost-domain", func(p *daemon.Policy) { p.Retries = baseline.NoRetries{} }},
 	}
 }
 
+// storm retries at once, without a budget, and turns no call away.
+func storm(p *daemon.Policy) {
+	p.Retries = baseline.InstantRetries{}
+	p.Throttle = baseline.PassAll{}
+}
+
 // Compared marks a result as that of a baseline, whose figures have no bounds.
 func (r *Result) Compared(name string) {
 	r.Name = "baseline " + name + ": " + r.Name
--- a/mesh/admit/throttle_test.go
+++ b/mesh/admit/throttle_test.go
@@ -57,3 +57,15 @@
 		t.Errorf("%d flows are remembered", n)
 	}
 }
+
+// BenchmarkThrottle measures a call of a flow that was refused before.
+func BenchmarkThrottle(b *testing.B) {
+	t := NewThrottle()
+	t.Done("lookup", "search", "a", false)
+	b.ReportAllocs()
+	for b.Loop() {
+		if t.Allow("lookup", "search", "a") {
+			t.Done("lookup", "search", "a", true)
+		}
+	}
+}
--- a/mesh/route/picker_test.go
+++ b/mesh/route/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -223,17 +224,39 @@
 	})
 }
 
-// BenchmarkPick chooses among 18,000 servers in 3,300 services.
+// BenchmarkPick chooses among servers of fleets up to 18,000 servers in 3,300
+// services, all of which this daemon calls, and gives the state per server.
 func BenchmarkPick(b *testing.B) {
-	const services, servers = 3300, 18000
-	p := NewPicker("0")
-	var all []*Service
-	for i := range services {
-		all = append(all, someServers(fmt.Sprint(i), servers/services+1))
-	}
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		r := p.Pick(all[i%services], Query{Class: "search"})
-		p.Done(r.Server, Outcome{Class: "search", Load: call.Load{Running: 5, Limit: 12, Service: 40 * time.Millisecond}})
+	for _, services := range []int{33, 330, 3300} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			servers := services * 18000 / 3300
+			var all []*Service
+			for i := range services {
+				all = append(all, someServers(fmt.Sprint(i), servers/services+1))
+			}
+			before := heap()
+			p := NewPicker("0")
+			for i := range 20 * servers {
+				pickOne(p, all[i%services])
+			}
+			state := float64(heap()-before) / float64(len(p.seen))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				pickOne(p, all[i%services])
+			}
+			b.ReportMetric(state, "state-B/server")
+		})
 	}
 }
+
+func pickOne(p *Picker, s *Service) {
+	r := p.Pick(s, Query{Class: "search"})
+	p.Done(r.Server, Outcome{Class: "search", Load: call.Load{Running: 5, Limit: 12, Service: 40 * time.Millisecond}})
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
