Hold for an urgent class all that it used, but for the shares of others

Cause: slots were held for a more urgent class only up to the share that it keeps, so a class with more demand waited behind 200 ms exports.

Change: a class is held what it used of late, up to all slots but the shares that less urgent classes keep, which is what the targets entitle it to.

--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -81,12 +81,6 @@
 	c.demand += (float64(c.running+c.queue.len()) - c.demand) * (1 - math.Exp(-float64(passed)/float64(demandWindow)))
 }
 
-// held returns the slots that less urgent classes leave to this one: what it
-// used of late, up to the share that it keeps.
-func (c *class) held(limit float64) float64 {
-	return min(math.Ceil(c.demand-demandSlack), c.target.Keep*limit)
-}
-
 // before orders classes by rank; those of one rank take turns by their dues.
 func (c *class) before(other *class) bool {
 	if c.target.Rank != other.target.Rank {
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -158,7 +159,7 @@
 		if other == c {
 			continue
 		}
-		used := max(float64(other.running+other.queue.len()), other.held(limit))
+		used := max(float64(other.running+other.queue.len()), g.held(other))
 		if other.target.Rank > c.target.Rank {
 			used = min(used, other.target.Keep*limit)
 		}
@@ -177,7 +178,7 @@
 	running, open := 0, limit
 	for _, other := range g.classes {
 		if other.target.Rank < c.target.Rank {
-			open -= other.held(limit)
+			open -= g.held(other)
 			continue
 		}
 		running += other.running
@@ -185,6 +186,18 @@
 	return float64(running) < max(open, 1)
 }
 
+// held returns the slots that less urgent classes leave to a class: what it
+// used of late, but for the shares that they keep.
+func (g *Gate) held(c *class) float64 {
+	kept := 0.0
+	for _, other := range g.classes {
+		if other.target.Rank > c.target.Rank {
+			kept += other.target.Keep
+		}
+	}
+	return min(math.Ceil(c.demand-demandSlack), (1-kept)*float64(g.limit.value()))
+}
+
 // next returns the class whose waiter is to be admitted, or nil if the free
 // slots are held for others: the class that is longest overdue for its share,
 // else the most urgent one.
