Report the load that a call of the same class meets

Cause: a reported queue held every class; in a flood of statements the servers with short queues of statements drew all mandates, which then waited there.

Change: an answer's load counts the waiting calls of its own and of more urgent classes.

--- a/bench/cmd/bench-calls/main.go
+++ b/bench/cmd/bench-calls/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 
 	"fescuehoist.example/adapters/targetfile"
 	"fescuehoist.example/bench/calls"
@@ -26,7 +27,8 @@
 	Examples   string        `help:"Folder with the targets of each deployment." default:"examples" type:"existingdir"`
 	Seed       uint64        `help:"Seed of the order in which daemons are called." default:"1"`
 	Warmup     time.Duration `help:"Time before calls are counted." default:"500ms"`
-	Duration   time.Duration `help:"Time in which calls are counted." default:"1500ms"`
+	Duration   time.Duration `help:"Time in which calls are counted." default:"2s"`
+	Parallel   int           `help:"Scenarios to run at once." default:"2"`
 	JSON       bool          `help:"Print the results as JSON." name:"json"`
 }
 
@@ -44,53 +46,76 @@
 	}
 }
 
+// job is one scenario on one deployment, under a baseline or the project's own
+// policy.
+type job struct {
+	deployment string
+	scenario   calls.Scenario
+	baseline   *calls.Baseline
+}
+
 // run measures everything asked for and reports whether every bound held.
 func (a *arguments) run(ctx context.Context) (bool, error) {
-	var results []*calls.Result
-	for _, name := range a.Deployment {
-		for _, s := range calls.Scenarios() {
-			if !chosen(a.Scenario, s.Name, len(a.Baseline) > 0) {
-				continue
-			}
-			r, err := a.measure(ctx, s, name, nil)
-			if err != nil {
-				return false, err
-			}
-			results = append(results, r)
-		}
+	jobs := append(a.scenarios(), a.baselines()...)
+	results := make([]*calls.Result, len(jobs))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(max(a.Parallel, 1))
+	for i, j := range jobs {
+		g.Go(func() (err error) {
+			results[i], err = a.measure(ctx, j)
+			return err
+		})
 	}
-	compared, err := a.compare(ctx)
-	if err != nil {
+	if err := g.Wait(); err != nil {
 		return false, err
 	}
+	held := !slices.ContainsFunc(results, func(r *calls.Result) bool { return !r.Holds() })
+	return held, a.print(results)
+}
+
+func (a *arguments) print(results []*calls.Result) error {
 	if a.JSON {
 		e := json.NewEncoder(os.Stdout)
 		e.SetIndent("", "  ")
-		err = e.Encode(append(results, compared...))
+		return e.Encode(results)
+	}
+	for _, r := range results {
+		r.Print(os.Stdout)
+		fmt.Println()
 	}
-	return !slices.ContainsFunc(results, func(r *calls.Result) bool { return !r.Holds() }), err
+	return nil
 }
 
-// compare measures the baselines on the first deployment. Their figures have
-// no bounds.
-func (a *arguments) compare(ctx context.Context) ([]*calls.Result, error) {
-	var results []*calls.Result
+// scenarios returns the scenarios asked for; those of the deployments
+// take turns.
+func (a *arguments) scenarios() []job {
+	var jobs []job
+	for _, s := range calls.Scenarios() {
+		if !chosen(a.Scenario, s.Name, len(a.Baseline) > 0) {
+			continue
+		}
+		for _, name := range a.Deployment {
+			jobs = append(jobs, job{deployment: name, scenario: s})
+		}
+	}
+	return jobs
+}
+
+// baselines returns the baselines asked for, on the first deployment. Their
+// figures have no bounds.
+func (a *arguments) baselines() []job {
+	var jobs []job
 	for _, b := range calls.Baselines() {
 		if !chosen(a.Baseline, b.Name, len(a.Scenario) > 0) {
 			continue
 		}
 		for _, s := range calls.Scenarios() {
-			if s.Name != b.Scenario {
-				continue
-			}
-			r, err := a.measure(ctx, s, a.Deployment[0], &b)
-			if err != nil {
-				return nil, err
+			if s.Name == b.Scenario {
+				jobs = append(jobs, job{deployment: a.Deployment[0], scenario: s, baseline: &b})
 			}
-			results = append(results, r)
 		}
 	}
-	return results, nil
+	return jobs
 }
 
 // chosen reports whether a name was asked for, given whether an empty list
@@ -102,25 +127,18 @@
 	return slices.Contains(names, name)
 }
 
-func (a *arguments) measure(ctx context.Context, s calls.Scenario, deployment string, b *calls.Baseline) (*calls.Result, error) {
-	targets, err := targetfile.Load(filepath.Join(a.Examples, deployment, "targets.toml"))
+func (a *arguments) measure(ctx context.Context, j job) (*calls.Result, error) {
+	targets, err := targetfile.Load(filepath.Join(a.Examples, j.deployment, "targets.toml"))
 	if err != nil {
 		return nil, err
 	}
-	o := calls.Options{Deployment: deployment, Targets: targets, Seed: a.Seed, Warmup: a.Warmup, Duration: a.Duration}
-	if b != nil {
-		o.Policy = b.Policy
+	o := calls.Options{Deployment: j.deployment, Targets: targets, Seed: a.Seed, Warmup: a.Warmup, Duration: a.Duration}
+	if j.baseline != nil {
+		o.Policy = j.baseline.Policy
 	}
-	r, err := calls.Run(ctx, s, o)
-	if err != nil {
-		return nil, err
-	}
-	if b != nil {
-		r.Compared(b.Name)
-	}
-	if !a.JSON {
-		r.Print(os.Stdout)
-		fmt.Println()
+	r, err := calls.Run(ctx, j.scenario, o)
+	if err == nil && j.baseline != nil {
+		r.Compared(j.baseline.Name)
 	}
-	return r, nil
+	return r, err
 }
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -334,15 +334,28 @@
 }
 
 // Load returns the gate's load.
-func (g *Gate) Load() call.Load { return g.LoadFor("") }
+func (g *Gate) Load() call.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
+}
 
-// LoadFor returns the gate's load, with the service time of the named class.
+// LoadFor returns the load as a call of the named class meets it: the calls
+// that wait behind it do not count.
 func (g *Gate) LoadFor(class string) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
-	if c := g.classes[class]; c != nil {
-		load.Service = c.service
+	load := call.Load{Running: g.running, Limit: g.limit.value()}
+	c := g.classes[class]
+	if c == nil {
+		load.Queued = g.queued
+		return load
+	}
+	load.Service = c.service
+	for _, other := range g.classes {
+		if other.target.Rank <= c.target.Rank {
+			load.Queued += other.queue.len()
+		}
 	}
 	return load
 }
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -18,7 +18,7 @@
 	growth = 1.0
 	// startGrowth is by how much each call raises the limit of a new server,
 	// until calls take too long for the first time.
-	startGrowth = 0.5
+	startGrowth = 1.0
 	// shedFactor is what is left of the limit after the server shed a call.
 	shedFactor = 0.9
 	// aloneShare is the part of the limit up to which calls run almost alone.
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -37,7 +37,8 @@
 	ClassName string
 }
 
-// Load is what a daemon says of its backend server along with an answer.
+// Load is what a daemon says of its backend server along with an answer, as a
+// call of the same class meets it.
 type Load struct {
 	// Running and Queued count calls; Limit is how many may run at once.
 	Running, Queued, Limit int
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -16,7 +16,7 @@
 	// call's error and ends it. An error of Enter is a *call.Failure with
 	// verdict NotRun.
 	Enter(ctx context.Context, r *call.Request) (func(error), error)
-	// LoadFor returns the load, with the service time of the named class.
+	// LoadFor returns the load as a call of the named class meets it.
 	LoadFor(class string) call.Load
 }
 
