Give fleets an operator, and a stand-in authority that writes all files

Cause: tests of fleets repeated how an edit is made and awaited, and tests of TLS how a daemon's files are written.

Change: fleet.Operator publishes, begins, puts versions past the checks and awaits readers; authority.IssueAll writes certificate, key and authority. The checks of the tests are the same.

--- a/adapters/tlsfiles/tlsfiles_test.go
+++ b/adapters/tlsfiles/tlsfiles_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -39,20 +38,20 @@
 	t.Helper()
 	s := &side{folder: t.TempDir()}
 	s.renew(t, from)
-	s.files.Authority = filepath.Join(s.folder, "authority.crt")
 	if err := trusts.WriteCertificate(s.files.Authority); err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
+// renew writes a new certificate and that of its authority.
 func (s *side) renew(t *testing.T, from *authority.Authority) {
 	t.Helper()
-	pair, err := from.Issue(s.folder, "daemon", net.IPv4(127, 0, 0, 1))
+	files, err := from.IssueAll(s.folder, "daemon", net.IPv4(127, 0, 0, 1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.files.Certificate, s.files.Key = pair.Certificate, pair.Key
+	s.files = tlsfiles.Files(files)
 }
 
 func (s *side) open(t *testing.T) *tlsfiles.Source {
@@ -151,9 +150,6 @@
 	}
 	for _, s := range []*side{server, client} {
 		s.renew(t, renewed)
-		if err := renewed.WriteCertificate(s.files.Authority); err != nil {
-			t.Fatal(err)
-		}
 		touch(t, s, 2*time.Minute)
 	}
 	_, serverErr, clientErr = exchange(t, serverConfig, clientConfig)
--- a/bench/fleet/config_test.go
+++ b/bench/fleet/config_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
-	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/bench/fleet"
 	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/manifest"
@@ -32,100 +29,63 @@
 // mesh is a fleet with an operator.
 type mesh struct {
 	*fleet.Fleet
-	t      *testing.T
-	ctx    context.Context
-	client *platformhttp.Client
-	repo   *platformhttp.Repository
-	editor *manifest.Editor
+	*fleet.Operator
+	t   *testing.T
+	ctx context.Context
 }
 
 // begin starts a fleet with version 1 in force everywhere.
-func begin(t *testing.T, d *fleet.Deployment, tune func(*daemon.Config)) *mesh {
+func begin(t *testing.T, count int) *mesh {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	t.Cleanup(cancel)
-	f, err := fleet.Start(context.Background(), d, fleet.Options{Tune: tune})
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &mesh{Fleet: f, t: t, ctx: ctx, client: platformhttp.NewClient(f.PlatformAddress)}
+	f, err := fleet.Start(context.Background(), small(count), fleet.Options{})
+	must(t, err)
+	m := &mesh{Fleet: f, Operator: f.NewOperator(nil), t: t, ctx: ctx}
 	t.Cleanup(func() {
-		m.client.Close()
+		m.Operator.Close()
 		if err := f.Close(); err != nil {
 			t.Error(err)
 		}
 	})
-	m.repo = &platformhttp.Repository{Client: m.client}
-	m.editor = manifest.NewEditor(m.repo)
-	m.await(m.publish(1), f.Members)
-	if err := f.AwaitReady(ctx, f.Members, len(f.Members)); err != nil {
+	must(t, m.Begin(ctx, service(1)))
+	return m
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
 		t.Fatal(err)
 	}
-	return m
+}
+
+func service(latency int) *target.Service {
+	return manifesttest.Service("lookup", time.Duration(latency)*time.Millisecond)
 }
 
 // publish makes an edit and returns its version.
 func (m *mesh) publish(latency int) manifest.Version {
 	m.t.Helper()
-	s := manifesttest.Service("lookup", time.Duration(latency)*time.Millisecond)
-	change, err := m.editor.Publish(m.ctx, &manifest.Edit{ID: fmt.Sprint("edit-", latency), Update: []*target.Service{s}})
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	return change.Version
+	v, err := m.Publish(m.ctx, service(latency))
+	must(m.t, err)
+	return v
 }
 
 func (m *mesh) await(v manifest.Version, members []*fleet.Member) {
 	m.t.Helper()
-	if err := m.AwaitVersion(m.ctx, members, v); err != nil {
-		m.t.Fatal(err)
-	}
+	must(m.t, m.AwaitVersion(m.ctx, members, v))
 }
 
-// readers returns the names of the servers whose daemons hold a lease.
-func (m *mesh) readers() map[string]bool {
+func (m *mesh) readers() (readers, others []*fleet.Member) {
 	m.t.Helper()
-	objects, err := m.client.List(m.ctx, "lease/")
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	holders := map[string]bool{}
-	for _, o := range objects {
-		var lease struct{ Holder string }
-		if err := json.Unmarshal(o.Value, &lease); err != nil {
-			m.t.Fatal(err)
-		}
-		if lease.Holder != "" {
-			holders[lease.Holder] = true
-		}
-	}
-	return holders
-}
-
-// split returns the members that read the platform and the others.
-func (m *mesh) split() (readers, others []*fleet.Member) {
-	holders := m.readers()
-	for _, member := range m.Members {
-		if holders[member.Server.Name] {
-			readers = append(readers, member)
-			continue
-		}
-		others = append(others, member)
-	}
+	readers, others, err := m.AwaitReaders(m.ctx, domains)
+	must(m.t, err)
 	return readers, others
 }
 
-// awaitReaders waits until each failure domain has all its readers.
-func (m *mesh) awaitReaders() {
-	for len(m.readers()) < domains*reader.DefaultConfig().PerDomain {
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // killReaders kills all readers and returns the members that are left.
 func (m *mesh) killReaders() []*fleet.Member {
-	m.awaitReaders()
-	readers, others := m.split()
+	readers, others := m.readers()
 	for _, r := range readers {
 		r.Kill()
 	}
@@ -159,7 +119,7 @@
 		{name: "all readers die right before the write", before: (*mesh).killReaders},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := begin(t, small(8), nil)
+			m := begin(t, 8)
 			live := m.Members
 			if c.before != nil {
 				live = c.before(m)
@@ -203,42 +163,22 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := begin(t, small(6), nil)
+			m := begin(t, 6)
 			h := manifesttest.NewHistory("past-the-command-line")
 			h.Edit(manifesttest.Service("lookup", time.Millisecond))
 			bad := manifesttest.Service("lookup", latencies[1])
 			h.EditBodies([]*target.Service{bad}, []manifest.Body{c.body(m, bad)})
 			h.Edit(manifesttest.Service("lookup", latencies[2]))
-			m.put(h, 2)
+			must(t, m.Put(m.ctx, h, 2))
 			m.awaitState(func(s daemon.State) bool {
 				return s.InForce == 1 && strings.Contains(s.Refused, "version 2 refused") && strings.Contains(s.Refused, c.reason)
 			})
-			m.put(h, 3)
+			must(t, m.Put(m.ctx, h, 3))
 			m.awaitState(func(s daemon.State) bool { return s.InForce == 3 && s.Refused == "" })
 		})
 	}
 }
 
-// put commits a head past the editor, with the bodies that have content.
-func (m *mesh) put(h *manifesttest.History, v manifest.Version) {
-	m.t.Helper()
-	for _, b := range h.Bodies {
-		if b.Service == nil {
-			continue
-		}
-		if err := m.repo.PutBody(m.ctx, b.Service); err != nil {
-			m.t.Fatal(err)
-		}
-	}
-	_, rev, err := m.repo.Head(m.ctx)
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	if err := m.repo.CommitHead(m.ctx, h.Head(0, v), rev); err != nil {
-		m.t.Fatal(err)
-	}
-}
-
 func (m *mesh) awaitState(reached func(daemon.State) bool) {
 	m.t.Helper()
 	if err := m.Await(m.ctx, m.Members, reached); err != nil {
@@ -255,12 +195,11 @@
 		{"cannot be decoded", "malformed", func([]byte) []byte { return []byte(`"none"`) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := begin(t, small(6), nil)
+			m := begin(t, 6)
 			before, _ := m.Platform.Load("config/head")
 			m.await(m.publish(2), m.Members)
-			m.awaitReaders()
+			readers, _ := m.readers()
 			m.Platform.Store("config/head", c.spoil(before))
-			readers, _ := m.split()
 			if err := m.Await(m.ctx, readers, func(s daemon.State) bool { return strings.Contains(s.Refused, c.reason) }); err != nil {
 				t.Fatal(err)
 			}
@@ -270,7 +209,7 @@
 				}
 			}
 			edit := &manifest.Edit{ID: "recovery", Update: []*target.Service{manifesttest.Service("lookup", time.Second)}}
-			change, err := m.editor.Recover(m.ctx, edit, 2)
+			change, err := m.Editor.Recover(m.ctx, edit, 2)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -281,8 +220,8 @@
 
 func TestPlatformDownForLong(t *testing.T) {
 	const silence = 4 * time.Second
-	m := begin(t, small(6), nil)
-	readers, _ := m.split()
+	m := begin(t, 6)
+	readers, _ := m.readers()
 	m.Platform.ResetCounts()
 	m.Platform.SetFaults(platform.Faults{Outage: true})
 	late, err := m.Add(fleet.Server{Name: "lookup-late", Service: "lookup", Domain: "domain-a", Slots: 4})
@@ -306,11 +245,10 @@
 func TestPlatformCallsDoNotGrowWithTheFleet(t *testing.T) {
 	const period = 3 * time.Second
 	for _, size := range []int{4, 16} {
-		m := begin(t, small(size), nil)
-		m.awaitReaders()
+		m := begin(t, size)
 		want := domains * reader.DefaultConfig().PerDomain
-		if n := len(m.readers()); n > want {
-			t.Errorf("%d readers among %d daemons; at most %d are allowed", n, size, want)
+		if readers, _ := m.readers(); len(readers) > want {
+			t.Errorf("%d readers among %d daemons; at most %d are allowed", len(readers), size, want)
 		}
 		m.Platform.ResetCounts()
 		time.Sleep(period)
--- a/bench/fleet/tls_test.go
+++ b/bench/fleet/tls_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -16,10 +15,7 @@
 	"fescuehoist.example/adapters/tlsfiles"
 	"fescuehoist.example/bench/fleet"
 	"fescuehoist.example/fescuehoistd/daemon"
-	"fescuehoist.example/mesh/manifest"
-	"fescuehoist.example/mesh/manifest/manifesttest"
 	"fescuehoist.example/mesh/status"
-	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/standin/authority"
 )
 
@@ -41,53 +37,29 @@
 }
 
 func TestCallsAndConfigurationOverTLS(t *testing.T) {
-	folder := t.TempDir()
 	mesh, err := authority.New("mesh")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ca := filepath.Join(folder, "authority.crt")
-	if err := mesh.WriteCertificate(ca); err != nil {
-		t.Fatal(err)
-	}
-	pair, err := mesh.Issue(folder, "daemon", net.IPv4(127, 0, 0, 1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	source, err := tlsfiles.Open(tlsfiles.Files{Certificate: pair.Certificate, Key: pair.Key, Authority: ca}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
+	files, err := mesh.IssueAll(t.TempDir(), "daemon", net.IPv4(127, 0, 0, 1))
+	must(t, err)
+	source, err := tlsfiles.Open(tlsfiles.Files(files), nil)
+	must(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	defer cancel()
 	f, err := fleet.Start(context.Background(), small(4), fleet.Options{
 		TLS: settings.TLS{
-			Daemons: true, Callers: true, Platform: true, Certificate: pair.Certificate, Key: pair.Key,
-			Authority: ca, PlatformAuthority: ca, PlatformName: "127.0.0.1",
+			Daemons: true, Callers: true, Platform: true, Certificate: files.Certificate, Key: files.Key,
+			Authority: files.Authority, PlatformAuthority: files.Authority, PlatformName: "127.0.0.1",
 		},
 		PlatformTLS: source.Server(),
 		Tune:        func(c *daemon.Config) { c.Status.Interval = 500 * time.Millisecond },
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	must(t, err)
 	defer func() { _ = f.Close() }()
-	client := platformhttp.NewClientWithDial(f.PlatformAddress, tlsfiles.Dial(nil, source.Client("127.0.0.1")))
-	defer client.Close()
-	service := manifesttest.Service("lookup", time.Second)
-	edit := &manifest.Edit{ID: uuid.NewString(), Update: []*target.Service{service}}
-	change, err := manifest.NewEditor(&platformhttp.Repository{Client: client}).Publish(ctx, edit)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := f.AwaitVersion(ctx, f.Members, change.Version); err != nil {
-		t.Fatal(err)
-	}
-	if err := f.AwaitReady(ctx, f.Members, len(f.Members)); err != nil {
-		t.Fatal(err)
-	}
-	await(ctx, t, &platformhttp.StatusStore{Client: client}, "reports of all daemons", func(o *status.Overview) bool {
-		return daemons(o, change.Version) == len(f.Members)
+	operator := f.NewOperator(tlsfiles.Dial(nil, source.Client("127.0.0.1")))
+	defer operator.Close()
+	must(t, operator.Begin(ctx, service(1000)))
+	await(ctx, t, &platformhttp.StatusStore{Client: operator.Repo.Client}, "reports of all daemons", func(o *status.Overview) bool {
+		return daemons(o, 1) == len(f.Members)
 	})
 	for _, m := range f.Members {
 		caller := httpconn.NewPool(m.Callers, tlsfiles.Dial(nil, source.Client("127.0.0.1")))
--- a/standin/authority/authority.go
+++ b/standin/authority/authority.go
@@ -89,6 +89,21 @@
 	return pair, write(pair.Certificate, "CERTIFICATE", der)
 }
 
+// Files names all files of a daemon.
+type Files struct{ Certificate, Key, Authority string }
+
+// IssueAll writes a certificate with its key and the authority's own
+// certificate into a folder.
+func (a *Authority) IssueAll(folder, name string, addresses ...net.IP) (Files, error) {
+	files := Files{Authority: filepath.Join(folder, "authority.crt")}
+	if err := a.WriteCertificate(files.Authority); err != nil {
+		return files, err
+	}
+	pair, err := a.Issue(folder, name, addresses...)
+	files.Certificate, files.Key = pair.Certificate, pair.Key
+	return files, err
+}
+
 func write(file, kind string, der []byte) error {
 	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
 }
