Close connections that are idle for too long, and forget daemons that are gone

A request that may not run again could go over a connection idle for up to 30 s, which servers often close sooner.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -51,7 +51,11 @@
 	defer fasthttp.ReleaseResponse(resp)
 	callhttp.WriteRequest(ctx, r, req)
 	callhttp.SetDepth(req, r.Depth+1)
-	if err := pool.Do(ctx, req, resp); err != nil {
+	o := httpconn.Options{NewConnection: r.NewConnection}
+	if r.Class == nil || !r.Class.Idempotent {
+		o.MaxIdle = httpconn.MaxIdleOnce
+	}
+	if err := pool.DoWith(ctx, req, resp, o); err != nil {
 		return nil, err
 	}
 	verdict := string(resp.Header.Peek(callhttp.HeaderVerdict))
--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -27,13 +27,29 @@
 type Forwarder struct {
 	dial  httpconn.DialFunc
 	calls atomic.Uint64
-	mu    sync.Mutex
-	pools map[string]*httpconn.Pool
+
+	mu      sync.Mutex
+	pools   map[string]*pool
+	sweptAt time.Time
+}
+
+// pool holds the connections to one daemon.
+type pool struct {
+	*httpconn.Pool
+	usedAt time.Time
 }
 
+const (
+	// sweepInterval is the least time between two looks for connections that
+	// have been idle for too long.
+	sweepInterval = 10 * time.Second
+	// poolLifetime is how long the pool of a daemon is kept without a call.
+	poolLifetime = 2 * time.Minute
+)
+
 // NewForwarder returns a forwarder. A nil dial uses plain TCP.
 func NewForwarder(dial httpconn.DialFunc) *Forwarder {
-	return &Forwarder{dial: dial, pools: map[string]*httpconn.Pool{}}
+	return &Forwarder{dial: dial, pools: map[string]*pool{}, sweptAt: time.Now()}
 }
 
 // Forward sends a call to the daemon at address and returns its answer.
@@ -54,6 +70,8 @@
 	}}
 	if r.Class != nil && r.Class.Idempotent {
 		o.Silence = SilenceLimit
+	} else {
+		o.MaxIdle = httpconn.MaxIdleOnce
 	}
 	if err := f.pool(address).DoWith(ctx, req, resp, o); err != nil {
 		return nil, err
@@ -101,12 +119,30 @@
 func (f *Forwarder) pool(address string) *httpconn.Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.sweptAt) > sweepInterval {
+		f.sweep(now)
+	}
 	p := f.pools[address]
 	if p == nil {
-		p = httpconn.NewPool(address, f.dial)
+		p = &pool{Pool: httpconn.NewPool(address, f.dial)}
 		f.pools[address] = p
 	}
-	return p
+	p.usedAt = now
+	return p.Pool
+}
+
+// sweep closes connections that have been idle for too long, and forgets
+// daemons that were not called for a while.
+func (f *Forwarder) sweep(now time.Time) {
+	f.sweptAt = now
+	for address, p := range f.pools {
+		p.DropAged()
+		if now.Sub(p.usedAt) > poolLifetime {
+			p.Close()
+			delete(f.pools, address)
+		}
+	}
 }
 
 // Close closes all idle connections.
--- a/adapters/httpconn/conn.go
+++ b/adapters/httpconn/conn.go
@@ -13,6 +13,8 @@
 const (
 	// MaxIdleAge is how long an idle connection may be used again.
 	MaxIdleAge = 30 * time.Second
+	// MaxIdleOnce is the same for a request that may not run again.
+	MaxIdleOnce = 3 * time.Second
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout = time.Second
 	// UnackedTimeout is how long sent bytes may stay unacknowledged before the
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -32,6 +32,10 @@
 	Silence time.Duration
 	// NewConnection opens a connection in place of using an idle one.
 	NewConnection bool
+	// MaxIdle is how long a connection may have been idle before it is used
+	// again; 0 means MaxIdleAge. A server may close one at any moment, and a
+	// request that crosses that may have run.
+	MaxIdle time.Duration
 	// Check examines the header of an answer. An error fails the exchange and
 	// closes the connection.
 	Check func(resp *fasthttp.Response) error
@@ -54,7 +58,7 @@
 // DoWith is Do with options.
 func (p *Pool) DoWith(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Options) error {
 	start := time.Now()
-	c, err := p.get(ctx, o.NewConnection)
+	c, err := p.get(ctx, o)
 	if err != nil {
 		return call.Refuse(call.ReasonOf(ctx, call.Unreachable), err)
 	}
@@ -97,8 +101,11 @@
 }
 
 // get returns an idle connection that is still open, or a new one.
-func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
-	for !fresh {
+func (p *Pool) get(ctx context.Context, o Options) (*conn, error) {
+	if o.MaxIdle == 0 {
+		o.MaxIdle = MaxIdleAge
+	}
+	for !o.NewConnection {
 		c, err := p.pop()
 		if err != nil {
 			return nil, err
@@ -106,7 +113,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleAt) < MaxIdleAge && quiet(c.Conn) {
+		if time.Since(c.idleAt) < o.MaxIdle && quiet(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -150,6 +157,9 @@
 	p.idle = append(p.idle, c)
 }
 
+// DropAged closes the connections that have been idle for too long.
+func (p *Pool) DropAged() { p.dropIdle(time.Now().Add(-MaxIdleAge)) }
+
 // dropIdle closes the connections that have been idle since before a time. One
 // that went silent may share its fate with others of its age.
 func (p *Pool) dropIdle(since time.Time) {
