--- a/bench/spreading/measure.go
+++ b/bench/spreading/measure.go
@@ -72,8 +72,10 @@
 	platform, edits float64
 }
 
-// measure returns the usage while work runs.
+// measure returns the usage while work runs. It collects garbage first, so that
+// what came before is not counted.
 func (f *fleet) measure(work func() error) (usage, error) {
+	runtime.GC()
 	bytes, messages, calls := f.counts.bytes.Load(), f.counts.messages.Load(), f.platform.Counts().Total()
 	edited, cpu, start := f.edited, processorTime(), time.Now()
 	if err := work(); err != nil {
