Refuse what is meant for another server, service or mesh

Cause: hosts are replaced at any time, so an address moves. A daemon that held an old record sent its calls to whichever daemon had the address now, which ran them at its own backend server, perhaps of another service. A stream to the address was taken for one to the old daemon, which so never failed; and daemons of two meshes could merge (seen as a flaky start of a fleet whose ports another test's fleet had had).

Change: a call names the server that was chosen and the mesh; the daemon there refuses any other as not run (misdirected), and the call goes to another server. A peer says its mesh in its hello, and one that is not the daemon dialled counts as that daemon's absence. server.mesh names the mesh; fleets in tests have names of their own.

No cost was measured: two header fields a call.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -25,6 +25,8 @@
 
 // Forwarder carries calls to other daemons.
 type Forwarder struct {
+	// Mesh names the mesh; a daemon of another one refuses what is sent to it.
+	Mesh  string
 	dial  httpconn.DialFunc
 	calls atomic.Uint64
 
@@ -58,6 +60,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	WriteRequest(ctx, r, req)
+	req.Header.Set(headerServer, r.Server)
 	req.Header.Set(headerService, r.Service)
 	req.Header.Set(headerClass, r.ClassName)
 	req.Header.Set(headerAttempt, strconv.Itoa(r.Attempt))
@@ -79,10 +82,12 @@
 	return answerOf(resp)
 }
 
-// number numbers a request, so that its answer can be told from others.
+// number numbers a request, so that its answer can be told from others, and
+// names the mesh that it is meant for.
 func (f *Forwarder) number(req *fasthttp.Request) string {
 	number := strconv.FormatUint(f.calls.Add(1), 36)
 	req.Header.Set(headerCall, number)
+	req.Header.Set(headerMesh, f.Mesh)
 	return number
 }
 
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -25,19 +25,28 @@
 
 // Daemons answers calls that other daemons forward.
 type Daemons struct {
+	// Mesh names the mesh; what is meant for another one is refused.
+	Mesh   string
 	Callee call.Callee
 	// Control takes messages that are not calls; nil refuses them.
 	Control *Control
 }
 
+var errForeign = errors.New("the call is meant for another mesh")
+
 // Handle takes one forwarded call through.
 func (h *Daemons) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
 	r := ReadRequest(req)
 	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
+	if string(req.Header.Peek(headerMesh)) != h.Mesh {
+		writeFailure(call.Refuse(call.Misdirected, errForeign), resp)
+		return
+	}
 	if h.Control != nil && len(req.Header.Peek(headerControl)) > 0 {
 		h.Control.handle(ctx, req, resp)
 		return
 	}
+	r.Server = string(req.Header.Peek(headerServer))
 	r.Service = string(req.Header.Peek(headerService))
 	r.ClassName = string(req.Header.Peek(headerClass))
 	attempt, err := strconv.Atoi(string(req.Header.Peek(headerAttempt)))
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -40,6 +40,8 @@
 // Header fields between daemons.
 const (
 	headerPrefix  = "Fescuehoist-"
+	headerMesh    = "Fescuehoist-Mesh"
+	headerServer  = "Fescuehoist-Server"
 	headerService = "Fescuehoist-Service"
 	headerClass   = "Fescuehoist-Class"
 	headerAttempt = "Fescuehoist-Attempt"
--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -15,7 +15,7 @@
 func encode(m spread.Message) (*peerpb.Frame, error) {
 	switch m := m.(type) {
 	case *spread.Hello:
-		hello := &peerpb.Hello{From: string(m.From), Version: uint64(m.Version)}
+		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version)}
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: hello}}, nil
 	case *spread.Heartbeat:
 		beat := &peerpb.Heartbeat{Version: uint64(m.Version)}
@@ -80,7 +80,10 @@
 	if err := checkName("server", in.GetFrom()); err != nil {
 		return nil, err
 	}
-	return &spread.Hello{From: member.ServerID(in.GetFrom()), Version: manifest.Version(in.GetVersion())}, nil
+	if len(in.GetMesh()) > target.MaxNameLength {
+		return nil, fmt.Errorf("the name of a mesh has %d bytes", len(in.GetMesh()))
+	}
+	return &spread.Hello{From: member.ServerID(in.GetFrom()), Mesh: in.GetMesh(), Version: manifest.Version(in.GetVersion())}, nil
 }
 
 func encodeRecords(records []member.Record) []*peerpb.Record {
--- a/adapters/peergrpc/contract_test.go
+++ b/adapters/peergrpc/contract_test.go
@@ -200,7 +200,7 @@
 		Bodies:  []manifest.Body{{Digest: s.Digest(), Service: s}, {Digest: "d", Fault: "missing"}},
 	}
 	return []spread.Message{
-		&spread.Hello{From: "a", Version: 3}, &spread.Heartbeat{Version: 4},
+		&spread.Hello{From: "a", Mesh: "nuqta", Version: 3}, &spread.Heartbeat{Version: 4},
 		&spread.Records{Records: []member.Record{record}, Compared: true},
 		&spread.Configuration{Update: update}, &spread.Have{Versions: versions},
 		&spread.Pull{Servers: []member.ServerID{"a"}, Configure: true, Version: 2, Graft: true},
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -17,6 +17,8 @@
 	// Server names the backend server beside the daemon; Domain is its
 	// failure domain.
 	Server, Domain string
+	// Mesh names the mesh that the daemon belongs to.
+	Mesh string
 	// Callers takes calls from callers, Calls from other daemons; Peers takes
 	// their streams; Admin takes announcements and shows the state.
 	Callers, Calls, Peers, Admin string
@@ -40,6 +42,7 @@
 
 // Defaults of settings that may be left out.
 const (
+	DefaultMesh             = "mesh"
 	DefaultAnnounceLifetime = 3 * time.Second
 	DefaultDrainTimeout     = 30 * time.Second
 	minLifetime             = 100 * time.Millisecond
@@ -50,6 +53,7 @@
 	Server struct {
 		Name   string `toml:"name"`
 		Domain string `toml:"domain"`
+		Mesh   string `toml:"mesh"`
 	} `toml:"server"`
 	Listen struct {
 		Callers string `toml:"callers"`
@@ -92,6 +96,7 @@
 	s := &Settings{
 		Server:   checkName(f, "server.name", in.Server.Name),
 		Domain:   checkName(f, "server.domain", in.Server.Domain),
+		Mesh:     checkMesh(f, in.Server.Mesh),
 		Callers:  checkAddress(f, "listen.callers", in.Listen.Callers),
 		Calls:    checkAddress(f, "listen.calls", in.Listen.Calls),
 		Peers:    checkAddress(f, "listen.peers", in.Listen.Peers),
@@ -117,6 +122,13 @@
 	return s, nil
 }
 
+func checkMesh(f *tomlfile.File, text string) string {
+	if text == "" {
+		return DefaultMesh
+	}
+	return checkName(f, "server.mesh", text)
+}
+
 func checkName(f *tomlfile.File, key, text string) string {
 	if !target.ValidName(text) {
 		f.Add(key, fmt.Sprintf("%.80q; write 1 to %d of a-z, 0-9 and -, with a letter first", text, target.MaxNameLength))
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,7 +37,9 @@
 	tune       func(*daemon.Config)
 	tls        settings.TLS
 	deployment *Deployment
-	domains    *domains
+	// mesh keeps fleets apart that get each other's ports.
+	mesh    string
+	domains *domains
 }
 
 // Member is one backend server with its daemon.
@@ -74,6 +78,7 @@
 	tasks, ctx := errgroup.WithContext(ctx)
 	f := &Fleet{
 		Platform: platform.New(), stop: stop, tasks: tasks, ctx: ctx, tune: o.Tune, tls: o.TLS, deployment: d,
+		mesh:    "fleet-" + strings.ToLower(rand.Text()),
 		domains: newDomains(d.Crossing), log: logging.New(o.Log, logrus.InfoLevel),
 	}
 	ln, err := net.Listen("tcp", loopback)
@@ -97,7 +102,7 @@
 // Add starts one more member; its seeds are the members there are.
 func (f *Fleet) Add(s Server) (*Member, error) {
 	set := &settings.Settings{
-		Server: s.Name, Domain: s.Domain,
+		Server: s.Name, Domain: s.Domain, Mesh: f.mesh,
 		Callers: loopback, Calls: loopback, Peers: loopback, Admin: loopback,
 		Platform: f.PlatformAddress, TLS: f.tls, Seeds: f.seeds(),
 		AnnounceLifetime: settings.DefaultAnnounceLifetime, DrainTimeout: settings.DefaultDrainTimeout,
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -161,6 +161,7 @@
 		platform:  platformhttp.NewClientWithDial(s.Platform, links.platform),
 		traffic:   &peergrpc.Traffic{},
 	}
+	d.forwarder.Mesh = s.Mesh
 	d.buildControl(self)
 	d.buildStatus(self)
 	d.buildCalls(self)
@@ -175,6 +176,7 @@
 	if len(s.Seeds) == 0 {
 		d.cfg.Reader.JoinLimit = 0
 	}
+	d.cfg.Spread.Mesh = s.Mesh
 	dialer := &peergrpc.Dialer{Credentials: d.links.connect, Traffic: d.traffic}
 	d.node = spread.NewNode(d.cfg.Spread, self, s.Domain, s.Seeds, dialer, d.members, d.log, d.prefixed("spread"))
 	d.reader = reader.New(d.cfg.Reader, self, s.Domain, &platformhttp.Repository{Client: d.platform},
@@ -202,7 +204,7 @@
 	d.once = once.NewRunner(d.cfg.Once, self, d.homes, d.ledger, d.forwarder)
 	d.crashes = crash.NewLog(d.cfg.Crash, self, d.backend,
 		&crash.Members{Self: self, Table: d.members, Link: d.forwarder}, d.lost)
-	d.inner = &proxy.Inner{Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
+	d.inner = &proxy.Inner{Host: d.announcer, Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
@@ -236,7 +238,7 @@
 	g, control := errgroup.WithContext(control)
 	callers := httpconn.NewServer(&callhttp.Callers{Callee: d.outer}, 0)
 	forwarded := httpconn.NewServer(&callhttp.Daemons{
-		Callee: d.inner, Control: &callhttp.Control{Ledger: d.ledger, Runner: d.once, Crashes: d.crashes},
+		Mesh: d.cfg.Settings.Mesh, Callee: d.inner, Control: &callhttp.Control{Ledger: d.ledger, Runner: d.once, Crashes: d.crashes},
 	}, callhttp.ProgressInterval)
 	var serving errgroup.Group
 	serving.Go(func() error { return callers.Run(calls, wrap(d.listeners.Callers, d.links.wrapCallers)) })
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -183,3 +183,11 @@
 	defer a.mu.Unlock()
 	return a.own.State
 }
+
+// Serves reports whether the server is the one beside this daemon and of the
+// service that it announced.
+func (a *Announcer) Serves(server, service string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return string(a.own.Server) == server && a.own.Service == service
+}
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -24,6 +24,8 @@
 	// Attempt counts the attempts made so far by the daemon that took the
 	// call.
 	Attempt int
+	// Server names the backend server that a daemon chose.
+	Server string
 	// Depth counts the backend servers that wait for the call, each while it
 	// runs the one before; it is 0 for a call from outside.
 	Depth int
--- a/mesh/call/verdict.go
+++ b/mesh/call/verdict.go
@@ -57,6 +57,9 @@
 	Shed        Reason = "shed"
 	Cut         Reason = "cut"
 	Canceled    Reason = "canceled"
+	// Misdirected says that a call reached another backend server than the one
+	// chosen, as an address was given to another host.
+	Misdirected Reason = "misdirected"
 	// Silent says that nothing more came over a connection that stayed open.
 	Silent Reason = "silent"
 	// Crashed says that the backend server ended while it ran the request.
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -14,11 +14,19 @@
 	errNoService = errors.New("the service is not in the configuration")
 	errNoClass   = errors.New("the call matches no class of the service")
 	errThrottled = errors.New("the servers refuse most such calls now")
+	errElsewhere = errors.New("the call is meant for another backend server or service")
 	errNoServer  = errors.New("no backend server takes calls of the service")
 )
 
+// Host says which backend server this daemon stands beside.
+type Host interface {
+	// Serves reports whether the server is this host's and of the service.
+	Serves(server, service string) bool
+}
+
 // Inner runs calls at this daemon's backend server.
 type Inner struct {
+	Host    Host
 	Routes  *route.Router
 	Gate    Gate
 	Crashes Crashes
@@ -30,6 +38,9 @@
 	if err := classify(p.Routes.Table(), r); err != nil {
 		return nil, err
 	}
+	if !p.Host.Serves(r.Server, r.Service) {
+		return nil, call.Refuse(call.Misdirected, errElsewhere)
+	}
 	pass, err := p.Crashes.Enter(ctx, r)
 	if err != nil {
 		return nil, err
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -123,6 +123,7 @@
 }
 
 func (p *Outer) attempt(ctx context.Context, server *member.Record, r *call.Request) (*call.Answer, error) {
+	r.Server = string(server.Server)
 	var answer *call.Answer
 	var err error
 	if server.Server == p.Self {
--- a/mesh/spread/choose.go
+++ b/mesh/spread/choose.go
@@ -93,3 +93,11 @@
 	}
 	return chosen
 }
+
+// expect returns an error if another daemon than the one meant answers.
+func (c contact) expect(id member.ServerID) error {
+	if c.id != "" && id != c.id {
+		return errReplaced
+	}
+	return nil
+}
--- a/mesh/spread/config.go
+++ b/mesh/spread/config.go
@@ -4,6 +4,9 @@
 
 // Config sets how a daemon keeps in touch with its peers.
 type Config struct {
+	// Mesh names the mesh. Daemons of other meshes are refused as peers: an
+	// address that was this mesh's may be given to another one's host.
+	Mesh string
 	// NearPeers is the number of streams kept within the failure domain. The
 	// first NearSuccessors of them follow the daemon on a ring in hash order,
 	// so that each daemon is observed by as many; the rest are random.
--- a/mesh/spread/dial.go
+++ b/mesh/spread/dial.go
@@ -56,9 +56,13 @@
 	delay.InitialInterval, delay.MaxInterval = n.cfg.RedialBase, n.cfg.RedialMax
 	var out absence
 	for ctx.Err() == nil {
-		err := n.dialOnce(ctx, c, func(member.ServerID) {
+		err := n.dialOnce(ctx, c, func(id member.ServerID) error {
+			if err := c.expect(id); err != nil {
+				return err
+			}
 			out = absence{}
 			delay.Reset()
+			return nil
 		})
 		if ctx.Err() != nil || errors.Is(err, errSelf) {
 			return nil
@@ -112,7 +116,7 @@
 // exceeds reports whether the absence is longer than a limit.
 func (a *absence) exceeds(limit time.Duration) bool { return a.lasted > limit<<a.refuted }
 
-func (n *Node) dialOnce(ctx context.Context, c contact, met func(member.ServerID)) error {
+func (n *Node) dialOnce(ctx context.Context, c contact, met func(member.ServerID) error) error {
 	dialCtx, cancel := context.WithTimeout(ctx, n.cfg.DialTimeout)
 	link, err := n.dialer.Dial(dialCtx, c.address)
 	cancel()
--- a/mesh/spread/fleet_test.go
+++ b/mesh/spread/fleet_test.go
@@ -54,21 +54,27 @@
 // start starts, or starts again, the daemon of a number.
 func (f *fleet) start(i, domains int, incarnation uint64) *daemon {
 	id := member.ServerID(fmt.Sprintf("server-%d", i))
-	d := &daemon{id: id, domain: fmt.Sprintf("domain-%d", i%domains), table: member.NewTable(id), log: manifest.NewLog()}
-	d.node = spread.NewNode(f.cfg, id, d.domain, f.seeds, f.net.Dialer(string(id)), d.table, d.log, quiet{})
+	d := f.startAt(string(id), id, fmt.Sprintf("domain-%d", i%domains), incarnation)
+	if i < len(f.daemons) {
+		f.daemons[i] = d
+	} else {
+		f.daemons = append(f.daemons, d)
+	}
+	return d
+}
+
+// startAt starts a daemon at an address; it is not yet one of the fleet's.
+func (f *fleet) startAt(address string, id member.ServerID, domain string, incarnation uint64) *daemon {
+	d := &daemon{id: id, domain: domain, table: member.NewTable(id), log: manifest.NewLog()}
+	d.node = spread.NewNode(f.cfg, id, d.domain, f.seeds, f.net.Dialer(address), d.table, d.log, quiet{})
 	d.node.Announce(member.Record{
 		Server: id, Incarnation: incarnation, State: member.Ready,
-		Service: "lookup", Domain: d.domain, PeerAddress: string(id),
+		Service: "lookup", Domain: d.domain, PeerAddress: address,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	d.stopped.Go(func() { _ = d.node.Run(ctx) })
-	d.stopped.Go(func() { f.net.Listen(ctx, string(id), d.node) })
-	if i < len(f.daemons) {
-		f.daemons[i] = d
-	} else {
-		f.daemons = append(f.daemons, d)
-	}
+	d.stopped.Go(func() { f.net.Listen(ctx, address, d.node) })
 	return d
 }
 
--- a/mesh/spread/message.go
+++ b/mesh/spread/message.go
@@ -19,7 +19,9 @@
 
 // Hello is the first message in each direction.
 type Hello struct {
-	From    member.ServerID
+	From member.ServerID
+	// Mesh names the mesh that the sender belongs to.
+	Mesh    string
 	Version manifest.Version
 }
 
--- a/mesh/spread/peer.go
+++ b/mesh/spread/peer.go
@@ -13,16 +13,22 @@
 	"fescuehoist.example/mesh/wait"
 )
 
-// errSelf says that a seed address turned out to be this daemon's own.
-var errSelf = errors.New("the peer is this daemon")
+var (
+	// errSelf says that a seed address turned out to be this daemon's own.
+	errSelf = errors.New("the peer is this daemon")
+	// errForeign says that an address belongs to a daemon of another mesh.
+	errForeign = errors.New("the peer belongs to another mesh")
+	// errReplaced says that an address now belongs to another daemon.
+	errReplaced = errors.New("another daemon answers at the address")
+)
 
 // Serve runs one accepted stream until it fails or ctx ends.
 func (n *Node) Serve(ctx context.Context, link Link) error {
-	return n.serve(ctx, link, false, func(member.ServerID) {})
+	return n.serve(ctx, link, false, func(member.ServerID) error { return nil })
 }
 
 // serve greets the peer, reports its name to met, and exchanges messages.
-func (n *Node) serve(ctx context.Context, link Link, dialled bool, met func(member.ServerID)) error {
+func (n *Node) serve(ctx context.Context, link Link, dialled bool, met func(member.ServerID) error) error {
 	defer link.Close()
 	p := newPeer(link)
 	stop := context.AfterFunc(ctx, link.Close)
@@ -32,7 +38,9 @@
 	if err := n.greet(p); err != nil {
 		return err
 	}
-	met(p.id)
+	if err := met(p.id); err != nil {
+		return err
+	}
 	n.add(p)
 	defer n.release(p)
 	defer n.remove(p)
@@ -49,7 +57,7 @@
 }
 
 func (n *Node) greet(p *peer) error {
-	if err := p.link.Send(&Hello{From: n.self, Version: n.log.Known()}); err != nil {
+	if err := p.link.Send(&Hello{From: n.self, Mesh: n.cfg.Mesh, Version: n.log.Known()}); err != nil {
 		return fmt.Errorf("hello: %w", err)
 	}
 	m, err := p.link.Recv()
@@ -60,6 +68,9 @@
 	if !ok {
 		return fmt.Errorf("hello: got %T first", m)
 	}
+	if hello.Mesh != n.cfg.Mesh {
+		return errForeign
+	}
 	if hello.From == n.self {
 		return errSelf
 	}
--- a/mesh/spread/rejoin.go
+++ b/mesh/spread/rejoin.go
@@ -25,7 +25,13 @@
 		}
 		c := candidates[rand.N(len(candidates))]
 		met, cancel := context.WithTimeout(ctx, n.rejoinHold())
-		err := n.dialOnce(met, c, func(id member.ServerID) { n.out.Infof("met server %s again", id) })
+		err := n.dialOnce(met, c, func(id member.ServerID) error {
+			if err := c.expect(id); err != nil {
+				return err
+			}
+			n.out.Infof("met server %s again", id)
+			return nil
+		})
 		cancel()
 		n.out.Debugf("tried server %s at %s again: %v", c.id, c.address, err)
 	}
