Give the benchmarks one kind of figure and one command line

Change: bench/figure holds them once. bench-overhead names the figure that it bounds: the added p99 that nine rounds in ten exceed. Bounds are the same.

--- a/bench/calls/result.go
+++ b/bench/calls/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/load"
 )
 
@@ -25,26 +26,6 @@
 	severed = "caller: cut"
 )
 
-// Figure is one measured value with its bound.
-type Figure struct {
-	Name  string  `json:"name"`
-	Value float64 `json:"value"`
-	Unit  string  `json:"unit"`
-	Bound float64 `json:"bound"`
-	// AtLeast says that the bound is a least value rather than a greatest.
-	AtLeast bool `json:"at_least"`
-	OK      bool `json:"ok"`
-}
-
-// String returns the figure's line.
-func (f *Figure) String() string {
-	state := "over"
-	if f.OK {
-		state = "ok"
-	}
-	return fmt.Sprintf("bench: %s %.3f %s bound %.3f %s", f.Name, f.Value, f.Unit, f.Bound, state)
-}
-
 // Row is what became of the calls of one stream.
 type Row struct {
 	Class   string `json:"class"`
@@ -70,10 +51,10 @@
 
 // Result is the outcome of one scenario.
 type Result struct {
-	Name       string    `json:"name"`
-	Rows       []*Row    `json:"rows"`
-	Figures    []*Figure `json:"figures"`
-	Violations []string  `json:"violations,omitempty"`
+	Name string `json:"name"`
+	Rows []*Row `json:"rows"`
+	*figure.Report
+	Violations []string `json:"violations,omitempty"`
 	// Repeated says that the generator was late in a first run, which was
 	// therefore left out.
 	Repeated bool `json:"repeated,omitempty"`
@@ -90,18 +71,8 @@
 	return false
 }
 
-// Holds reports whether every figure keeps its bound.
-func (r *Result) Holds() bool {
-	for _, f := range r.Figures {
-		if !f.OK {
-			return false
-		}
-	}
-	return true
-}
-
 func newResult(s Scenario, o Options, p *plan, g *load.Generator, violations []string) *Result {
-	r := &Result{Name: o.Deployment + "." + s.Name, Violations: violations}
+	r := &Result{Name: o.Deployment + "." + s.Name, Violations: violations, Report: &figure.Report{}}
 	reports := g.Reports()
 	for _, report := range reports {
 		r.Rows = append(r.Rows, newRow(report))
@@ -109,9 +80,9 @@
 	for _, m := range p.demands {
 		r.bound(s, o, m, reports)
 	}
-	r.atMost("violations", float64(len(violations)), "calls", 0)
+	r.AtMost(r.Name+".violations", float64(len(violations)), "calls", 0)
 	if !s.LoseDomain {
-		r.atMost("cut", float64(cut(reports)), "calls", 0)
+		r.AtMost(r.Name+".cut", float64(cut(reports)), "calls", 0)
 	}
 	return r
 }
@@ -127,32 +98,22 @@
 		good += reports[i].Good
 		attempts += reports[i].Attempts
 	}
-	r.atMost(m.class.Name+".attempts", share(attempts, offered), "attempts/call", maxAttempts)
+	r.AtMost(r.Name+"."+m.class.Name+".attempts", share(attempts, offered), "attempts/call", maxAttempts)
 	first := reports[m.streams[0]]
 	if s.OneClient && len(m.streams) > 1 {
-		r.atLeast(m.class.Name+".others.good", 100*share(first.Good, first.Offered), "%", 100*m.class.Success)
+		r.AtLeast(r.Name+"."+m.class.Name+".others.good", 100*share(first.Good, first.Offered), "%", 100*m.class.Success)
 	}
 	perSecond := float64(good) / o.Duration.Seconds()
 	switch {
 	case m.entitled >= m.offered:
-		r.atLeast(m.class.Name+".good", 100*share(good, offered), "%", 100*m.class.Success)
+		r.AtLeast(r.Name+"."+m.class.Name+".good", 100*share(good, offered), "%", 100*m.class.Success)
 	case m.class == mostUrgent(m.service):
-		r.atLeast(m.class.Name+".good", perSecond, "calls/s", floodedGood*m.entitled/m.seconds)
+		r.AtLeast(r.Name+"."+m.class.Name+".good", perSecond, "calls/s", floodedGood*m.entitled/m.seconds)
 	default:
-		r.atLeast(m.class.Name+".keep", perSecond, "calls/s", m.class.Success*m.reserved/m.seconds)
+		r.AtLeast(r.Name+"."+m.class.Name+".keep", perSecond, "calls/s", m.class.Success*m.reserved/m.seconds)
 	}
 }
 
-func (r *Result) atMost(name string, value float64, unit string, bound float64) {
-	r.Figures = append(r.Figures, &Figure{Name: r.Name + "." + name, Value: value, Unit: unit, Bound: bound, OK: value <= bound})
-}
-
-func (r *Result) atLeast(name string, value float64, unit string, bound float64) {
-	r.Figures = append(r.Figures, &Figure{
-		Name: r.Name + "." + name, Value: value, Unit: unit, Bound: bound, AtLeast: true, OK: value >= bound,
-	})
-}
-
 func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
 // cut counts the calls whose answers were cut or wrong.
--- a/bench/cmd/bench-calls/main.go
+++ b/bench/cmd/bench-calls/main.go
@@ -4,16 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
+	"fescuehoist.example/bench/figure"
+
 	"golang.org/x/sync/errgroup"
 
 	"fescuehoist.example/adapters/targetfile"
@@ -29,21 +27,12 @@
 	Warmup     time.Duration `help:"Time before calls are counted." default:"500ms"`
 	Duration   time.Duration `help:"Time in which calls are counted." default:"2s"`
 	Parallel   int           `help:"Scenarios to run at once." default:"2"`
-	JSON       bool          `help:"Print the results as JSON." name:"json"`
+
+	figure.Output
 }
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-calls"),
-		kong.Description("Measures what each class of work gets under load and faults."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held, err := args.run(ctx)
-	k.FatalIfErrorf(err)
-	if !held {
-		stop()
-		os.Exit(1)
-	}
+	figure.Main("bench-calls", "Measures what each class of work gets under load and faults.", &arguments{})
 }
 
 // job is one scenario on one deployment, under a baseline or the project's own
@@ -54,8 +43,8 @@
 	baseline   *calls.Baseline
 }
 
-// run measures everything asked for and reports whether every bound held.
-func (a *arguments) run(ctx context.Context) (bool, error) {
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
 	jobs := append(a.scenarios(), a.baselines()...)
 	results := make([]*calls.Result, len(jobs))
 	g, ctx := errgroup.WithContext(ctx)
@@ -75,9 +64,7 @@
 
 func (a *arguments) print(results []*calls.Result) error {
 	if a.JSON {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return e.Encode(results)
+		return figure.Encode(results)
 	}
 	for _, r := range results {
 		r.Print(os.Stdout)
--- a/bench/cmd/bench-config/main.go
+++ b/bench/cmd/bench-config/main.go
@@ -4,14 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
 
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/versions"
 )
 
@@ -19,41 +13,22 @@
 	Services []int  `help:"Numbers of services to measure with." default:"330,3300"`
 	Changes  int    `help:"Changes to average over." default:"300"`
 	Seed     uint64 `help:"Seed of the choice of services that change." default:"1"`
-	JSON     bool   `help:"Print the figures as JSON."`
+
+	figure.Output
 }
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-config"),
-		kong.Description("Measures what a change of configuration costs a daemon and the platform."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held, err := args.run(ctx)
-	k.FatalIfErrorf(err)
-	if !held {
-		stop()
-		os.Exit(1)
-	}
+	figure.Main("bench-config", "Measures what a change of configuration costs a daemon and the platform.", &arguments{})
 }
 
-func (a *arguments) run(ctx context.Context) (bool, error) {
-	held := true
-	var all []*versions.Figure
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
+	report := a.Report()
 	for _, n := range a.Services {
-		figures, err := versions.Run(ctx, versions.Options{Services: n, Changes: a.Changes, Seed: a.Seed})
-		if err != nil {
+		o := versions.Options{Services: n, Changes: a.Changes, Seed: a.Seed}
+		if err := versions.Run(ctx, o, report); err != nil {
 			return false, err
 		}
-		for _, f := range figures {
-			held = held && f.OK()
-			if !a.JSON {
-				fmt.Println(f)
-			}
-		}
-		all = append(all, figures...)
-	}
-	if a.JSON {
-		return held, json.NewEncoder(os.Stdout).Encode(all)
 	}
-	return held, nil
+	return a.End(report)
 }
--- a/bench/cmd/bench-forecast/main.go
+++ b/bench/cmd/bench-forecast/main.go
@@ -5,17 +5,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
-	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/foresee"
 )
 
@@ -25,6 +22,8 @@
 	Seed     uint64        `help:"Seed of the order in which daemons are called." default:"1"`
 	Measure  time.Duration `help:"Time in which demand is measured." default:"2500ms"`
 	Observe  time.Duration `help:"Time in which calls are counted after the stop has begun." default:"2500ms"`
+
+	figure.Output
 }
 
 // Bounds on the error of a forecast.
@@ -37,26 +36,17 @@
 )
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-forecast"),
-		kong.Description("Forecasts planned stops, carries them out under the same load, and compares."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held, err := args.run(ctx)
-	k.FatalIfErrorf(err)
-	if !held {
-		stop()
-		os.Exit(1)
-	}
+	figure.Main("bench-forecast", "Forecasts planned stops, carries them out under the same load, and compares.", &arguments{})
 }
 
-func (a *arguments) run(ctx context.Context) (bool, error) {
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
 	targets, err := targetfile.Load(filepath.Join(a.Examples, "nuqta", "targets.toml"))
 	if err != nil {
 		return false, err
 	}
 	o := foresee.Options{Targets: targets, Seed: a.Seed, Measure: a.Measure, Observe: a.Observe}
-	held := true
+	r := a.Report()
 	for _, c := range foresee.Cases() {
 		if len(a.Case) > 0 && !slices.Contains(a.Case, c.Name) {
 			continue
@@ -65,17 +55,17 @@
 		if err != nil {
 			return false, fmt.Errorf("%s: %w", c.Name, err)
 		}
-		held = report(c, outcomes) && held
+		report(c, outcomes, r, a.Text())
 	}
-	return held, nil
+	return a.End(r)
 }
 
-// report prints a case and reports whether its figures are within bounds.
-func report(c foresee.Case, outcomes []foresee.Outcome) bool {
+// report prints a case and adds its figures.
+func report(c foresee.Case, outcomes []foresee.Outcome, r *figure.Report, text io.Writer) {
 	surprises, contrived, shareError, latencyError := 0, 0, 0.0, 0.0
 	for i := range outcomes {
 		o := &outcomes[i]
-		fmt.Printf("%s: %s\n", c.Name, o.Line())
+		fmt.Fprintf(text, "%s: %s\n", c.Name, o.Line())
 		if !o.Foresaw() {
 			surprises++
 		}
@@ -86,17 +76,8 @@
 		latencyError = math.Max(latencyError, math.Abs((o.Foreseen.P99-o.P99).Seconds())/o.Target.Latency.Seconds())
 	}
 	name := "forecast." + c.Name
-	held := line(name+".surprises", float64(surprises), "classes", 0)
-	held = line(name+".unintended", float64(contrived), "classes", 0) && held
-	held = line(name+".served-error", shareError, "share", maxShareError) && held
-	return line(name+".p99-error", latencyError, "of-target-latency", maxP99Error) && held
-}
-
-func line(name string, value float64, unit string, bound float64) bool {
-	verdict := "ok"
-	if value > bound {
-		verdict = "over"
-	}
-	fmt.Printf("bench: %s %.3f %s bound %.3f %s\n", name, value, unit, bound, verdict)
-	return value <= bound
+	r.AtMost(name+".surprises", float64(surprises), "classes", 0)
+	r.AtMost(name+".unintended", float64(contrived), "classes", 0)
+	r.AtMost(name+".served-error", shareError, "share", maxShareError)
+	r.AtMost(name+".p99-error", latencyError, "of-target-latency", maxP99Error)
 }
--- a/bench/cmd/bench-overhead/main.go
+++ b/bench/cmd/bench-overhead/main.go
@@ -4,18 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime/pprof"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"fescuehoist.example/adapters/targetfile"
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/overhead"
 )
 
@@ -25,25 +20,16 @@
 	Length   time.Duration `help:"Length of a round." default:"250ms"`
 	Interval time.Duration `help:"Time between the calls of a round, in whole milliseconds." default:"1ms"`
 	Profile  string        `help:"File for a processor profile; none if empty."`
-	JSON     bool          `help:"Print the figures as JSON." name:"json"`
+
+	figure.Output
 }
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-overhead"),
-		kong.Description("Measures the time that two daemons add to a call."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held, err := args.run(ctx)
-	k.FatalIfErrorf(err)
-	if !held {
-		stop()
-		os.Exit(1)
-	}
+	figure.Main("bench-overhead", "Measures the time that two daemons add to a call.", &arguments{})
 }
 
-// run measures everything and reports whether the bound held.
-func (a *arguments) run(ctx context.Context) (bool, error) {
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
 	targets, err := targetfile.Load(filepath.Join(a.Examples, "nuqta", "targets.toml"))
 	if err != nil {
 		return false, err
@@ -60,21 +46,9 @@
 		defer pprof.StopCPUProfile()
 	}
 	o := overhead.Options{Rounds: a.Rounds, Length: a.Length, Interval: a.Interval, Targets: targets}
-	result, err := overhead.Run(ctx, o)
-	if err != nil {
+	report := a.Report()
+	if err := overhead.Run(ctx, o, report); err != nil {
 		return false, err
 	}
-	return result.Holds(), a.print(result)
-}
-
-func (a *arguments) print(r *overhead.Result) error {
-	if a.JSON {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return e.Encode(r.Figures)
-	}
-	for _, f := range r.Figures {
-		fmt.Println(f)
-	}
-	return nil
+	return a.End(report)
 }
--- a/bench/cmd/bench-spread/main.go
+++ b/bench/cmd/bench-spread/main.go
@@ -5,15 +5,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/spreading"
 )
 
@@ -23,38 +17,20 @@
 	Services int           `help:"Services in the configuration." default:"3300"`
 	Interval time.Duration `help:"How long each usage is measured." default:"1500ms"`
 	Plain    bool          `help:"Compare with the plain ways." default:"true" negatable:""`
-	JSON     bool          `help:"Print the figures as JSON." name:"json"`
+
+	figure.Output
 }
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-spread"),
-		kong.Description("Measures how configuration and records spread among many daemons."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held, err := args.run(ctx)
-	k.FatalIfErrorf(err)
-	if !held {
-		stop()
-		os.Exit(1)
-	}
+	figure.Main("bench-spread", "Measures how configuration and records spread among many daemons.", &arguments{})
 }
 
-// run measures everything and reports whether every bound held.
-func (a *arguments) run(ctx context.Context) (bool, error) {
-	report := &spreading.Report{Print: func(f *spreading.Figure) {
-		if !a.JSON {
-			fmt.Println(f)
-		}
-	}}
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
+	report := a.Report()
 	s := spreading.Settings{Sizes: a.Daemons, Records: a.Records, Services: a.Services, Interval: a.Interval, Plain: a.Plain}
 	if err := spreading.Run(ctx, s, report); err != nil {
 		return false, err
 	}
-	if a.JSON {
-		e := json.NewEncoder(os.Stdout)
-		e.SetIndent("", "  ")
-		return report.Holds(), e.Encode(report.Figures)
-	}
-	return report.Holds(), nil
+	return a.End(report)
 }
--- a/bench/cmd/bench-status/main.go
+++ b/bench/cmd/bench-status/main.go
@@ -5,18 +5,16 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/alecthomas/kong"
-
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/gather"
 )
 
 type arguments struct {
 	Interval time.Duration `help:"Time between reports." default:"2s"`
+
+	figure.Output
 }
 
 // Bounds at the size that the project is designed for.
@@ -31,38 +29,28 @@
 )
 
 func main() {
-	var args arguments
-	k := kong.Parse(&args, kong.Name("bench-status"), kong.Description("Measures what gathering status costs."))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	held := true
+	figure.Main("bench-status", "Measures what gathering status costs.", &arguments{})
+}
+
+// Run measures everything and reports whether every bound held.
+func (a *arguments) Run(ctx context.Context) (bool, error) {
+	report := a.Report()
 	for _, size := range gather.Sizes() {
-		r, err := gather.Run(ctx, size, args.Interval)
-		k.FatalIfErrorf(err)
-		held = report(size, r) && held
-	}
-	if !held {
-		stop()
-		os.Exit(1)
+		r, err := gather.Run(ctx, size, a.Interval)
+		if err != nil {
+			return false, err
+		}
+		add(report, size, r)
 	}
+	return a.End(report)
 }
 
-func report(s gather.Size, r *gather.Result) bool {
+func add(to *figure.Report, s gather.Size, r *gather.Result) {
 	name := fmt.Sprintf("status.%d-daemons-%d-services", s.Daemons, s.Services)
-	held := line(name+".sent-mean", r.SentMean, "B/s", maxBytes)
-	held = line(name+".sent-and-received-max", r.TrafficMax, "B/s", maxBytes) && held
-	held = line(name+".summary-written-max", r.WrittenMax, "B/s", maxBytes) && held
-	held = line(name+".summary-max", r.SummaryMax, "B", maxSummary) && held
-	held = line(name+".writes", r.Writes, "1/s", maxWrites) && held
-	fmt.Printf("%s: %.3f ms of processor time a daemon and interval, encoding included\n", name, r.CPU.Seconds()*1000)
-	return held
-}
-
-func line(name string, value float64, unit string, bound float64) bool {
-	verdict := "ok"
-	if value > bound {
-		verdict = "over"
-	}
-	fmt.Printf("bench: %s %.1f %s bound %.0f %s\n", name, value, unit, bound, verdict)
-	return value <= bound
+	to.AtMost(name+".sent-mean", r.SentMean, "B/s", maxBytes)
+	to.AtMost(name+".sent-and-received-max", r.TrafficMax, "B/s", maxBytes)
+	to.AtMost(name+".summary-written-max", r.WrittenMax, "B/s", maxBytes)
+	to.AtMost(name+".summary-max", r.SummaryMax, "B", maxSummary)
+	to.AtMost(name+".writes", r.Writes, "1/s", maxWrites)
+	to.Shown(name+".processor", r.CPU.Seconds()*1000, "ms/daemon/interval")
 }
--- /dev/null
+++ b/bench/figure/figure.go
@@ -0,0 +1,71 @@
+// Package figure holds measured values with their bounds, and runs the
+// benchmarks that make them.
+package figure
+
+import (
+	"fmt"
+	"io"
+)
+
+// Figure is one measured value with its bound.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	// Bound is nil if no target states one.
+	Bound *float64 `json:"bound"`
+	// AtLeast says that the bound is a least value rather than a greatest.
+	AtLeast bool `json:"at_least,omitempty"`
+	OK      bool `json:"ok"`
+}
+
+// String returns the figure's line.
+func (f *Figure) String() string {
+	bound, state := "none", "over"
+	if f.Bound != nil {
+		bound = fmt.Sprintf("%.3f", *f.Bound)
+	}
+	if f.OK {
+		state = "ok"
+	}
+	return fmt.Sprintf("bench: %s %.3f %s bound %s %s", f.Name, f.Value, f.Unit, bound, state)
+}
+
+// Report collects the figures of a run.
+type Report struct {
+	Figures []*Figure `json:"figures"`
+	// Out takes each figure's line as it comes; nil takes none.
+	Out io.Writer `json:"-"`
+}
+
+// Shown adds a figure without a bound.
+func (r *Report) Shown(name string, value float64, unit string) {
+	r.add(&Figure{Name: name, Value: value, Unit: unit, OK: true})
+}
+
+// AtMost adds a figure whose bound is the greatest value allowed.
+func (r *Report) AtMost(name string, value float64, unit string, bound float64) {
+	r.add(&Figure{Name: name, Value: value, Unit: unit, Bound: &bound, OK: value <= bound})
+}
+
+// AtLeast adds a figure whose bound is the least value allowed.
+func (r *Report) AtLeast(name string, value float64, unit string, bound float64) {
+	r.add(&Figure{Name: name, Value: value, Unit: unit, Bound: &bound, AtLeast: true, OK: value >= bound})
+}
+
+func (r *Report) add(f *Figure) {
+	r.Figures = append(r.Figures, f)
+	if r.Out != nil {
+		fmt.Fprintln(r.Out, f)
+	}
+}
+
+// Holds reports whether every figure keeps its bound.
+func (r *Report) Holds() bool {
+	for _, f := range r.Figures {
+		if !f.OK {
+			return false
+		}
+	}
+	return true
+}
--- a/bench/overhead/result.go
+++ b/bench/overhead/result.go
@@ -3,27 +3,24 @@
 import (
 	"slices"
 
-	"fescuehoist.example/bench/spreading"
+	"fescuehoist.example/bench/figure"
 )
 
 // maxAdded is the target for the time added to a call at the 99th percentile,
 // in milliseconds.
 const maxAdded = 0.88
 
-// Result holds the figures of a run.
-type Result struct{ Figures []*spreading.Figure }
+// result adds the figures of a run to its report.
+type result struct{ *figure.Report }
 
-// Holds reports whether every figure keeps its bound.
-func (r *Result) Holds() bool {
-	return !slices.ContainsFunc(r.Figures, func(f *spreading.Figure) bool { return !f.OK })
-}
-
-func newResult(kinds []*kind) *Result {
+// report adds the figures of all rounds. The time added at the 99th percentile
+// is over its bound only if nine rounds in ten are.
+func report(kinds []*kind, to *figure.Report) {
 	of := map[string][]round{}
 	for _, k := range kinds {
 		of[k.name] = k.rounds
 	}
-	r := &Result{}
+	r := result{to}
 	for _, k := range kinds {
 		r.show(k.name+"-p50", quantile(each(k.rounds, nil, p50), 0.5))
 		r.show(k.name+"-p99", quantile(each(k.rounds, nil, p99), 0.5))
@@ -33,8 +30,7 @@
 	r.difference("http-over-direct", of[hopHTTP], of[direct])
 	r.difference("grpc-over-http", of[hopGRPC], of[hopHTTP])
 	r.difference("key-added", of[keyed], of[plain])
-	r.bound(each(of[through], of[direct], p99))
-	return r
+	r.AtMost("added-p99-nine-rounds-in-ten", quantile(each(of[through], of[direct], p99), 0.1), "ms", maxAdded)
 }
 
 func p50(r round) float64       { return r.p50 }
@@ -59,12 +55,12 @@
 	return sorted[int(q*float64(len(sorted)-1))]
 }
 
-func (r *Result) show(name string, value float64) {
-	r.Figures = append(r.Figures, &spreading.Figure{Name: name, Value: value, Unit: "ms", OK: true})
+func (r result) show(name string, value float64) {
+	r.Shown(name, value, "ms")
 }
 
 // difference shows the medians of the differences and the spread of the last.
-func (r *Result) difference(name string, rounds, base []round) {
+func (r result) difference(name string, rounds, base []round) {
 	r.show(name+"-p50", quantile(each(rounds, base, p50), 0.5))
 	tail := each(rounds, base, p99)
 	r.show(name+"-p99-q10", quantile(tail, 0.1))
@@ -72,12 +68,3 @@
 	r.show(name+"-p99-q90", quantile(tail, 0.9))
 	r.show(name+"-processor", quantile(each(rounds, base, processor), 0.5))
 }
-
-// bound compares the time added with the target. It is over only if nine
-// rounds in ten are.
-func (r *Result) bound(tail []float64) {
-	limit := maxAdded
-	r.Figures = append(r.Figures, &spreading.Figure{
-		Name: "added-p99", Value: quantile(tail, 0.5), Unit: "ms", Bound: &limit, OK: quantile(tail, 0.1) <= limit,
-	})
-}
--- a/bench/overhead/run.go
+++ b/bench/overhead/run.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/bench/fleet"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/target"
@@ -55,19 +56,19 @@
 const patience = 10 * time.Second
 
 // Run measures all kinds of calls in alternating rounds.
-func Run(ctx context.Context, o Options) (*Result, error) {
+func Run(ctx context.Context, o Options, r *figure.Report) error {
 	f, err := fleet.Start(ctx, deployment(), fleet.Options{})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer f.Close()
 	if err := prepare(ctx, f, o.Targets); err != nil {
-		return nil, err
+		return err
 	}
 	server, front := f.Members[0].Serving, f.Members[1].Callers
 	h, err := startHops(ctx, server)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer h.close()
 	kinds := []*kind{
@@ -83,14 +84,15 @@
 		for _, k := range kinds {
 			r, err := measure(ctx, k.send, o)
 			if err != nil {
-				return nil, fmt.Errorf("%s: %w", k.name, err)
+				return fmt.Errorf("%s: %w", k.name, err)
 			}
 			if n > 0 {
 				k.rounds = append(k.rounds, r)
 			}
 		}
 	}
-	return newResult(kinds), nil
+	report(kinds, r)
+	return nil
 }
 
 // prepare puts the targets in force everywhere.
--- a/bench/spreading/run.go
+++ b/bench/spreading/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"fescuehoist.example/bench/figure"
 )
 
 // Bounds from the stated targets.
@@ -46,11 +48,11 @@
 }
 
 // Run measures everything.
-func Run(ctx context.Context, s Settings, r *Report) error {
+func Run(ctx context.Context, s Settings, r *figure.Report) error {
 	mean, worst, streams := hops(targetDaemons, targetDomains)
-	r.shown("spread.18000.hops.mean", mean, "hops")
-	r.shown("spread.18000.hops.worst", float64(worst), "hops")
-	r.shown("spread.18000.streams.most", float64(streams), "streams")
+	r.Shown("spread.18000.hops.mean", mean, "hops")
+	r.Shown("spread.18000.hops.worst", float64(worst), "hops")
+	r.Shown("spread.18000.streams.most", float64(streams), "streams")
 	platform := map[int]float64{}
 	for i, size := range s.Sizes {
 		o := Options{Daemons: size, Records: s.Records, Services: s.Services}
@@ -61,7 +63,7 @@
 		platform[size] = calls
 	}
 	least, most := s.Sizes[0], s.Sizes[len(s.Sizes)-1]
-	r.atMost("spread.platform.growth", platform[most]/platform[least], "times", 1.5)
+	r.AtMost("spread.platform.growth", platform[most]/platform[least], "times", 1.5)
 	if !s.Plain {
 		return nil
 	}
@@ -70,7 +72,7 @@
 
 // runSize measures one size, the largest with faults, and returns the platform
 // calls for each edit under hastened churn.
-func runSize(ctx context.Context, s Settings, o Options, r *Report, largest bool) (float64, error) {
+func runSize(ctx context.Context, s Settings, o Options, r *figure.Report, largest bool) (float64, error) {
 	name := func(figure string) string { return fmt.Sprintf("spread.%d.%s", o.Daemons, figure) }
 	before := heap()
 	began := time.Now()
@@ -82,8 +84,8 @@
 	if _, err := f.await("the full view", f.daemons, f.full(1)); err != nil {
 		return 0, err
 	}
-	r.shown(name("start"), time.Since(began).Seconds(), "s")
-	r.atMost(name("heap"), (heap()-before)/1e6/float64(o.Daemons), "MB", maxHeap/1e6)
+	r.Shown(name("start"), time.Since(began).Seconds(), "s")
+	r.AtMost(name("heap"), (heap()-before)/1e6/float64(o.Daemons), "MB", maxHeap/1e6)
 	if err := f.convergence(ctx, r, name); err != nil {
 		return 0, err
 	}
@@ -100,7 +102,7 @@
 	daily := interpolate(idle, churn)
 	f.show(r, name, "daily", daily, true)
 	callsPerEdit := churn.platform / churn.edits
-	r.shown(name("platform.edit"), callsPerEdit, "calls/edit")
+	r.Shown(name("platform.edit"), callsPerEdit, "calls/edit")
 	if largest {
 		return callsPerEdit, f.faults(r, name)
 	}
@@ -117,50 +119,50 @@
 	}
 }
 
-func (f *fleet) convergence(ctx context.Context, r *Report, name func(string) string) error {
+func (f *fleet) convergence(ctx context.Context, r *figure.Report, name func(string) string) error {
 	delays, err := f.edits(ctx, editsMeasured)
 	if err != nil {
 		return err
 	}
 	at := func(q float64) float64 { return delays[int(q*float64(len(delays)-1))].Seconds() }
-	r.shown(name("converge.p50"), at(0.5), "s")
-	r.shown(name("converge.p99"), at(0.99), "s")
-	r.atMost(name("converge.worst"), at(1), "s", maxConvergence.Seconds())
+	r.Shown(name("converge.p50"), at(0.5), "s")
+	r.Shown(name("converge.p99"), at(0.99), "s")
+	r.AtMost(name("converge.worst"), at(1), "s", maxConvergence.Seconds())
 	return nil
 }
 
 // show adds the figures of a usage.
-func (f *fleet) show(r *Report, name func(string) string, load string, u usage, bounded bool) {
+func (f *fleet) show(r *figure.Report, name func(string) string, load string, u usage, bounded bool) {
 	add := func(figure string, value float64, unit string, bound float64) {
 		if bounded {
-			r.atMost(name(load+"."+figure), value, unit, bound)
+			r.AtMost(name(load+"."+figure), value, unit, bound)
 			return
 		}
-		r.shown(name(load+"."+figure), value, unit)
+		r.Shown(name(load+"."+figure), value, unit)
 	}
 	add("bytes", u.bytes, "B/s", maxBytes)
-	r.shown(name(load+".messages"), u.messages, "1/s")
+	r.Shown(name(load+".messages"), u.messages, "1/s")
 	add("cores", 100*u.cores, "%", 100*maxCores)
-	r.shown(name(load+".platform"), u.platform, "calls/s")
+	r.Shown(name(load+".platform"), u.platform, "calls/s")
 	if u.edits > 0 {
-		r.shown(name(load+".edits"), u.edits, "1/s")
+		r.Shown(name(load+".edits"), u.edits, "1/s")
 	}
 }
 
 // faults measures a draining server, a silent death and a return of half.
-func (f *fleet) faults(r *Report, name func(string) string) error {
+func (f *fleet) faults(r *figure.Report, name func(string) string) error {
 	n := len(f.daemons)
 	drained, err := f.drain(f.daemons[n/3])
 	if err != nil {
 		return err
 	}
-	r.atMost(name("drain"), drained.Seconds(), "s", maxNewWork.Seconds())
+	r.AtMost(name("drain"), drained.Seconds(), "s", maxNewWork.Seconds())
 	silent := f.daemons[n/3]
 	detected, err := f.silence(silent)
 	if err != nil {
 		return err
 	}
-	r.shown(name("silent-death"), detected.Seconds(), "s")
+	r.Shown(name("silent-death"), detected.Seconds(), "s")
 	silent.stop()
 	silent.ended.Wait()
 	if err := f.add(n/3, uint64(time.Now().UnixMilli())); err != nil {
@@ -175,17 +177,17 @@
 	if err != nil {
 		return err
 	}
-	r.shown(name("return.cpu"), (processorTime()-cpu).Seconds()/float64(n), "s each")
-	r.shown(name("return.view"), back.Seconds(), "s")
-	r.shown(name("return.dials"), float64(f.counts.dials.Load()-dials)/float64(n), "each")
-	r.shown(name("return.platform"), float64(f.platform.Counts().Total()-calls), "calls")
+	r.Shown(name("return.cpu"), (processorTime()-cpu).Seconds()/float64(n), "s each")
+	r.Shown(name("return.view"), back.Seconds(), "s")
+	r.Shown(name("return.dials"), float64(f.counts.dials.Load()-dials)/float64(n), "each")
+	r.Shown(name("return.platform"), float64(f.platform.Counts().Total()-calls), "calls")
 	return nil
 }
 
 // compare measures the same churn with plain flooding and with every daemon
 // watching the platform, at the middle size: the largest saturates one machine
 // when it floods.
-func compare(ctx context.Context, s Settings, r *Report) error {
+func compare(ctx context.Context, s Settings, r *figure.Report) error {
 	size := s.Sizes[len(s.Sizes)/2]
 	for _, c := range []struct {
 		name    string
@@ -201,7 +203,7 @@
 	return nil
 }
 
-func comparePlain(ctx context.Context, s Settings, o Options, r *Report, plain string) error {
+func comparePlain(ctx context.Context, s Settings, o Options, r *figure.Report, plain string) error {
 	name := func(figure string) string { return fmt.Sprintf("%s.%d.%s", plain, o.Daemons, figure) }
 	f, err := start(ctx, o)
 	if err != nil {
--- a/bench/versions/versions.go
+++ b/bench/versions/versions.go
@@ -12,34 +12,12 @@
 	"time"
 
 	"fescuehoist.example/adapters/platformhttp"
+	"fescuehoist.example/bench/figure"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/standin/platform"
 )
 
-// Figure is one measured value. A Bound of 0 means that no target states one.
-type Figure struct {
-	Name  string  `json:"name"`
-	Value float64 `json:"value"`
-	Unit  string  `json:"unit"`
-	Bound float64 `json:"bound"`
-}
-
-// OK reports whether the figure keeps its bound.
-func (f *Figure) OK() bool { return f.Bound == 0 || f.Value <= f.Bound }
-
-// String returns the figure's line.
-func (f *Figure) String() string {
-	state, bound := "ok", "none"
-	if f.Bound > 0 {
-		bound = fmt.Sprintf("%.3f", f.Bound)
-	}
-	if !f.OK() {
-		state = "over"
-	}
-	return fmt.Sprintf("bench: %s %.3f %s bound %s %s", f.Name, f.Value, f.Unit, bound, state)
-}
-
 // Bounds from the targets of the developers' page.
 const (
 	changesPerDay = 24_000
@@ -95,27 +73,23 @@
 	return &manifest.Edit{ID: fmt.Sprintf("00000000-0000-4000-8000-%012d", w.edits), Author: "operator", Update: []*target.Service{s}}
 }
 
-// Run measures and returns the figures.
-func Run(ctx context.Context, o Options) ([]*Figure, error) {
+// Run measures and adds the figures to the report.
+func Run(ctx context.Context, o Options, r *figure.Report) error {
 	w := &world{Options: o, random: rand.New(rand.NewPCG(o.Seed, 0))}
-	daemon, err := w.daemon()
-	if err != nil {
-		return nil, err
+	if err := w.daemon(r); err != nil {
+		return err
 	}
-	store, err := w.platform(ctx)
-	return append(daemon, store...), err
+	return w.platform(ctx, r)
 }
 
-func (w *world) figure(name string, value float64, unit string, bound float64) *Figure {
-	return &Figure{Name: fmt.Sprintf("config-%d-%s", w.Services, name), Value: value, Unit: unit, Bound: bound}
-}
+func (w *world) name(figure string) string { return fmt.Sprintf("config-%d-%s", w.Services, figure) }
 
 // daemon measures the log of one daemon.
-func (w *world) daemon() ([]*Figure, error) {
+func (w *world) daemon(r *figure.Report) error {
 	before := heap()
 	log := manifest.NewLog()
 	if err := w.fill(log); err != nil {
-		return nil, err
+		return err
 	}
 	held := float64(heap()-before) / (1 << 20)
 	updates := w.updates(log)
@@ -125,7 +99,7 @@
 	start := processorTime()
 	for _, u := range updates {
 		if _, err := log.Receive(u); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	spent := processorTime() - start
@@ -138,12 +112,11 @@
 	sent := processorTime() - start
 	n := float64(len(updates))
 	runtime.KeepAlive(log)
-	return []*Figure{
-		w.figure("receive-processor", spent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3),
-		w.figure("receive-allocated", float64(allocated)/n/1024, "KiB/change", 0),
-		w.figure("since-processor", sent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3),
-		w.figure("log-heap", held, "MB", daemonMemory),
-	}, nil
+	r.AtMost(w.name("receive-processor"), spent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3)
+	r.Shown(w.name("receive-allocated"), float64(allocated)/n/1024, "KiB/change")
+	r.AtMost(w.name("since-processor"), sent.Seconds()*1e3/n, "ms/change", daemonShare*86_400/changesPerDay*1e3)
+	r.AtMost(w.name("log-heap"), held, "MB", daemonMemory)
+	return nil
 }
 
 // fill puts all services into the log as one version.
@@ -186,12 +159,12 @@
 }
 
 // platform measures what edits write and what a reader reads for each.
-func (w *world) platform(ctx context.Context) ([]*Figure, error) {
+func (w *world) platform(ctx context.Context, r *figure.Report) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	p := platform.New()
 	go func() { _ = p.Run(ctx, ln) }()
@@ -201,14 +174,14 @@
 	editor := manifest.NewEditor(repo)
 	services := w.all()
 	if _, err := editor.Publish(ctx, &manifest.Edit{ID: "first", Author: "operator", Update: services}); err != nil {
-		return nil, err
+		return err
 	}
 	bodies := p.Counts().Written - size(p, "config/head")
 	p.ResetCounts()
 	heads, largest := 0, 0
 	for range w.Changes {
 		if _, err := editor.Publish(ctx, w.edit()); err != nil {
-			return nil, err
+			return err
 		}
 		n := size(p, "config/head")
 		heads += n
@@ -217,16 +190,15 @@
 	counts, n := p.Counts(), float64(w.Changes)
 	table, err := w.table(ctx, editor, p)
 	if err != nil {
-		return nil, err
-	}
-	return []*Figure{
-		w.figure("written", float64(counts.Written)/n, "bytes/change", 0),
-		w.figure("writes", float64(counts.Puts)/n, "calls/change", 0),
-		w.figure("head-read", float64(heads)/n, "bytes/change/reader", 0),
-		w.figure("head-largest", float64(largest), "bytes", maxValue),
-		w.figure("one-manifest-of-digests", float64(table), "bytes/change", 0),
-		w.figure("one-manifest-of-bodies", float64(bodies), "bytes/change", 0),
-	}, nil
+		return err
+	}
+	r.Shown(w.name("written"), float64(counts.Written)/n, "bytes/change")
+	r.Shown(w.name("writes"), float64(counts.Puts)/n, "calls/change")
+	r.Shown(w.name("head-read"), float64(heads)/n, "bytes/change/reader")
+	r.AtMost(w.name("head-largest"), float64(largest), "bytes", maxValue)
+	r.Shown(w.name("one-manifest-of-digests"), float64(table), "bytes/change")
+	r.Shown(w.name("one-manifest-of-bodies"), float64(bodies), "bytes/change")
+	return nil
 }
 
 func size(p *platform.Platform, key string) int {
