Count as severed only calls at daemons that were lost

Cause: in the lost-domain scenario every call cut on the caller's side was left out of the bounds, also one that a live daemon might have cut.

Change: the generator knows which daemons are lost; only calls at these are left out. Calls cut elsewhere count against the bounds again.

--- a/bench/calls/result.go
+++ b/bench/calls/result.go
@@ -23,7 +23,7 @@
 	maxLateMS = 10.0
 	// severed is the reason of calls that were open at a daemon when it was
 	// lost: no daemon is left to answer them, so no bound counts them.
-	severed = "caller: cut"
+	severed = load.DaemonLost
 )
 
 // Row is what became of the calls of one stream.
@@ -120,7 +120,7 @@
 func cut(reports []*load.Report) int {
 	n := 0
 	for _, r := range reports {
-		n += r.Mistaken + r.Reasons["cut"] + r.Reasons[severed] + r.Reasons["no verdict"]
+		n += r.Mistaken + r.Reasons["cut"] + r.Reasons["caller: cut"] + r.Reasons["no verdict"]
 	}
 	return n
 }
--- a/bench/calls/run.go
+++ b/bench/calls/run.go
@@ -90,6 +90,7 @@
 // others.
 func loseDomain(f *fleet.Fleet, g *load.Generator) {
 	g.SetTargets(callers(f, func(m *fleet.Member) bool { return !lost(m.Server.Domain) }))
+	g.Lose(callers(f, func(m *fleet.Member) bool { return lost(m.Server.Domain) }))
 	for _, m := range f.Members {
 		if lost(m.Server.Domain) {
 			go m.Kill()
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -85,6 +85,7 @@
 
 	mu      sync.Mutex
 	targets []string
+	lost    map[string]bool
 	pools   map[string]*httpconn.Pool
 	reports []*Report
 	fates   map[string]Fate
@@ -98,7 +99,7 @@
 func New(seed uint64, targets []string, streams []Stream) *Generator {
 	g := &Generator{
 		streams: streams, targets: targets, rng: rand.New(rand.NewPCG(seed, seed)),
-		pools: map[string]*httpconn.Pool{}, fates: map[string]Fate{},
+		pools: map[string]*httpconn.Pool{}, lost: map[string]bool{}, fates: map[string]Fate{},
 	}
 	for _, s := range streams {
 		g.reports = append(g.reports, &Report{
@@ -116,6 +117,19 @@
 	g.targets = targets
 }
 
+// DaemonLost is the reason of calls that were open at a daemon that was lost,
+// or sent to one: nobody is left to answer them.
+const DaemonLost = "daemon lost"
+
+// Lose notes that the daemons at addresses are about to be lost.
+func (g *Generator) Lose(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range addresses {
+		g.lost[a] = true
+	}
+}
+
 // Run offers the calls of all streams until ctx ends, then waits for the last
 // answers.
 func (g *Generator) Run(ctx context.Context) {
@@ -178,8 +192,9 @@
 	if s.BodySize > 0 {
 		req.SetBodyRaw(bytes.Repeat([]byte("b"), s.BodySize))
 	}
-	err := g.pool().Do(ctx, req, resp)
-	g.note(&outcome{stream: i, id: id, due: due, late: late, took: time.Since(due)}, resp, err)
+	address, pool := g.pool()
+	err := pool.Do(ctx, req, resp)
+	g.note(&outcome{stream: i, id: id, address: address, due: due, late: late, took: time.Since(due)}, resp, err)
 	if verdict, _ := verdictOf(resp, err); s.RepeatEvery > 0 && n%s.RepeatEvery == 0 && verdict != call.NotRun {
 		g.repeat(ctx, i, id, req, resp)
 	}
@@ -188,7 +203,8 @@
 // repeat sends a request again. Violations finds it if it runs again.
 func (g *Generator) repeat(ctx context.Context, i int, id string, req *fasthttp.Request, resp *fasthttp.Response) {
 	resp.Reset()
-	err := g.pool().Do(ctx, req, resp)
+	_, pool := g.pool()
+	err := pool.Do(ctx, req, resp)
 	verdict, _ := verdictOf(resp, err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -198,7 +214,8 @@
 	}
 }
 
-func (g *Generator) pool() *httpconn.Pool {
+// pool returns a random daemon's address and the connections to it.
+func (g *Generator) pool() (string, *httpconn.Pool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	address := g.targets[g.rng.IntN(len(g.targets))]
@@ -207,13 +224,14 @@
 		p = httpconn.NewPool(address, nil)
 		g.pools[address] = p
 	}
-	return p
+	return address, p
 }
 
 // outcome is what the generator saw of one call.
 type outcome struct {
 	stream     int
 	id         string
+	address    string
 	due        time.Time
 	late, took time.Duration
 }
@@ -225,6 +243,9 @@
 	attempts, _ := strconv.Atoi(string(resp.Header.Peek(callhttp.HeaderAttempts)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err != nil && g.lost[o.address] {
+		reason = DaemonLost
+	}
 	g.fates[o.id] = Fate{Stream: o.stream, Verdict: verdict, Good: good, Counted: counted}
 	r := g.reports[o.stream]
 	if verdict == call.Ran && !whole(o.id, resp) {
