Send calls elsewhere that a daemon is not configured for yet

The server that started again during the outage announced itself ready up to 2 s before its daemon had a version in force, and the refusal of a forwarded call counted as the caller's mistake. The same would meet each first call of a new class while its version spreads.

Change: a daemon that was given a call for a service or class that its own version lacks refuses it as unconfigured (not run); the call goes to another server and the picker avoids that one for a moment.

Ruled out: the entry daemons' routes (never empty in their logs), a crash, a thawed daemon's accusations (none in the logs).

Tests: TestCallAheadOfTheConfigurationGoesElsewhere, two rows of TestNext.

--- a/mesh/call/verdict.go
+++ b/mesh/call/verdict.go
@@ -60,6 +60,9 @@
 	// Misdirected says that a call reached another backend server than the one
 	// chosen, as an address was given to another host.
 	Misdirected Reason = "misdirected"
+	// Unconfigured says that the daemon of the chosen backend server has no
+	// version in force yet that knows the service and class.
+	Unconfigured Reason = "unconfigured"
 	// Silent says that nothing more came over a connection that stayed open.
 	Silent Reason = "silent"
 	// Crashed says that the backend server ended while it ran the request.
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -36,7 +36,8 @@
 // Call admits the call and runs it. The answer carries the server's load.
 func (p *Inner) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if err := classify(p.Routes.Table(), r); err != nil {
-		return nil, err
+		// Another daemon classified the call by a version ahead of this one's.
+		return nil, call.Refuse(call.Unconfigured, err)
 	}
 	if !p.Host.Serves(r.Server, r.Service) {
 		return nil, call.Refuse(call.Misdirected, errElsewhere)
--- a/mesh/proxy/inner_test.go
+++ b/mesh/proxy/inner_test.go
@@ -17,6 +17,21 @@
 
 func (h host) Serves(server, service string) bool { return server == h.server && service == h.service }
 
+// TestCallAheadOfTheConfigurationGoesElsewhere gives a call to a daemon that has
+// no configuration in force yet.
+func TestCallAheadOfTheConfigurationGoesElsewhere(t *testing.T) {
+	inner := &proxy.Inner{
+		Host:   host{"lookup-1", "lookup"},
+		Routes: route.NewRouter(manifest.NewLog(), member.NewTable("lookup-1")),
+	}
+	r := &call.Request{Server: "lookup-1", Service: "lookup", Method: "GET", URI: "/search"}
+	_, err := inner.Call(context.Background(), r)
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Unconfigured {
+		t.Errorf("got %v", err)
+	}
+}
+
 // TestMisdirectedCallIsRefused gives a daemon calls that were meant for another
 // backend server. Parts behind the check are nil: reaching one fails the test.
 func TestMisdirectedCallIsRefused(t *testing.T) {
--- a/mesh/retry/retry_test.go
+++ b/mesh/retry/retry_test.go
@@ -20,6 +20,8 @@
 	}{
 		{call.Unreachable, call.NotRun, false, 1, Step{Again: true}},
 		{call.Draining, call.NotRun, false, 1, Step{Again: true}},
+		{call.Misdirected, call.NotRun, false, 1, Step{Again: true}},
+		{call.Unconfigured, call.NotRun, false, 1, Step{Again: true}},
 		{call.Overloaded, call.NotRun, false, 1, Step{Again: true, NeedRoom: true}},
 		{call.Shed, call.NotRun, true, 1, Step{Again: true, NeedRoom: true}},
 		{call.Cut, call.MayHaveRun, true, 1, Step{Again: true}},
--- a/mesh/route/observation.go
+++ b/mesh/route/observation.go
@@ -55,7 +55,7 @@
 	switch out.Failure.Reason {
 	case call.Overloaded, call.Shed:
 		o.refusedAt = now
-	case call.Unreachable, call.Draining, call.Misdirected:
+	case call.Unreachable, call.Draining, call.Misdirected, call.Unconfigured:
 		o.fail(toleratedFailures+1, now)
 	case call.Cut:
 		o.fail(1, now)
