Leave a server that went silent for another one

A retry after silence could go to the frozen server again, over a new connection, and the picker did not count silence as a failure.

Change: a retry after silence goes to another server, over a new connection, and to the same one only if there is no other; silence counts as a failure when servers are chosen.

TestASilentServerIsLeftForAnother fails before (the silent server was called twice).

--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -78,6 +78,11 @@
 	var last *call.Failure
 	for {
 		server := p.pick(r.Service, query)
+		if server == nil && r.NewConnection {
+			// Over a new connection, a server that went silent may answer.
+			query.Tried = nil
+			server = p.pick(r.Service, query)
+		}
 		if server == nil {
 			return nil, p.exhausted(r.Service, last)
 		}
@@ -95,9 +100,7 @@
 			return nil, last
 		}
 		r.NewConnection = last.Reason == call.Silent
-		if !r.NewConnection {
-			query.Tried = append(query.Tried, server.Server)
-		}
+		query.Tried = append(query.Tried, server.Server)
 		query.NeedRoom = step.NeedRoom
 	}
 }
--- /dev/null
+++ b/mesh/proxy/outer_test.go
@@ -0,0 +1,73 @@
+package proxy_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/manifest/manifesttest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/proxy"
+	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/target"
+)
+
+// remote is silent at the first server called, unless over a new connection
+// when alone is set; every other server answers.
+type remote struct {
+	alone  bool
+	silent string
+	called []string
+}
+
+func (r *remote) Forward(_ context.Context, address string, q *call.Request) (*call.Answer, error) {
+	r.called = append(r.called, address)
+	if r.silent == "" {
+		r.silent = address
+	}
+	if address == r.silent && (!q.NewConnection || !r.alone) {
+		return nil, &call.Failure{Verdict: call.MayHaveRun, Reason: call.Silent}
+	}
+	return &call.Answer{Status: 200}, nil
+}
+
+type always struct{}
+
+func (always) Allow(string, string, string) bool          { return true }
+func (always) Done(string, string, string, bool)          {}
+func (always) Called(*call.Request, time.Duration, error) {}
+
+// TestASilentServerIsLeftForAnother calls one or two servers of which the first
+// goes silent.
+func TestASilentServerIsLeftForAnother(t *testing.T) {
+	for _, servers := range []int{1, 2} {
+		table := member.NewTable("entry")
+		for _, id := range []member.ServerID{"lookup-1", "lookup-2"}[:servers] {
+			table.Merge([]member.Record{{
+				Server: id, Incarnation: 1, State: member.Ready, Service: "lookup",
+				CallAddress: string(id), Slots: 4,
+			}})
+		}
+		log := manifest.NewLog()
+		h := manifesttest.NewHistory("edit")
+		h.Edit(manifesttest.Service("lookup", time.Second))
+		if _, err := log.Receive(h.Delta(0, 1)); err != nil {
+			t.Fatal(err)
+		}
+		r := &remote{alone: servers == 1}
+		outer := &proxy.Outer{
+			Self: "entry", Routes: route.NewRouter(log, table), Picker: route.NewPicker("a"),
+			Retries: retry.NewPolicy(), Throttle: always{}, Remote: r, Observe: always{},
+		}
+		request := &call.Request{Service: "lookup", Class: &target.Class{Name: "search", Timeout: time.Minute, Idempotent: true}}
+		if _, err := outer.Call(context.Background(), request); err != nil {
+			t.Errorf("%d servers: %v", servers, err)
+		}
+		if len(r.called) != 2 || (servers == 2) != (r.called[0] != r.called[1]) {
+			t.Errorf("%d servers: called %v", servers, r.called)
+		}
+	}
+}
