--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -36,7 +36,6 @@
 
 // Handle takes one forwarded call through.
 func (h *Daemons) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
-	r := ReadRequest(req)
 	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
 	if string(req.Header.Peek(headerMesh)) != h.Mesh {
 		writeFailure(call.Refuse(call.Misdirected, errForeign), resp)
@@ -46,6 +45,7 @@
 		h.Control.handle(ctx, req, resp)
 		return
 	}
+	r := ReadRequest(req)
 	r.Server = string(req.Header.Peek(headerServer))
 	r.Service = string(req.Header.Peek(headerService))
 	r.ClassName = string(req.Header.Peek(headerClass))
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -24,11 +24,6 @@
 	records []*member.Record
 }
 
-// Build returns the routes of a snapshot and a view.
-func Build(snapshot *manifest.Snapshot, view *member.View) *Table {
-	return (&Table{}).next(snapshot, view)
-}
-
 // next returns the routes of a snapshot and a view. Services whose
 // configuration and records did not change are shared with t.
 func (t *Table) next(snapshot *manifest.Snapshot, view *member.View) *Table {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -64,9 +64,7 @@
 	mu       sync.Mutex
 	held     int
 	running  int
-	peak     int
 	runs     map[string]int
-	canceled int
 	shedding bool
 }
 
@@ -97,20 +95,6 @@
 	return out
 }
 
-// Canceled returns the number of requests whose callers left while they ran.
-func (b *Backend) Canceled() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.canceled
-}
-
-// Peak returns the most requests that ran at once.
-func (b *Backend) Peak() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.peak
-}
-
 // Run serves requests on the listener and announces the server until ctx ends,
 // which closes all connections at once.
 func (b *Backend) Run(ctx context.Context, ln net.Listener) error {
@@ -227,7 +211,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running++
-	b.peak = max(b.peak, b.running)
 	b.runs[id]++
 	return true
 }
@@ -247,9 +230,6 @@
 	case <-t.C:
 		return true
 	case <-r.Context().Done():
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.canceled++
 		return false
 	}
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -104,13 +104,6 @@
 	p.wake()
 }
 
-// Remove deletes an object past the API. Stored again, it starts at version 1.
-func (p *Platform) Remove(key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.objects, key)
-}
-
 // Load returns an object's value past the API.
 func (p *Platform) Load(key string) ([]byte, bool) {
 	p.mu.Lock()
