Refuse calls of a service without servers as not run; spare a stop its crash

Cause: a service with no routable server was reported as an unknown route (404), which callers do not repeat; a stopping daemon read the class list of a service that is only a part of other hosts' classes and crashed (LOST 1).

--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -25,6 +25,9 @@
 	// Service is the service of the backend server beside the daemon, and
 	// Backend its address. Empty ones are learned from announcements.
 	Service, Backend string
+	// FixedSlots runs as many calls at once as the backend server has slots,
+	// in place of a limit that follows the time that calls take.
+	FixedSlots bool
 	// Announcements takes status reports apart from Admin, and Ready answers
 	// whether the daemon is ready; empty means neither.
 	Announcements, Ready string
@@ -133,6 +136,7 @@
 	} `toml:"peers"`
 	Backend struct {
 		Address          string `toml:"address"`
+		FixedSlots       bool   `toml:"fixed_slots"`
 		AnnounceLifetime string `toml:"announce_lifetime"`
 		DrainTimeout     string `toml:"drain_timeout"`
 	} `toml:"backend"`
@@ -172,6 +176,7 @@
 		Backend:       optional(in.Backend.Address, func(t string) string { return checkAddress(f, "backend.address", t) }),
 		Announcements: optional(in.Listen.Announcements, func(t string) string { return checkAddress(f, "listen.announcements", t) }),
 		Ready:         optional(in.Listen.Ready, func(t string) string { return checkAddress(f, "listen.ready", t) }),
+		FixedSlots:    in.Backend.FixedSlots,
 		Progress:      checkProgress(f, in.Calls.Progress),
 		Retry: Retry{
 			Share: checkNumber(f, "retry.share", in.Retry.Share, DefaultRetryShare, 1),
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"fescuehoist.example/mesh/spread"
 	"fescuehoist.example/mesh/status"
 	"fescuehoist.example/mesh/stop"
+	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/mesh/wait"
 )
 
@@ -321,11 +322,13 @@
 // drainTimeout is the time in which the longest calls that run can end.
 func (d *Daemon) drainTimeout() time.Duration {
 	longest := d.cfg.Settings.DrainTimeout
-	if s := d.router.Table().Service(d.announcer.Service()); s != nil {
-		for i := range s.Config.Classes {
-			longest = max(longest, s.Config.Classes[i].Timeout+2*announce.NoticePeriod)
+	d.log.Snapshot().Each(func(s *target.Service) {
+		for i := range s.Classes {
+			if c := &s.Classes[i]; c.GoesTo(s.Name, d.announcer.Service()) {
+				longest = max(longest, c.Timeout+2*announce.NoticePeriod)
+			}
 		}
-	}
+	})
 	return longest
 }
 
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -28,7 +28,11 @@
 
 // DefaultPolicy returns the policy of a daemon with the given settings.
 func DefaultPolicy(s *settings.Settings) Policy {
-	return Policy{Gate: admit.NewGate(0), Picker: route.NewPicker(s.Domain), Retries: retry.NewPolicy(), Throttle: admit.NewThrottle()}
+	gate := admit.NewGate(0)
+	if s.FixedSlots {
+		gate = admit.NewSlotGate()
+	}
+	return Policy{Gate: gate, Picker: route.NewPicker(s.Domain), Retries: retry.NewPolicy(), Throttle: admit.NewThrottle()}
 }
 
 // minFleet is the least number of daemons that share a budget of retries: one
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -53,6 +53,14 @@
 	return g
 }
 
+// NewSlotGate returns a gate that always admits as many calls at once as the
+// backend server has slots.
+func NewSlotGate() *Gate {
+	g := NewGate(0)
+	g.limit.fixed = true
+	return g
+}
+
 // SetSlots changes the number of slots that the backend server announces.
 func (g *Gate) SetSlots(slots int) {
 	g.mu.Lock()
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -31,6 +31,9 @@
 // server announced, and fewer while calls beside others take much longer than
 // calls alone, or are shed.
 type limiter struct {
+	// fixed keeps the limit at the slots: times that vary by themselves say
+	// little of a server's load.
+	fixed bool
 	slots int
 	limit float64
 	// ratio is the mean of the times that calls took over their unloaded ones.
@@ -40,7 +43,10 @@
 }
 
 func (l *limiter) setSlots(slots int) {
-	if l.slots == 0 {
+	switch {
+	case l.fixed:
+		l.limit = float64(slots)
+	case l.slots == 0:
 		l.limit = startShare * float64(slots)
 	}
 	l.slots = slots
@@ -68,6 +74,9 @@
 
 // shed takes note that the backend server refused a call.
 func (l *limiter) shed() {
+	if l.fixed {
+		return
+	}
 	l.limit *= shedFactor
 	l.bound()
 }
@@ -75,6 +84,9 @@
 // ended takes note of a call that took ratio times its unloaded time while
 // running calls ran.
 func (l *limiter) ended(ratio float64, running int) {
+	if l.fixed {
+		return
+	}
 	if l.ratio == 0 {
 		l.ratio = ratio
 	}
--- a/mesh/call/verdict.go
+++ b/mesh/call/verdict.go
@@ -49,7 +49,9 @@
 
 // Reasons of failed calls.
 const (
-	NoRoute     Reason = "no-route"
+	NoRoute Reason = "no-route"
+	// NoServer says that no backend server takes calls of the service now.
+	NoServer    Reason = "no-server"
 	BadRequest  Reason = "bad-request"
 	Overloaded  Reason = "overloaded"
 	Draining    Reason = "draining"
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -196,7 +196,7 @@
 		}
 		return last
 	}
-	return call.Refuse(call.NoRoute, errNoServer)
+	return call.Refuse(call.NoServer, errNoServer)
 }
 
 // failure returns the typed failure of a call; an untyped error counts as one
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -2,7 +2,10 @@
 // of each service, and the target of each class.
 package target
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class is one kind of work of a service together with its target.
 type Class struct {
@@ -57,6 +60,15 @@
 	return service
 }
 
+// GoesTo reports whether calls of the class, declared by one service, may go to
+// another or the same.
+func (c *Class) GoesTo(declared, service string) bool {
+	if len(c.Parts) == 0 {
+		return declared == service
+	}
+	return slices.ContainsFunc(c.Parts, func(p Part) bool { return p.Service == service })
+}
+
 // Part is the share of a class's calls that goes to one service.
 type Part struct {
 	Service string
