Weigh a crossing by the bytes of a class, and pace the readers

The picker now prices a crossing by the mean size of the class, relative to its target latency, and waits count only from a load of 0.7 of the limit. Readers take changes at most every 0.3 s, and the collector runs at 25% of garbage.

--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -71,7 +71,7 @@
 // Pace of the collector: garbage may reach this share of what is in use, and
 // memory beyond this share of the limit is returned sooner.
 const (
-	garbagePercent   = 50
+	garbagePercent   = 25
 	memoryLimitShare = 0.75
 )
 
--- a/mesh/feed/feed.go
+++ b/mesh/feed/feed.go
@@ -68,9 +68,9 @@
 // DefaultConfig returns the defaults of a daemon.
 func DefaultConfig() Config {
 	return Config{
-		WatchLimit: 3 * time.Second, CallTimeout: time.Second,
+		WatchLimit: 4 * time.Second, CallTimeout: time.Second,
 		RetryBase: 100 * time.Millisecond, RetryMax: time.Second,
-		ProbeInterval: 2 * time.Second, MinInterval: 50 * time.Millisecond,
+		ProbeInterval: 2 * time.Second, MinInterval: 300 * time.Millisecond,
 	}
 }
 
--- a/mesh/proxy/outer.go
+++ b/mesh/proxy/outer.go
@@ -83,7 +83,7 @@
 // with stands unless a later attempt succeeds.
 func (p *Outer) send(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.First(r.Service)
-	query := route.Query{Class: r.ClassName}
+	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
 	var last *call.Failure
 	var kept *call.Answer
 	for {
@@ -164,7 +164,7 @@
 	}
 	o := route.Outcome{Class: r.ClassName}
 	if answer != nil {
-		o.Load = answer.Load
+		o.Load, o.Size = answer.Load, len(r.Body)+len(answer.Body)
 	}
 	switch {
 	case err != nil:
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -15,9 +15,21 @@
 	// crossingCost is the time that a call takes to another failure domain and
 	// back.
 	crossingCost = 3 * time.Millisecond
+	// crossingShare is the part of a class's target latency that a kilobyte
+	// carried to another failure domain counts for.
+	crossingShare = 0.02
+	// easyLoad is the part of a server's limit up to which a call hardly waits,
+	// and queueMargin the wait at the limit, as a part of the service time.
+	easyLoad    = 0.7
+	queueMargin = 0.25
+	// sizeGain is the weight of one call in the mean size of a class.
+	sizeGain = 0.05
+	// maxSizes bounds the classes whose sizes are remembered.
+	maxSizes = 4096
 	// defaultService stands for a service time that is not known.
 	defaultService = 50 * time.Millisecond
-	// draws is the number of random servers that are compared.
+	// draws is the number of random servers that are compared, and of random
+	// servers of the own failure domain.
 	draws = 2
 	// maxEjected is the share of a service's servers that may be left out; if
 	// more fail, none is.
@@ -36,19 +48,22 @@
 
 	mu   sync.Mutex
 	seen map[member.ServerID]*observation
+	// sizes holds the mean bytes of the calls of each class.
+	sizes map[string]float64
 	// forgetAt is the number of servers at which old ones are dropped.
 	forgetAt int
 }
 
 // NewPicker returns a picker for a daemon in the given failure domain.
 func NewPicker(domain string) *Picker {
-	return &Picker{domain: domain, seen: map[member.ServerID]*observation{}, forgetAt: minSeen}
+	return &Picker{domain: domain, seen: map[member.ServerID]*observation{}, sizes: map[string]float64{}, forgetAt: minSeen}
 }
 
 // Query says what a call needs of a server.
 type Query struct {
-	// Class names the class of the call.
-	Class string
+	// Class names the class of the call, and Latency is its target.
+	Class   string
+	Latency time.Duration
 	// Tried lists the servers that the call was sent to already.
 	Tried []member.ServerID
 	// NeedRoom asks for a server that likely has room.
@@ -59,13 +74,15 @@
 type Outcome struct {
 	// Class names the class of the call.
 	Class string
+	// Size is the number of bytes of the request and its answer.
+	Size int
 	// Load is zero if the answer carried none.
 	Load call.Load
 	// Failure is nil if the call was answered.
 	Failure *call.Failure
 }
 
-// Pick returns the best of two random servers and one of the own failure
+// Pick returns the best of two random servers and two of the own failure
 // domain that were not tried, or nil if there is none, and counts a call to it
 // as in flight.
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
@@ -87,14 +104,17 @@
 	d := draw{picker: p, servers: servers, tried: q.Tried, now: time.Now()}
 	var best *member.Record
 	for range draws {
-		best = p.cheaper(q.Class, best, d.next(best, anywhere))
+		best = p.cheaper(q, best, d.next(best, anywhere))
+	}
+	for range draws {
+		best = p.cheaper(q, best, d.next(best, p.domain))
 	}
-	return p.cheaper(q.Class, best, d.next(best, p.domain))
+	return best
 }
 
 // cheaper returns the server with the lower cost; either may be nil.
-func (p *Picker) cheaper(class string, a, b *member.Record) *member.Record {
-	if a == nil || (b != nil && p.cost(class, b) < p.cost(class, a)) {
+func (p *Picker) cheaper(q Query, a, b *member.Record) *member.Record {
+	if a == nil || (b != nil && p.cost(q, b) < p.cost(q, a)) {
 		return b
 	}
 	return a
@@ -114,7 +134,7 @@
 		if slices.Contains(q.Tried, r.Server) || !p.observe(r.Server).hasRoom(now) {
 			continue
 		}
-		if best == nil || p.cost(q.Class, r) < p.cost(q.Class, best) {
+		if best == nil || p.cost(q, r) < p.cost(q, best) {
 			best = r
 		}
 	}
@@ -183,19 +203,18 @@
 	return float64(n) <= maxEjected*float64(len(servers))
 }
 
-// cost estimates how long a call of a class would take, the more so the less room the
-// server has.
-func (p *Picker) cost(class string, r *member.Record) time.Duration {
+// cost estimates how long a call would take at a server, with the price of
+// crossing to another failure domain as time.
+func (p *Picker) cost(q Query, r *member.Record) time.Duration {
 	o, now := p.observe(r.Server), time.Now()
 	busy, limit := o.busy(r.Slots, now)
-	service := o.services[class]
+	service := o.services[q.Class]
 	if service == 0 {
 		service = defaultService
 	}
-	share := float64(busy+1) / float64(limit)
-	cost := service + time.Duration(share*float64(service))
+	cost := service + time.Duration(waiting(busy, limit)*float64(service))
 	if r.Domain != p.domain {
-		cost += crossingCost
+		cost += p.crossing(q)
 	}
 	if r.Health == member.Suspected || now.Sub(o.refusedAt) < RefusalLifetime {
 		cost += service
@@ -203,6 +222,25 @@
 	return cost
 }
 
+// waiting estimates how long a call waits at a server, in service times.
+func waiting(busy, limit int) float64 {
+	load := float64(busy+1) / float64(limit)
+	if load <= easyLoad {
+		return 0
+	}
+	if load <= 1 {
+		return queueMargin * (load - easyLoad) / (1 - easyLoad)
+	}
+	return queueMargin + load - 1
+}
+
+// crossing returns the price of a call to another failure domain: the way, and
+// the bytes by what they are worth to the class.
+func (p *Picker) crossing(q Query) time.Duration {
+	kilobytes := p.sizes[q.Class] / 1024
+	return crossingCost + time.Duration(kilobytes*crossingShare*float64(q.Latency))
+}
+
 // Done ends a call that Pick started and notes what it told of the server.
 func (p *Picker) Done(server member.ServerID, out Outcome) {
 	p.mu.Lock()
@@ -210,6 +248,20 @@
 	o := p.observe(server)
 	o.inflight--
 	o.note(out, time.Now())
+	if out.Size > 0 {
+		p.noteSize(out)
+	}
+}
+
+func (p *Picker) noteSize(out Outcome) {
+	mean, known := p.sizes[out.Class]
+	if !known {
+		if len(p.sizes) >= maxSizes {
+			clear(p.sizes)
+		}
+		mean = float64(out.Size)
+	}
+	p.sizes[out.Class] = mean + sizeGain*(float64(out.Size)-mean)
 }
 
 func (p *Picker) observe(server member.ServerID) *observation {
