--- /dev/null
+++ b/adapters/httpconn/session_test.go
@@ -0,0 +1,219 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// gated answers a request once its gate, named by the path, is open.
+type gated struct {
+	started chan string
+	gates   map[string]chan struct{}
+}
+
+func newGated(paths ...string) *gated {
+	g := &gated{started: make(chan string, 16), gates: map[string]chan struct{}{}}
+	for _, p := range paths {
+		g.gates[p] = make(chan struct{})
+	}
+	return g
+}
+
+func (g *gated) Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) {
+	path := string(req.Header.RequestURI())
+	g.started <- path
+	select {
+	case <-g.gates[path]:
+	case <-ctx.Done():
+	}
+	resp.SetBodyString(path)
+}
+
+func (g *gated) Refuse(*fasthttp.Response) {}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// read returns the next answer's body and whether it ends the connection.
+func read(t *testing.T, r *bufio.Reader) (string, bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body), resp.Close
+}
+
+func TestPipelinedRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	g := newGated("/1", "/2", "/3")
+	_, address := serve(t, g)
+	c := dial(t, address)
+	_, _ = io.WriteString(c, get("/1")+get("/2")+get("/3"))
+	for range 3 {
+		<-g.started
+	}
+	close(g.gates["/3"])
+	close(g.gates["/2"])
+	close(g.gates["/1"])
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		if got, _ := read(t, r); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
+func TestADrainingServerEndsAConnectionOnlyBehindTheLastRequestTaken(t *testing.T) {
+	g := newGated("/1", "/2")
+	s, address := serve(t, g)
+	c := dial(t, address)
+	_, _ = io.WriteString(c, get("/1")+get("/2"))
+	<-g.started
+	<-g.started
+	s.Drain()
+	close(g.gates["/1"])
+	r := bufio.NewReader(c)
+	if got, last := read(t, r); got != "/1" || last {
+		t.Errorf("got %s, last %v; a request behind it runs", got, last)
+	}
+	close(g.gates["/2"])
+	if got, last := read(t, r); got != "/2" || !last {
+		t.Errorf("got %s, last %v", got, last)
+	}
+	if _, err := r.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+}
+
+func TestAConnectionBeyondTheLimitIsClosedUnread(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(echo{}, 0)
+	s.Limit(Limits{Connections: 1})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, ln) }()
+	first := dial(t, ln.Addr().String())
+	_, _ = io.WriteString(first, get("/"))
+	if _, last := read(t, bufio.NewReader(first)); last {
+		t.Error("the first connection ends")
+	}
+	second := dial(t, ln.Addr().String())
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the limit is served")
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// flaky fails its first calls of Accept, as when descriptors run out.
+type flaky struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (f *flaky) Accept() (net.Conn, error) {
+	if f.failures.Add(-1) >= 0 {
+		return nil, errors.New("accept4: too many open files")
+	}
+	return f.Listener.Accept()
+}
+
+func TestAPassingErrorOfAcceptDoesNotEndAListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &flaky{Listener: inner}
+	ln.failures.Store(3)
+	s := NewServer(echo{}, 0)
+	var seen atomic.Int32
+	s.OnAcceptError(func(error) { seen.Add(1) })
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, ln) }()
+	c := dial(t, inner.Addr().String())
+	_, _ = io.WriteString(c, get("/"))
+	read(t, bufio.NewReader(c))
+	if seen.Load() != 3 {
+		t.Errorf("%d errors were told", seen.Load())
+	}
+	stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestARequestBehindTheLastOneIsNotTaken(t *testing.T) {
+	g := newGated("/1", "/2")
+	_, address := serve(t, g)
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+get("/2"))
+	<-g.started
+	close(g.gates["/1"])
+	if _, last := read(t, bufio.NewReader(c)); !last {
+		t.Error("the answer does not end the connection")
+	}
+	select {
+	case path := <-g.started:
+		t.Errorf("%s was handled", path)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// answering serves one connection: it reads n bytes of a request, then answers.
+func answering(t *testing.T, n int, text string) *Pool {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, c, int64(n))
+		_, _ = io.WriteString(c, text)
+		// The rest of the request stays unread until the caller leaves.
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}()
+	p := NewPool(ln.Addr().String(), nil)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func TestAnAnswerBeforeALongBodyIsReadEndsTheConnection(t *testing.T) {
+	p := answering(t, 100, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("/")
+	req.Header.SetHost("a")
+	req.Header.SetMethod("POST")
+	req.SetBodyString(strings.Repeat("b", 8<<20))
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := p.Do(ctx, req, resp); err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode() != 413 || len(p.idle) > 0 {
+		t.Errorf("status %d, %d idle connections", resp.StatusCode(), len(p.idle))
+	}
+}
