Give up waiting calls when they are late; try servers of unknown room

Cause: TestAPlannedStopCutsNoRequest, once in five: a call that waited behind long ones stayed in the queue past the time by which it could be answered, since expiry was looked at only when a slot came free, and ended at its deadline. A call refused for want of room then found no server, since only a fresh report counted as room. Both came to light once calls stay in their failure domain. Change: a waiter is refused when it expires; a server is worth a try unless it said or showed of late that it is full. Versions cross failure domains only when pulled. Decisions about calls are logged through a bounded queue.

--- a/adapters/logging/logging.go
+++ b/adapters/logging/logging.go
@@ -1,10 +1,13 @@
 // Package logging writes one line a message: time, level, the part's fixed
-// prefix, the server, and a short sentence.
+// prefix, a short sentence, and the fields by name.
 package logging
 
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +25,15 @@
 
 type format struct{}
 
+// writeField writes a field, its value in quotes if it has blanks.
+func writeField(b *strings.Builder, name string, value any) {
+	text := fmt.Sprint(value)
+	if text == "" || strings.ContainsAny(text, " \t\r\n\"=") {
+		text = strconv.Quote(text)
+	}
+	b.WriteString(" " + name + "=" + text)
+}
+
 // Format writes one line.
 func (format) Format(e *logrus.Entry) ([]byte, error) {
 	var b strings.Builder
@@ -30,8 +42,10 @@
 		fmt.Fprintf(&b, "%s: ", part)
 	}
 	b.WriteString(e.Message)
-	if server, ok := e.Data["server"]; ok {
-		fmt.Fprintf(&b, " server=%s", server)
+	for _, name := range slices.Sorted(maps.Keys(e.Data)) {
+		if name != "part" {
+			writeField(&b, name, e.Data[name])
+		}
 	}
 	b.WriteByte('\n')
 	return []byte(b.String()), nil
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -215,11 +215,12 @@
 	d.once = once.NewRunner(d.cfg.Once, self, d.homes, d.ledger, d.forwarder)
 	d.crashes = crash.NewLog(d.cfg.Crash, self, d.backend,
 		&crash.Members{Self: self, Table: d.members, Link: d.forwarder}, d.lost)
-	d.inner = &proxy.Inner{Host: d.announcer, Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
+	calls := &journal{out: d.prefixed("call"), log: d.log}
+	d.inner = &proxy.Inner{Journal: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Crashes: d.crashes, Backend: &status.Timed{Callee: d.backend, Meter: d.meter}}
 	d.outer = &proxy.Outer{
 		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker,
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
-		Once: d.once, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter},
+		Once: d.once, Remote: d.forwarder, Local: d.inner, Observe: observers{d.figures, d.meter, calls},
 	}
 }
 
--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
@@ -68,6 +69,9 @@
 	return exitFailure
 }
 
+// logFlushTimeout bounds the wait for a blocked log output at the end.
+const logFlushTimeout = 200 * time.Millisecond
+
 // Pace of the collector: garbage may reach this share of what is in use, and
 // memory beyond this share of the limit is returned sooner.
 const (
@@ -88,7 +92,9 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(os.Stdout, s.LogLevel)
+	output := logging.NewQueue(os.Stdout)
+	defer output.Close(logFlushTimeout)
+	log := logging.New(output, s.LogLevel)
 	limitMemory(s.Limits.Memory)
 	listeners, err := daemon.Listen(s)
 	if err != nil {
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -77,13 +77,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	select {
-	case <-w.decided:
-	case <-ctx.Done():
-		if g.abandon(w) {
-			return nil, call.Refuse(reasonOf(ctx), ctx.Err())
-		}
-		<-w.decided
+	if err := g.await(ctx, w); err != nil {
+		return nil, err
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
@@ -91,6 +86,32 @@
 	return func(err error) { g.leave(w, err) }, nil
 }
 
+// await returns once the call is decided, or gives it up when it would no longer
+// be answered in time.
+func (g *Gate) await(ctx context.Context, w *waiter) error {
+	select {
+	case <-w.decided:
+		return nil
+	default:
+	}
+	expired := time.NewTimer(time.Until(w.expires))
+	defer expired.Stop()
+	var refusal *call.Failure
+	select {
+	case <-w.decided:
+		return nil
+	case <-expired.C:
+		refusal = call.Refuse(call.Overloaded, errTooLate)
+	case <-ctx.Done():
+		refusal = call.Refuse(reasonOf(ctx), ctx.Err())
+	}
+	if g.abandon(w) {
+		return refusal
+	}
+	<-w.decided
+	return nil
+}
+
 func reasonOf(ctx context.Context) call.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return call.Deadline
--- a/mesh/proxy/inner.go
+++ b/mesh/proxy/inner.go
@@ -32,10 +32,26 @@
 	Gate    Gate
 	Crashes Crashes
 	Backend call.Callee
+	// Journal is told of every call that came here; nil drops it.
+	Journal Journal
+}
+
+// Journal takes the outcomes of calls at this daemon's backend server.
+type Journal interface {
+	// Admitted is told of the load that the call met, and of its error.
+	Admitted(r *call.Request, load call.Load, err error)
 }
 
 // Call admits the call and runs it. The answer carries the server's load.
 func (p *Inner) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	answer, err := p.call(ctx, r)
+	if err != nil && p.Journal != nil {
+		p.Journal.Admitted(r, p.Gate.LoadFor(r.ClassName), err)
+	}
+	return answer, err
+}
+
+func (p *Inner) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if err := classify(p.Routes.Table(), r); err != nil {
 		// Another daemon classified the call by a version ahead of this one's.
 		return nil, call.Refuse(call.Unconfigured, err)
--- a/mesh/route/observation.go
+++ b/mesh/route/observation.go
@@ -95,9 +95,14 @@
 	return max(o.inflight, reported), max(o.load.Limit, 1)
 }
 
-// hasRoom reports whether the server said of late that it has a free slot, and
-// neither refused a call nor failed since.
-func (o *observation) hasRoom(now time.Time) bool {
-	return !o.ejected(now) && now.Sub(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) &&
-		o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
+// mayHaveRoom reports whether the server may have a free slot. What it said of
+// late counts; without that, it is worth a try unless it refused a call of late.
+func (o *observation) mayHaveRoom(slots int, now time.Time) bool {
+	if o.ejected(now) {
+		return false
+	}
+	if now.Sub(o.loadAt) < RoomLifetime && o.loadAt.After(o.refusedAt) {
+		return o.load.Queued == 0 && max(o.load.Running, o.inflight) < o.load.Limit
+	}
+	return now.Sub(o.refusedAt) >= RefusalLifetime && o.inflight < slots
 }
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -26,8 +26,17 @@
 	sizeGain = 0.05
 	// maxSizes bounds the classes whose sizes are remembered.
 	maxSizes = 4096
-	// defaultService stands for a service time that is not known.
+	// defaultService stands for a service time that is not known, where calls
+	// wait. A server that is not known yet counts as one with trialService, so
+	// that it is tried.
 	defaultService = 50 * time.Millisecond
+	trialService   = 10 * time.Millisecond
+	// clearlyCheaper is the part of another's cost below which a server of the
+	// same failure domain is preferred; between closer ones chance decides.
+	clearlyCheaper = 0.9
+	// closeCosts is the difference in cost up to which chance decides, whatever
+	// the costs are.
+	closeCosts = 2 * time.Millisecond
 	// draws is the number of random servers that are compared, and of random
 	// servers of the own failure domain.
 	draws = 2
@@ -66,7 +75,7 @@
 	Latency time.Duration
 	// Tried lists the servers that the call was sent to already.
 	Tried []member.ServerID
-	// NeedRoom asks for a server that likely has room.
+	// NeedRoom asks for a server that may have room.
 	NeedRoom bool
 }
 
@@ -114,7 +123,17 @@
 
 // cheaper returns the server with the lower cost; either may be nil.
 func (p *Picker) cheaper(q Query, a, b *member.Record) *member.Record {
-	if a == nil || (b != nil && p.cost(q, b) < p.cost(q, a)) {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	limit := p.cost(q, a)
+	if a.Domain == b.Domain {
+		limit = time.Duration(clearlyCheaper*float64(limit)) - closeCosts
+	}
+	if p.cost(q, b) < limit {
 		return b
 	}
 	return a
@@ -123,7 +142,7 @@
 // maxLooked bounds the servers that are looked at for room.
 const maxLooked = 16
 
-// roomy returns the cheapest of some servers that likely have room, or nil.
+// roomy returns the cheapest of some servers that may have room, or nil.
 func (p *Picker) roomy(servers []*member.Record, q Query) *member.Record {
 	var best *member.Record
 	now := time.Now()
@@ -131,7 +150,7 @@
 		if i >= maxLooked {
 			break
 		}
-		if slices.Contains(q.Tried, r.Server) || !p.observe(r.Server).hasRoom(now) {
+		if slices.Contains(q.Tried, r.Server) || !p.observe(r.Server).mayHaveRoom(r.Slots, now) {
 			continue
 		}
 		if best == nil || p.cost(q, r) < p.cost(q, best) {
@@ -209,10 +228,11 @@
 	o, now := p.observe(r.Server), time.Now()
 	busy, limit := o.busy(r.Slots, now)
 	service := o.services[q.Class]
+	cost := service
 	if service == 0 {
-		service = defaultService
+		service, cost = defaultService, trialService
 	}
-	cost := service + time.Duration(waiting(busy, limit)*float64(service))
+	cost += time.Duration(waiting(busy, limit) * float64(service))
 	if r.Domain != p.domain {
 		cost += p.crossing(q)
 	}
--- a/mesh/spread/peer.go
+++ b/mesh/spread/peer.go
@@ -324,7 +324,9 @@
 }
 
 // configuration returns the message that tells the peer of new versions: the
-// changes on an eager stream or when pulled, else only the number. A whole
+// changes when pulled or on an eager stream within the failure domain, else only
+// the number. Each failure domain has a reader of its own, so the changes are
+// there before a peer elsewhere pulls them. A whole
 // table is sent only when pulled; a comparison does that.
 func (n *Node) configuration(p *peer) []Message {
 	known := n.log.Known()
@@ -332,7 +334,7 @@
 	if from >= known {
 		return nil
 	}
-	if pulled || eager {
+	if pulled || (eager && n.near(p)) {
 		u := n.log.Since(from)
 		if u != nil && (pulled || u.Base == nil) {
 			p.sent(u.Target())
@@ -344,3 +346,9 @@
 	}
 	return nil
 }
+
+// near reports whether the peer is in this daemon's failure domain.
+func (n *Node) near(p *peer) bool {
+	r, known := n.table.Get(p.id)
+	return known && r.Domain == n.domain
+}
