--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for users: demo, test, bench. Targets for developers: check, generate.
 
-PACKAGES := ./adapters/... ./bench/... ./fescuehoist/... ./fescuehoistd/... ./mesh/... ./standin/... ./tools/...
+PACKAGES := ./adapters/... ./bench/... ./fescuehoist/... ./fescuehoistd/... ./mesh/... ./platform/... ./standin/... ./tools/...
 DEMO_FLAGS ?=
 BENCH_FLAGS ?=
 
@@ -53,6 +53,7 @@
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
+	tools/wire-names.sh
 
 build:
 	go build -o bin/ ./fescuehoist ./fescuehoistd
--- /dev/null
+++ b/fescuehoistd/daemon/objects_test.go
@@ -0,0 +1,303 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"fescuehoist.example/adapters/logging"
+	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/fescuehoistd/daemon"
+	"fescuehoist.example/platform/platformtest"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	// patience bounds each wait for an event.
+	patience = 30 * time.Second
+)
+
+// host is one daemon with its backend server.
+type host struct {
+	daemon                  *daemon.Daemon
+	backend                 *platformtest.Backend
+	callers, control, ready string
+	stop                    context.CancelFunc
+	ended                   chan error
+}
+
+// startHost starts a backend server and the daemon beside it.
+func startHost(t *testing.T, store *platformtest.Store, name, domain, service string) *host {
+	t.Helper()
+	h := &host{backend: platformtest.NewBackend(service, "i-"+name), ended: make(chan error, 1)}
+	t.Cleanup(h.backend.Close)
+	set := &settings.Settings{
+		Server: name, Domain: domain, Mesh: "mesh", Service: service, Backend: h.backend.Address(),
+		Callers: loopback, Calls: loopback, Peers: loopback, Admin: loopback, Announcements: loopback, Ready: loopback,
+		Platform: store.Address(), API: settings.Objects, FixedSlots: true, Retry: settings.Retry{Share: 0.1, Burst: 56},
+		AnnounceLifetime: patience, DrainTimeout: 6 * time.Second,
+	}
+	listeners, err := daemon.Listen(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.callers, h.control = listeners.Callers.Addr().String(), listeners.Announcements.Addr().String()
+	h.ready = listeners.Ready.Addr().String()
+	h.daemon, err = daemon.New(daemon.DefaultConfig(set, logging.New(io.Discard, logrus.InfoLevel)), listeners)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	go func() { h.ended <- h.daemon.Run(ctx) }()
+	t.Cleanup(func() {
+		h.stop()
+		if err := <-h.ended; err != nil {
+			t.Error(err)
+		}
+		h.ended <- nil
+	})
+	if status, err := h.backend.Report(h.control, "ready"); err != nil || status != 200 {
+		t.Fatalf("report: status %d, %v", status, err)
+	}
+	return h
+}
+
+func configuration(version int, more ...string) any {
+	routes := []platformtest.Route{
+		{Name: "r-search", Prefix: "/search/", Service: "lookup", Idempotent: true, Attempts: 2},
+		{Name: "r-submit", Prefix: "/submit/", Service: "lookup", Priority: 1, Attempts: 2},
+	}
+	for i, p := range more {
+		routes = append(routes, platformtest.Route{Name: fmt.Sprint("r-more-", i), Prefix: p, Service: "archive", Idempotent: true, Priority: 2, Attempts: 1})
+	}
+	return platformtest.Configuration(version, "site.example", routes)
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	seal   string
+	retry  string
+	body   string
+}
+
+func ask(t *testing.T, h *host, method, path, id string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(strings.Repeat("b", 64)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "site.example"
+	req.Header.Set(platformtest.HeaderRequestID, id)
+	req.Header.Set(platformtest.HeaderDeadline, "5000")
+	req.Header.Set(platformtest.HeaderCaller, "forged")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{resp.StatusCode, resp.Header.Get(platformtest.HeaderSeal), resp.Header.Get("Retry-After"), string(body)}
+}
+
+// await waits for a condition.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waiting for %s", what)
+		}
+	}
+}
+
+func serves(t *testing.T, h *host, path string, status int) func() bool {
+	n := 0
+	return func() bool {
+		n++
+		return ask(t, h, "GET", path, fmt.Sprintf("wait-%p-%d", h, n)).status == status
+	}
+}
+
+func isReady(h *host) bool {
+	resp, err := http.Get("http://" + h.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+func TestTheWholePathOnAnObjectStore(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	b := startHost(t, store, "host-b", "cairo-b", "lookup")
+	c := startHost(t, store, "host-c", "cairo-c", "archive")
+
+	got := ask(t, c, "GET", "/search/x", "early")
+	if got.status != 503 || got.retry == "" || isReady(c) {
+		t.Errorf("without a configuration: %+v", got)
+	}
+	store.Put("config", "main", configuration(4))
+	for _, h := range []*host{a, b, c} {
+		await(t, "the first route", serves(t, h, "/search/x?q=1", 200))
+		await(t, "readiness", func() bool { return isReady(h) })
+	}
+	got = ask(t, c, "POST", "/submit/one", "s1")
+	if got.status != 200 || got.seal != platformtest.Seal || !strings.HasSuffix(got.body, "POST /submit/one 64") {
+		t.Errorf("got %+v", got)
+	}
+	if runs := a.backend.Runs("s1") + b.backend.Runs("s1"); runs != 1 {
+		t.Errorf("the submission ran %d times", runs)
+	}
+	if origin := a.backend.Origin("s1") + b.backend.Origin("s1"); origin != "archive" {
+		t.Errorf("the origin is %q", origin)
+	}
+	if got := ask(t, a, "GET", "/nowhere/", "n1"); got.status != 404 {
+		t.Errorf("no route: %+v", got)
+	}
+	store.Put("config", "main", configuration(9, "/export/"))
+	for _, h := range []*host{a, b, c} {
+		await(t, "the added route", serves(t, h, "/export/y", 200))
+	}
+	store.Put("config", "main", configuration(12))
+	for _, h := range []*host{a, b, c} {
+		await(t, "the removal of the route", serves(t, h, "/export/y", 404))
+	}
+}
+
+func TestConfirmedDrainingBindsWithoutTheStore(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.Put("config", "main", configuration(4))
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	b := startHost(t, store, "host-b", "cairo-b", "lookup")
+	for _, h := range []*host{a, b} {
+		await(t, "the first route", serves(t, h, "/search/x", 200))
+	}
+	// Each daemon must know the other's server before one leaves.
+	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	store.SetFault(platformtest.Silent)
+	defer store.SetFault(platformtest.None)
+	if status, err := a.backend.Report(a.control, "draining"); err != nil || status != 200 {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	time.Sleep(2 * time.Second)
+	before := a.backend.Total()
+	for n := range 20 {
+		if got := ask(t, a, "GET", "/search/x", fmt.Sprint("d-", n)); got.status != 200 {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if after := a.backend.Total(); after != before {
+		t.Errorf("%d requests reached the leaving server", after-before)
+	}
+	// A late report from before the departure changes nothing.
+	if status, err := a.backend.Leave(a.control); err != nil || status != 200 {
+		t.Errorf("leave: status %d, %v", status, err)
+	}
+	if status, err := a.backend.Report(a.control, "ready"); err != nil || status != 200 {
+		t.Errorf("late report: status %d, %v", status, err)
+	}
+	if got := ask(t, b, "GET", "/search/x", "last"); got.status != 200 || a.backend.Runs("last") > 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestAStopLosesNothing(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.Put("config", "main", configuration(4))
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	b := startHost(t, store, "host-b", "cairo-b", "lookup")
+	a.backend.Work, b.backend.Work = 20*time.Millisecond, 20*time.Millisecond
+	for _, h := range []*host{a, b} {
+		await(t, "the first route", serves(t, h, "/search/x", 200))
+	}
+	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	var callers sync.WaitGroup
+	done := make(chan struct{})
+	for n := range 4 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				id := fmt.Sprintf("stop-%d-%d", n, i)
+				method, path := "GET", "/search/x"
+				if n%2 == 0 {
+					method, path = "POST", "/submit/x"
+				}
+				if got := ask(t, b, method, path, id); got.status != 200 {
+					t.Errorf("%s got %+v", id, got)
+				}
+				if runs := a.backend.Runs(id) + b.backend.Runs(id); method == "POST" && runs != 1 {
+					t.Errorf("%s ran %d times", id, runs)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	a.stop()
+	err := <-a.ended
+	a.ended <- err
+	close(done)
+	callers.Wait()
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAFailureOfOneServerIsRetriedAtAnother(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.Put("config", "main", configuration(4))
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	b := startHost(t, store, "host-b", "cairo-a", "lookup")
+	for _, h := range []*host{a, b} {
+		await(t, "the first route", serves(t, h, "/search/x", 200))
+	}
+	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	a.backend.Fail(true)
+	if got := ask(t, a, "GET", "/search/x", "f1"); got.status != 200 {
+		t.Errorf("an idempotent request got %+v", got)
+	}
+	a.backend.Fail(false)
+	a.backend.Refuse(true)
+	for n := range 5 {
+		id := fmt.Sprint("r", n)
+		if got := ask(t, a, "POST", "/submit/x", id); got.status != 200 || a.backend.Runs(id)+b.backend.Runs(id) != 1 {
+			t.Errorf("a refused submission got %+v", got)
+		}
+	}
+}
+
+func TestADaemonThatStartsWithoutTheStoreLearnsFromItOnceItIsBack(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.Put("config", "main", configuration(4))
+	store.SetFault(platformtest.Busy)
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	if got := ask(t, a, "GET", "/search/x", "1"); got.status != 503 {
+		t.Errorf("got %+v", got)
+	}
+	store.SetFault(platformtest.None)
+	await(t, "the route", serves(t, a, "/search/x", 200))
+	await(t, "the entry", func() bool {
+		names := store.Names("fescuehoist-daemons")
+		return len(names) == 1 && names[0] == "host-a"
+	})
+}
