Do not let estimates from a freeze outlast it

Cause: calls that ran through the freeze raised the mean service time beyond the timeout; every later call was refused by it, so nothing lowered it again. Ruled out: lost servers, retries. Change: a call says at most its timeout, and each refusal by the estimate lowers it. TestAFrozenServerIsUsedAgain: 100 of 100 calls refused before.

--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -111,9 +111,15 @@
 	return max(in, time.Duration(minPatience*float64(service)))
 }
 
+// doubt lowers the service time that a call was refused by: without calls that
+// run, nothing else would.
+func (c *class) doubt() { c.service -= time.Duration(serviceGain * float64(c.service)) }
+
 // learn takes the service time of one call, which ran almost alone or not, and
 // returns how many times the unloaded one it was.
 func (c *class) learn(took time.Duration, alone bool) float64 {
+	// A call that outlasts its timeout says no more than that.
+	took = min(took, c.target.Timeout)
 	c.service = mean(c.service, took, serviceGain)
 	if c.unloaded == 0 || took < c.unloaded || alone {
 		c.unloaded = mean(c.unloaded, took, serviceGain)
--- /dev/null
+++ b/mesh/admit/estimate_test.go
@@ -0,0 +1,43 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestAFrozenServerIsUsedAgain ends calls after a freeze that took them longer
+// than any may take: the estimates made of them must not outlast the freeze.
+func TestAFrozenServerIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := warmGate(12)
+		ctx := context.Background()
+		for range 12 {
+			leave, err := g.Enter(ctx, request(search, "a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				time.Sleep(30 * time.Second)
+				leave(nil)
+			}()
+		}
+		time.Sleep(31 * time.Second)
+		refused := 0
+		for range 100 {
+			ctx, cancel := context.WithTimeout(context.Background(), search.Timeout)
+			leave, err := g.Enter(ctx, request(search, "a"))
+			if err != nil {
+				refused++
+			} else {
+				time.Sleep(searchTime)
+				leave(nil)
+			}
+			cancel()
+		}
+		if refused > 20 {
+			t.Errorf("%d of 100 calls are refused by an idle server", refused)
+		}
+	})
+}
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -132,6 +132,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		latest := deadline.Add(-c.service)
 		if !now.Before(latest) {
+			c.doubt()
 			return nil, call.Refuse(call.Deadline, errTooLate)
 		}
 		w.expires = earlier(w.expires, latest)
