--- a/fescuehoist/main.go
+++ b/fescuehoist/main.go
@@ -27,6 +27,7 @@
 	Status   statusCommand   `cmd:"" help:"Show whether each class meets its target, and what each failure domain has in force."`
 	Forecast forecastCommand `cmd:"" help:"Foresee which classes will miss their targets, and which clients to tell."`
 	Stop     stopCommand     `cmd:"" help:"Plan, list and cancel stops of backend servers."`
+	Explain  explainCommand  `cmd:"" help:"Print what the logs of daemons tell of one request, in order, with what each daemon believed."`
 	Demo     demoCommand     `cmd:"" help:"Run a whole mesh in this process, change it while calls run, and report."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- a/tools/trial/transcript.sh
+++ b/tools/trial/transcript.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prints the transcript of docs/operations.md: the built binaries as separate
+# Prints the transcript of docs/OPERATIONS.md: the built binaries as separate
 # processes on loopback, three daemons with stand-ins for the platform and the
 # backend servers. It ends only the processes that it started, by id.
 set -uo pipefail
