--- a/fescuehoistd/daemon/objects.go
+++ b/fescuehoistd/daemon/objects.go
@@ -40,7 +40,7 @@
 		out.Warnf("entry %.80q is unreadable: %v", name, err)
 	}}
 	own := discover.Entry{Server: self, Domain: s.Domain, PeerAddress: d.listeners.Peers.Addr().String()}
-	o.finder = discover.New(d.cfg.Discover, own, registry, d.node, out)
+	o.finder = discover.New(d.cfg.Discover, own, registry, d.node, &watchers{self: self, members: d.members}, out)
 	reports := d.prefixed("announce")
 	o.reports = &platform.Reports{Announcer: d.announcer, Service: s.Service, Address: s.Backend,
 		Refused: func(instance string, err error) { reports.Warnf("report of %.80q refused: %v", instance, err) }}
@@ -76,3 +76,25 @@
 func (o *objects) calls() uint64 { return o.store.Calls() }
 
 func (o *objects) close() { o.store.Close() }
+
+// watchers says which daemons look after what others left.
+type watchers struct {
+	self    member.ServerID
+	members *member.Table
+}
+
+// First reports whether this daemon is the first by name of those that live.
+func (w *watchers) First() bool {
+	for _, r := range w.members.View().All() {
+		if !r.Terminal() {
+			return r.Server == w.self
+		}
+	}
+	return false
+}
+
+// Gone reports whether a daemon has left, has failed or is not known.
+func (w *watchers) Gone(server member.ServerID) bool {
+	r, known := w.members.Get(server)
+	return !known || r.Terminal()
+}
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -40,6 +40,15 @@
 	Peers() int
 }
 
+// Members says what is known of other daemons.
+type Members interface {
+	// First reports whether this daemon looks after the entries of others.
+	First() bool
+	// Gone reports whether a daemon is known to have left or failed, or is not
+	// known at all.
+	Gone(server member.ServerID) bool
+}
+
 // Config sets how a daemon finds others.
 type Config struct {
 	// CallTimeout bounds a call to the registry.
@@ -52,7 +61,8 @@
 	IsolationLimit time.Duration
 	// MaxContacts is the number of random entries that are asked.
 	MaxContacts int
-	// Retention is how long an entry outlives its daemon.
+	// Retention is how long an entry outlives its daemon, at least; twice that at
+	// most.
 	Retention time.Duration
 }
 
@@ -76,12 +86,16 @@
 	own      Entry
 	registry Registry
 	peers    Peers
+	members  Members
 	out      Logger
+
+	// stale names the daemons that were gone at the last sweep.
+	stale map[member.ServerID]bool
 }
 
 // New returns a finder; Run starts it.
-func New(cfg Config, own Entry, registry Registry, peers Peers, out Logger) *Finder {
-	return &Finder{cfg: cfg, own: own, registry: registry, peers: peers, out: out}
+func New(cfg Config, own Entry, registry Registry, peers Peers, members Members, out Logger) *Finder {
+	return &Finder{cfg: cfg, own: own, registry: registry, peers: peers, members: members, out: out}
 }
 
 // Run registers the daemon, meets others, and looks again whenever it has been
@@ -91,12 +105,54 @@
 func (f *Finder) Run(ctx context.Context) error {
 	f.until(ctx, "register", func(ctx context.Context) error { return f.registry.Register(ctx, f.own) })
 	f.until(ctx, "list the daemons", f.meet)
+	sweepAt := time.Now().Add(f.cfg.Retention)
 	for wait.For(ctx, wait.Jitter(f.cfg.IsolationLimit)) == nil {
-		if f.peers.Peers() > 0 {
+		if f.peers.Peers() == 0 {
+			f.until(ctx, "list the daemons", f.meet)
+			continue
+		}
+		if time.Now().After(sweepAt) {
+			sweepAt = time.Now().Add(f.cfg.Retention)
+			f.trySweep(ctx)
+		}
+	}
+	return nil
+}
+
+// trySweep removes old entries if that is this daemon's part. A failed sweep
+// waits for the next one.
+func (f *Finder) trySweep(ctx context.Context) {
+	if !f.members.First() {
+		f.stale = nil
+		return
+	}
+	if err := f.bounded(ctx, f.sweep); err != nil {
+		f.out.Warnf("cannot remove entries of daemons that are gone: %v", err)
+	}
+}
+
+// sweep removes the entries of daemons that were gone at the last sweep and
+// still are.
+func (f *Finder) sweep(ctx context.Context) error {
+	entries, err := f.registry.List(ctx)
+	if err != nil {
+		return err
+	}
+	gone := map[member.ServerID]bool{}
+	for _, e := range entries {
+		if e.Server == f.own.Server || !f.members.Gone(e.Server) {
 			continue
 		}
-		f.until(ctx, "list the daemons", f.meet)
+		if !f.stale[e.Server] {
+			gone[e.Server] = true
+			continue
+		}
+		if err := f.registry.Remove(ctx, e.Server); err != nil {
+			return err
+		}
+		f.out.Infof("removed the entry of %s, which is gone", e.Server)
 	}
+	f.stale = gone
 	return nil
 }
 
