--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -22,6 +22,9 @@
 	serviceGain = 0.05
 	// demandWindow is the time over which the demand of a class is averaged.
 	demandWindow = 300 * time.Millisecond
+	// heldShare is the part of the demand of a class that slots are held for: its
+	// own calls end as well, and free theirs.
+	heldShare = 0.5
 	// demandSlack is the demand for which no slot is held.
 	demandSlack = 0.1
 	// maxClasses bounds the classes remembered.
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -225,7 +225,7 @@
 			kept += other.target.Keep
 		}
 	}
-	return min(math.Ceil(c.demand-demandSlack), (1-kept)*float64(g.limit.value()))
+	return min(math.Ceil(heldShare*c.demand-demandSlack), (1-kept)*float64(g.limit.value()))
 }
 
 // next returns the class whose waiter is to be admitted, or nil if the free
