--- a/bench/fleet/domains.go
+++ b/bench/fleet/domains.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fescuehoist.example/adapters/httpconn"
@@ -48,11 +49,11 @@
 }
 
 // distantConn delays each request before it leaves and each answer after its
-// first byte has come. One task uses it at a time.
+// first byte has come. A long request may be written while its answer is read.
 type distantConn struct {
 	net.Conn
 	crossing time.Duration
-	asked    bool
+	asked    atomic.Bool
 }
 
 // NetConn returns the connection underneath.
@@ -60,9 +61,8 @@
 
 // Write delays the first part of a request.
 func (c *distantConn) Write(b []byte) (int, error) {
-	if !c.asked {
+	if c.asked.CompareAndSwap(false, true) {
 		time.Sleep(c.crossing)
-		c.asked = true
 	}
 	return c.Conn.Write(b)
 }
@@ -70,9 +70,8 @@
 // Read delays the first part of an answer.
 func (c *distantConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if c.asked {
+	if c.asked.Swap(false) {
 		time.Sleep(c.crossing)
-		c.asked = false
 	}
 	return n, err
 }
--- a/mesh/announce/order_test.go
+++ b/mesh/announce/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,17 +13,30 @@
 
 // parts stand in for what an announcer tells.
 type parts struct {
-	state   member.State
-	address string
-	closed  bool
+	mu     sync.Mutex
+	state  member.State
+	closed bool
 }
 
-func (p *parts) Announce(own member.Record)  { p.state = own.State }
-func (p *parts) SetAddress(address string)   { p.address = address }
-func (p *parts) SetSlots(int)                {}
-func (p *parts) Drain(context.Context) error { return nil }
-func (p *parts) Close()                      { p.closed = true }
-func (p *parts) Open()                       { p.closed = false }
+func (p *parts) Announce(own member.Record) { p.set(func() { p.state = own.State }) }
+func (p *parts) Close()                     { p.set(func() { p.closed = true }) }
+func (p *parts) Open()                      { p.set(func() { p.closed = false }) }
+
+func (*parts) SetAddress(string)           {}
+func (*parts) SetSlots(int)                {}
+func (*parts) Drain(context.Context) error { return nil }
+
+func (p *parts) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+func (p *parts) get() (member.State, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, p.closed
+}
 
 func backend(instance string, started, sequence uint64) announce.Backend {
 	return announce.Backend{Service: "lookup", Address: instance, Slots: 4, Instance: instance, Started: started, Sequence: sequence}
@@ -53,19 +67,20 @@
 				t.Errorf("%s: taken %t", step.name, taken)
 			}
 			time.Sleep(2 * announce.NoticePeriod)
-			if p.state != step.state || p.closed != step.closed {
-				t.Errorf("%s: state %s, closed %t", step.name, p.state, p.closed)
+			if state, closed := p.get(); state != step.state || closed != step.closed {
+				t.Errorf("%s: state %s, closed %t", step.name, state, closed)
 			}
 		}
 		if a.Withdraw("i-0") {
 			t.Error("another start was withdrawn")
 		}
-		if !a.Withdraw("i-1") || p.state != member.Draining {
-			t.Errorf("withdrawn: state %s", p.state)
+		withdrawn := a.Withdraw("i-1")
+		if state, _ := p.get(); !withdrawn || state != member.Draining {
+			t.Errorf("withdrawn %t: state %s", withdrawn, state)
 		}
 		a.Announce(backend("i-1", 20, 2))
-		if p.state != member.Draining {
-			t.Error("a withdrawn start is ready again")
+		if state, _ := p.get(); state != member.Draining {
+			t.Errorf("a withdrawn start is %s again", state)
 		}
 	})
 }
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -82,6 +82,13 @@
 	return slices.ContainsFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
 }
 
+// seen returns the addresses met and the number of calls.
+func (w *world) seen() ([]string, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.met), w.calls
+}
+
 type silent struct{}
 
 func (silent) Infof(string, ...any) {}
@@ -114,13 +121,13 @@
 		if !w.has("self") {
 			t.Error("the daemon is not registered")
 		}
-		if !slices.Equal(w.met, []string{"10.0.0.2:1"}) {
-			t.Errorf("met %v", w.met)
+		met, calls := w.seen()
+		if !slices.Equal(met, []string{"10.0.0.2:1"}) {
+			t.Errorf("met %v", met)
 		}
-		calls := w.calls
 		time.Sleep(2 * time.Minute)
-		if w.calls != calls {
-			t.Errorf("%d calls while it has peers", w.calls-calls)
+		if _, later := w.seen(); later != calls {
+			t.Errorf("%d calls while it has peers", later-calls)
 		}
 	})
 }
@@ -133,8 +140,8 @@
 		w.entries = append(w.entries, entry("late", "10.0.0.3:1"))
 		w.mu.Unlock()
 		time.Sleep(2 * cfg.IsolationLimit)
-		if !slices.Contains(w.met, "10.0.0.3:1") {
-			t.Errorf("met %v", w.met)
+		if met, _ := w.seen(); !slices.Contains(met, "10.0.0.3:1") {
+			t.Errorf("met %v", met)
 		}
 	})
 }
@@ -149,7 +156,7 @@
 		}
 		time.Sleep(cfg.Retention + 2*cfg.IsolationLimit)
 		if w.has("dead") || !w.has("alive") || !w.has("self") {
-			t.Errorf("entries: %v", w.entries)
+			t.Error("another entry was removed, or this one stays")
 		}
 	})
 }
