--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -67,6 +68,7 @@
 		cancel()
 	}
 	_ = requests.Wait()
+	n.linger()
 }
 
 // ending says why a connection takes no further request.
@@ -222,13 +224,21 @@
 	}
 }
 
-// end closes the sending side first, so that an answer is not lost to a reset
-// while requests that were not taken are still unread.
-func (n *session) end() {
-	if c, ok := n.Conn.(interface{ CloseWrite() error }); ok && n.r.Buffered() > 0 {
-		_ = c.CloseWrite()
+// end makes the task of the connection stop reading.
+func (n *session) end() { _ = n.SetReadDeadline(time.Unix(1, 0)) }
+
+// lingerLimit bounds the wait for a caller whose last requests were not taken.
+const lingerLimit = 200 * time.Millisecond
+
+// linger closes the sending side first if requests were not taken: closing with
+// bytes unread would reset the connection, and the last answer with it.
+func (n *session) linger() {
+	c, ok := n.Conn.(interface{ CloseWrite() error })
+	if !ok || n.r.Buffered() == 0 || c.CloseWrite() != nil {
+		return
 	}
-	_ = n.SetReadDeadline(time.Unix(1, 0))
+	_ = n.SetReadDeadline(time.Now().Add(lingerLimit))
+	_, _ = io.Copy(io.Discard, n.Conn)
 }
 
 // closeIfIdle closes the connection unless a request is under way.
