Call one piece for a call in the time left, and drop options that nobody sets

On a last reading: callers and daemons bounded a call by the same lines, which callWithin now holds; the server's idle timeout and two counters had setters and readers that nothing used; three tests started the same pair of hosts. The refusal of a service without servers gets the test that it lacked. Behaviour and assertions stay.

--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -28,12 +29,7 @@
 		d.WriteFailure(r, call.Refuse(call.BadRequest, err), resp)
 		return
 	}
-	if left > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, left)
-		defer cancel()
-	}
-	answer, err := h.Callee.Call(ctx, r)
+	answer, err := callWithin(ctx, left, h.Callee, r)
 	if err != nil {
 		d.WriteFailure(r, asFailure(err), resp)
 		return
@@ -73,12 +69,7 @@
 		writeFailure(call.Refuse(call.BadRequest, err), resp)
 		return
 	}
-	if left > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, left)
-		defer cancel()
-	}
-	answer, err := h.Callee.Call(ctx, r)
+	answer, err := callWithin(ctx, left, h.Callee, r)
 	if err != nil {
 		writeFailure(asFailure(err), resp)
 		return
@@ -93,6 +84,16 @@
 // Refuse answers a call that cannot be read.
 func (h *Daemons) Refuse(resp *fasthttp.Response) { markUnread(resp) }
 
+// callWithin makes a call in the time left for it; 0 means no limit.
+func callWithin(ctx context.Context, left time.Duration, callee call.Callee, r *call.Request) (*call.Answer, error) {
+	if left > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	return callee.Call(ctx, r)
+}
+
 // markUnread says that a request did not run because it could not be read.
 func markUnread(resp *fasthttp.Response) {
 	resp.Header.Set(HeaderVerdict, call.NotRun.String())
--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -15,13 +15,12 @@
 	"fescuehoist.example/mesh/wait"
 )
 
-// Defaults of a server's limits.
+// Limits of a server.
 const (
 	// DefaultMaxConnections bounds the open connections of one listener.
 	DefaultMaxConnections = 4096
-	// DefaultIdleTimeout is how long a connection may wait for its next
-	// request.
-	DefaultIdleTimeout = 60 * time.Second
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout = 60 * time.Second
 	// ReadTimeout bounds the reading of one request.
 	ReadTimeout = 10 * time.Second
 	// WriteTimeout bounds the writing of one answer.
@@ -40,23 +39,15 @@
 	Refuse(resp *fasthttp.Response)
 }
 
-// Limits bound what a server holds; 0 means the default.
-type Limits struct {
-	// Connections is the number of open connections; one beyond it is closed
-	// at once, with nothing read.
-	Connections int
-	// IdleTimeout is how long a connection may wait for its next request.
-	IdleTimeout time.Duration
-}
-
 // Server serves one listener, one task for each connection and one for each
 // request that runs.
 type Server struct {
 	handler Handler
 	// progress is the time between interim answers; 0 means none.
 	progress time.Duration
-	limits   Limits
-	draining atomic.Bool
+	// maxConnections bounds the open connections.
+	maxConnections int
+	draining       atomic.Bool
 	// acceptFailed is told of each failed Accept; it may be nil.
 	acceptFailed func(error)
 
@@ -71,19 +62,13 @@
 func NewServer(h Handler, progress time.Duration) *Server {
 	return &Server{
 		handler: h, progress: progress, open: map[*session]bool{},
-		limits: Limits{Connections: DefaultMaxConnections, IdleTimeout: DefaultIdleTimeout},
+		maxConnections: DefaultMaxConnections,
 	}
 }
 
-// Limit sets limits before Run; fields that are 0 keep their defaults.
-func (s *Server) Limit(l Limits) {
-	if l.Connections > 0 {
-		s.limits.Connections = l.Connections
-	}
-	if l.IdleTimeout > 0 {
-		s.limits.IdleTimeout = l.IdleTimeout
-	}
-}
+// Limit bounds the open connections, before Run; one beyond n is closed at once,
+// with nothing read.
+func (s *Server) Limit(n int) { s.maxConnections = n }
 
 // OnAcceptError sets what is told of each failed Accept, before Run.
 func (s *Server) OnAcceptError(f func(error)) { s.acceptFailed = f }
@@ -136,7 +121,7 @@
 func (s *Server) add(n *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.done || len(s.open) >= s.limits.Connections {
+	if s.done || len(s.open) >= s.maxConnections {
 		return false
 	}
 	s.open[n] = true
@@ -150,13 +135,6 @@
 	_ = n.Close()
 }
 
-// Connections returns the number of open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
-
 // Drain makes every further answer the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -155,7 +155,7 @@
 		_ = n.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = n.SetReadDeadline(time.Now().Add(n.server.limits.IdleTimeout))
+	_ = n.SetReadDeadline(time.Now().Add(IdleTimeout))
 }
 
 // begin queues an exchange, unless an answer has ended the connection: its
--- a/adapters/httpconn/session_test.go
+++ b/adapters/httpconn/session_test.go
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	s := NewServer(echo{}, 0)
-	s.Limit(Limits{Connections: 1})
+	s.Limit(1)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx, ln) }()
--- a/adapters/logging/queue.go
+++ b/adapters/logging/queue.go
@@ -48,13 +48,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped so far.
-func (q *Queue) Dropped() uint64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.dropped
-}
-
 // Close writes what is queued, but waits for a blocked output no longer than
 // limit.
 func (q *Queue) Close(limit time.Duration) {
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -363,7 +363,7 @@
 func (d *Daemon) serverOf(h httpconn.Handler, progress time.Duration, name string) *httpconn.Server {
 	server := httpconn.NewServer(h, progress)
 	if n := d.cfg.Settings.Limits.Descriptors; n > 0 {
-		server.Limit(httpconn.Limits{Connections: max(n/descriptorShare, minDescriptors)})
+		server.Limit(max(n/descriptorShare, minDescriptors))
 	}
 	out := d.prefixed(name)
 	server.OnAcceptError(func(err error) { out.Warnf("cannot accept a connection, trying on: %v", err) })
--- a/fescuehoistd/daemon/objects_test.go
+++ b/fescuehoistd/daemon/objects_test.go
@@ -138,6 +138,20 @@
 	return resp.StatusCode == 200
 }
 
+// startPair starts two hosts of one service and waits until both serve calls and
+// know each other's backend server.
+func startPair(t *testing.T, store *platformtest.Store, second string) (*host, *host) {
+	t.Helper()
+	store.Put("config", "main", configuration(4))
+	a := startHost(t, store, "host-a", "cairo-a", "lookup")
+	b := startHost(t, store, "host-b", second, "lookup")
+	for _, h := range []*host{a, b} {
+		await(t, "the first route", serves(t, h, "/search/x", 200))
+	}
+	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	return a, b
+}
+
 func TestTheWholePathOnAnObjectStore(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
@@ -180,14 +194,7 @@
 func TestConfirmedDrainingBindsWithoutTheStore(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	store.Put("config", "main", configuration(4))
-	a := startHost(t, store, "host-a", "cairo-a", "lookup")
-	b := startHost(t, store, "host-b", "cairo-b", "lookup")
-	for _, h := range []*host{a, b} {
-		await(t, "the first route", serves(t, h, "/search/x", 200))
-	}
-	// Each daemon must know the other's server before one leaves.
-	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	a, b := startPair(t, store, "cairo-b")
 	store.SetFault(platformtest.Silent)
 	defer store.SetFault(platformtest.None)
 	if status, err := a.backend.Report(a.control, "draining"); err != nil || status != 200 {
@@ -218,14 +225,9 @@
 func TestAStopLosesNothing(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	store.Put("config", "main", configuration(4))
-	a := startHost(t, store, "host-a", "cairo-a", "lookup")
-	b := startHost(t, store, "host-b", "cairo-b", "lookup")
-	a.backend.Work, b.backend.Work = 20*time.Millisecond, 20*time.Millisecond
-	for _, h := range []*host{a, b} {
-		await(t, "the first route", serves(t, h, "/search/x", 200))
-	}
-	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	a, b := startPair(t, store, "cairo-b")
+	a.backend.SetWork(20 * time.Millisecond)
+	b.backend.SetWork(20 * time.Millisecond)
 	var callers sync.WaitGroup
 	done := make(chan struct{})
 	for n := range 4 {
@@ -264,13 +266,7 @@
 func TestAFailureOfOneServerIsRetriedAtAnother(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	store.Put("config", "main", configuration(4))
-	a := startHost(t, store, "host-a", "cairo-a", "lookup")
-	b := startHost(t, store, "host-b", "cairo-a", "lookup")
-	for _, h := range []*host{a, b} {
-		await(t, "the first route", serves(t, h, "/search/x", 200))
-	}
-	await(t, "the daemons to meet", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	a, b := startPair(t, store, "cairo-a")
 	a.backend.Fail(true)
 	if got := ask(t, a, "GET", "/search/x", "f1"); got.status != 200 {
 		t.Errorf("an idempotent request got %+v", got)
--- a/mesh/proxy/outer_test.go
+++ b/mesh/proxy/outer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -71,3 +72,24 @@
 		}
 	}
 }
+
+// TestAServiceWithoutServersIsNotRunRatherThanUnknown calls a service that the
+// configuration knows and no backend server serves.
+func TestAServiceWithoutServersIsNotRunRatherThanUnknown(t *testing.T) {
+	log := manifest.NewLog()
+	h := manifesttest.NewHistory("edit")
+	h.Edit(manifesttest.Service("lookup", time.Second))
+	if _, err := log.Receive(h.Delta(0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	outer := &proxy.Outer{
+		Self: "entry", Routes: route.NewRouter(log, member.NewTable("entry")), Picker: route.NewPicker("a"),
+		Retries: retry.NewPolicy(), Throttle: always{}, Remote: &remote{}, Observe: always{},
+	}
+	r := &call.Request{Service: "lookup", Class: &target.Class{Name: "search", Timeout: time.Minute, Idempotent: true}}
+	_, err := outer.Call(context.Background(), r)
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.NoServer || f.RetryAfter <= 0 {
+		t.Errorf("got %v", err)
+	}
+}
