Log which daemon reads the configuration for a failure domain

The logs said when a reader lost the store, but not which daemon every other one took for the reader, so a reader that is cut off and still in its place looked the same as a watch that hears of a version late. Each daemon logs one line when the reader of its failure domain changes.

The choice itself is unchanged; it returns the chosen daemon now instead of whether that is this one.

--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -101,6 +101,8 @@
 
 	revision         Revision
 	storeUnreachable bool
+	// reader is the daemon that was last known to read for the failure domain.
+	reader member.ServerID
 }
 
 // New returns a Watcher; Run starts it.
@@ -116,8 +118,9 @@
 	delay.InitialInterval, delay.MaxInterval = w.cfg.RetryBase, w.cfg.RetryMax
 	for ctx.Err() == nil {
 		changed := w.members.Changed()
+		w.updateReader()
 		switch {
-		case w.isDomainReader():
+		case w.reader == w.self:
 			if w.readOnce(ctx) {
 				delay.Reset()
 				_ = wait.For(ctx, w.cfg.MinReadInterval)
@@ -136,28 +139,41 @@
 	return nil
 }
 
-// isDomainReader reports whether this daemon reads the source for its failure
-// domain. The reader is chosen among the daemons that can reach the source, or
-// among all if none can: the one with the most bandwidth, ties broken by hash
-// order.
-func (w *Watcher) isDomainReader() bool {
-	self, _ := w.members.Get(w.self)
-	ownHash := xxhash.Sum64String(string(w.self))
+// updateReader determines which daemon reads for the failure domain and logs a
+// change.
+func (w *Watcher) updateReader() {
+	reader := w.domainReader()
+	if reader == w.reader {
+		return
+	}
+	w.logger.Infof("server %q reads the platform's store for failure domain %s, previously %q; known version %d",
+		reader, w.domain, w.reader, w.configs.KnownVersion())
+	w.reader = reader
+}
+
+// domainReader returns the daemon that reads the source for this failure domain.
+// It is chosen among the daemons that can reach the source, or among all if none
+// can: the one with the most bandwidth, ties broken by hash order.
+func (w *Watcher) domainReader() member.ServerID {
+	own, _ := w.members.Get(w.self)
+	best := member.Record{Server: w.self, LinkMbps: own.LinkMbps, StoreUnreachable: w.storeUnreachable}
 	for _, m := range w.members.View().All() {
-		if m.Domain != w.domain || m.Terminal() || m.Health != member.Alive || m.Server == w.self {
-			continue
-		}
-		if m.StoreUnreachable != w.storeUnreachable {
-			if w.storeUnreachable {
-				return false
-			}
-			continue
-		}
-		if m.LinkMbps > self.LinkMbps || (m.LinkMbps == self.LinkMbps && xxhash.Sum64String(string(m.Server)) < ownHash) {
-			return false
+		if m.Server != w.self && m.Domain == w.domain && !m.Terminal() && m.Health == member.Alive && precedes(m, &best) {
+			best = *m
 		}
 	}
-	return true
+	return best.Server
+}
+
+// precedes reports whether daemon a is preferred to b as a reader.
+func precedes(a, b *member.Record) bool {
+	switch {
+	case a.StoreUnreachable != b.StoreUnreachable:
+		return b.StoreUnreachable
+	case a.LinkMbps != b.LinkMbps:
+		return a.LinkMbps > b.LinkMbps
+	}
+	return xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server))
 }
 
 // readOnce makes one call to the source and applies the configuration that it
