--- /dev/null
+++ b/mesh/configwatch/fleet_test.go
@@ -0,0 +1,290 @@
+package configwatch_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuehoist.example/mesh/configwatch"
+	"fescuehoist.example/mesh/gossip"
+	"fescuehoist.example/mesh/gossip/gossiptest"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/member"
+)
+
+// Bounds of the users' platform, in the time of a bubble.
+const (
+	// changeBound is the time within which an acknowledged version is in force at
+	// daemons without faults.
+	changeBound = 2 * time.Second
+	// recoveryBound is the time after a fault from which a daemon counts as one
+	// without faults.
+	recoveryBound = 3 * time.Second
+)
+
+// cutSource is one daemon's access to a source. Calls block while it is cut off.
+type cutSource struct {
+	*source
+	mu      sync.Mutex
+	cut     bool
+	waiting int
+	calls   int
+}
+
+func (s *cutSource) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+func (s *cutSource) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// isWaiting reports whether the daemon waits for a change.
+func (s *cutSource) isWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting > 0
+}
+
+// enter counts a call and blocks until ctx ends if the source is cut off.
+func (s *cutSource) enter(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	cut := s.cut
+	s.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+// leave returns the error of an answer that is lost because the source was cut off
+// during the call.
+func (s *cutSource) leave(ctx context.Context) error {
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s *cutSource) Latest(ctx context.Context) (*configwatch.Configuration, configwatch.Revision, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.source.Latest(ctx)
+}
+
+func (s *cutSource) Next(ctx context.Context, after configwatch.Revision, limit time.Duration) (*configwatch.Configuration, configwatch.Revision, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
+	c, revision, err := s.source.Next(ctx, after, limit)
+	s.mu.Lock()
+	s.waiting--
+	s.mu.Unlock()
+	if lost := s.leave(ctx); lost != nil {
+		return nil, 0, lost
+	}
+	return c, revision, err
+}
+
+func (s *cutSource) Ping(ctx context.Context) error {
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	return s.source.Ping(ctx)
+}
+
+// fleetDaemon is a daemon that watches the source and gossips.
+type fleetDaemon struct {
+	id      member.ServerID
+	source  *cutSource
+	configs *manifest.Store
+	node    *gossip.Node
+
+	mu  sync.Mutex
+	own member.Record
+}
+
+func (d *fleetDaemon) SetStoreUnreachable(unreachable bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own.StoreUnreachable = unreachable
+	d.own.Sequence++
+	d.node.Announce(d.own)
+}
+
+type nopDebugLogger struct{ discardLogger }
+
+func (nopDebugLogger) Debugf(string, ...any) {}
+
+// watchingFleet is a set of daemons that share a source and an in-memory network.
+type watchingFleet struct {
+	t       *testing.T
+	net     *gossiptest.Network
+	source  *source
+	daemons []*fleetDaemon
+}
+
+// runWatchingFleet runs f with count daemons in three failure domains, all of which
+// have version 1. It uses one processor: the race detector of Go 1.26 crashes when
+// two of them run timers of one bubble.
+func runWatchingFleet(t *testing.T, count int, f func(*watchingFleet)) {
+	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		fl := &watchingFleet{t: t, net: gossiptest.New(), source: newSource()}
+		fl.source.update(func() { fl.source.version = 1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		var tasks sync.WaitGroup
+		defer tasks.Wait()
+		defer cancel()
+		for i := range count {
+			fl.start(ctx, &tasks, i)
+		}
+		time.Sleep(10 * time.Second)
+		fl.requireVersion(1, fl.daemons)
+		f(fl)
+	})
+}
+
+func (f *watchingFleet) start(ctx context.Context, tasks *sync.WaitGroup, i int) {
+	id := member.ServerID(fmt.Sprintf("server-%d", i))
+	d := &fleetDaemon{id: id, source: &cutSource{source: f.source}, configs: manifest.NewStore()}
+	table := member.NewTable(id)
+	d.own = member.Record{Server: id, Incarnation: 1, State: member.Ready, Service: "lookup",
+		Domain: fmt.Sprintf("domain-%d", i%3), PeerAddress: string(id)}
+	seeds := []string{"server-0", "server-1", "server-2"}
+	d.node = gossip.NewNode(gossip.DefaultConfig(), id, d.own.Domain, seeds, f.net.Dialer(string(id)), table, d.configs, nopDebugLogger{})
+	d.node.Announce(d.own)
+	watcher := configwatch.New(configwatch.DefaultConfig(), id, d.own.Domain, d.source, table, d.configs, d, discardLogger{})
+	f.daemons = append(f.daemons, d)
+	tasks.Go(func() { _ = d.node.Run(ctx) })
+	tasks.Go(func() { f.net.Listen(ctx, string(id), d.node) })
+	tasks.Go(func() { _ = watcher.Run(ctx) })
+}
+
+// readers returns the daemons that read the source, and the others.
+func (f *watchingFleet) readers() (readers, others []*fleetDaemon) {
+	for _, d := range f.daemons {
+		if d.source.isWaiting() {
+			readers = append(readers, d)
+		} else {
+			others = append(others, d)
+		}
+	}
+	return readers, others
+}
+
+// cutPeers cuts the daemons off from all peers, each other included.
+func (f *watchingFleet) cutPeers(daemons []*fleetDaemon) {
+	isCut := func(address string) bool {
+		return slices.ContainsFunc(daemons, func(d *fleetDaemon) bool { return string(d.id) == address })
+	}
+	f.net.SetPartition(func(from, to string) bool { return isCut(from) || isCut(to) })
+}
+
+func setSourceCut(daemons []*fleetDaemon, cut bool) {
+	for _, d := range daemons {
+		d.source.setCut(cut)
+	}
+}
+
+func (f *watchingFleet) publish(version int) {
+	f.source.update(func() { f.source.version = version })
+}
+
+func (f *watchingFleet) requireVersion(want manifest.Version, daemons []*fleetDaemon) {
+	f.t.Helper()
+	for _, d := range daemons {
+		if got := d.configs.Snapshot().Version(); got != want {
+			f.t.Errorf("%s has version %d in force, want %d", d.id, got, want)
+		}
+	}
+}
+
+func TestChangeReachesConnectedDaemonsInTimeAfterAllReadersAreCutOff(t *testing.T) {
+	cases := map[string]func(*watchingFleet, []*fleetDaemon){
+		"from source and peers": func(f *watchingFleet, readers []*fleetDaemon) {
+			setSourceCut(readers, true)
+			f.cutPeers(readers)
+		},
+		"from source": func(_ *watchingFleet, readers []*fleetDaemon) { setSourceCut(readers, true) },
+		"from peers":  func(f *watchingFleet, readers []*fleetDaemon) { f.cutPeers(readers) },
+	}
+	for name, cut := range cases {
+		t.Run(name, func(t *testing.T) {
+			runWatchingFleet(t, 12, func(f *watchingFleet) {
+				readers, others := f.readers()
+				cut(f, readers)
+				time.Sleep(100 * time.Millisecond)
+				f.publish(2)
+				time.Sleep(changeBound)
+				f.requireVersion(2, others)
+			})
+		})
+	}
+}
+
+func TestChangeReachesDaemonWithoutPeersInTime(t *testing.T) {
+	runWatchingFleet(t, 9, func(f *watchingFleet) {
+		_, others := f.readers()
+		f.cutPeers(others[:1])
+		time.Sleep(100 * time.Millisecond)
+		f.publish(2)
+		time.Sleep(changeBound)
+		f.requireVersion(2, others[:1])
+	})
+}
+
+func TestChangeReachesDaemonsInTimeAfterTheirCutEnds(t *testing.T) {
+	runWatchingFleet(t, 9, func(f *watchingFleet) {
+		half := f.daemons[:5]
+		setSourceCut(half, true)
+		f.cutPeers(half)
+		time.Sleep(6 * time.Second)
+		f.publish(2)
+		setSourceCut(half, false)
+		f.net.SetPartition(nil)
+		time.Sleep(recoveryBound)
+		f.requireVersion(2, f.daemons)
+	})
+}
+
+func TestOneDaemonPerFailureDomainCallsSourceInSteadyState(t *testing.T) {
+	runWatchingFleet(t, 18, func(f *watchingFleet) {
+		before := make([]int, len(f.daemons))
+		for i, d := range f.daemons {
+			before[i] = d.source.callCount()
+		}
+		time.Sleep(time.Minute)
+		calling := map[string]int{}
+		for i, d := range f.daemons {
+			if d.source.callCount() > before[i] {
+				calling[d.own.Domain]++
+			}
+		}
+		for domain, n := range calling {
+			if n != 1 {
+				t.Errorf("%d daemons of %s call the source, want 1", n, domain)
+			}
+		}
+	})
+}
