Let every daemon tell how old its configuration is, and ask the store itself

Callers saw 404 for routes that had been added more than 2 s before, from hosts that reach the platform and their peers.

Cause: one daemon in each failure domain reads the platform's store, and it is replaced only once its peers suspect it (3 to 4.5 s after it was cut off) or its own watch times out (up to 5 s). The others could not tell a store without changes from a reader that is gone. When the readers of all failure domains are cut off together, nobody reads for longer than the 2 s that a change may take; with replacements cut off as well they tried one after another. Class: a bound that rests on a failure detector slower than the bound.

Change: the first reader of the fleet lets its watch end every 0.6 s. Its answer is a confirmation that nothing is newer, and spreads with the heartbeats as a number, the store's revision and an age. A daemon without a confirmation for 1 s asks the store itself and spreads what it gets, in the order of readers, so that few do. A confirmation with a known number is ignored, so that copies on the way cannot keep it young; one for a version that is not known here too. A watch that returned nothing starts again from the same revision, so that a change which the store failed to deliver is found. Why it works: the bound now counts from the last proof that the configuration was current, at each daemon, whatever failed and whoever noticed.

--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -18,7 +18,8 @@
 		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version)}
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: hello}}, nil
 	case *gossip.Heartbeat:
-		heartbeat := &peerpb.Heartbeat{Version: uint64(m.Version)}
+		heartbeat := &peerpb.Heartbeat{Version: uint64(m.Version), Confirmation: m.Confirmation.Number,
+			Revision: m.Confirmation.Revision, AgeMs: uint64(max(m.Confirmation.Age.Milliseconds(), 0))}
 		return &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: heartbeat}}, nil
 	case *gossip.Records:
 		records := &peerpb.Records{Records: encodeRecords(m.Records), Compared: m.FromAntiEntropy}
@@ -53,7 +54,7 @@
 	case *peerpb.Frame_Hello:
 		return decodeHello(b.Hello)
 	case *peerpb.Frame_Heartbeat:
-		return &gossip.Heartbeat{Version: manifest.Version(b.Heartbeat.GetVersion())}, nil
+		return decodeHeartbeat(b.Heartbeat), nil
 	case *peerpb.Frame_Records:
 		return decodeRecords(b.Records)
 	case *peerpb.Frame_Configuration:
@@ -77,6 +78,16 @@
 	return nil, fmt.Errorf("frame contains no known message")
 }
 
+// maxConfirmationAge bounds the age of a confirmation. Older ones are all the same
+// to a receiver.
+const maxConfirmationAge = time.Hour
+
+func decodeHeartbeat(in *peerpb.Heartbeat) *gossip.Heartbeat {
+	age := time.Duration(min(in.GetAgeMs(), uint64(maxConfirmationAge.Milliseconds()))) * time.Millisecond
+	confirmation := gossip.Confirmation{Number: in.GetConfirmation(), Revision: in.GetRevision(), Age: age}
+	return &gossip.Heartbeat{Version: manifest.Version(in.GetVersion()), Confirmation: confirmation}
+}
+
 func decodeHello(in *peerpb.Hello) (gossip.Message, error) {
 	if err := checkName("server", in.GetFrom()); err != nil {
 		return nil, err
--- a/adapters/peergrpc/contract_test.go
+++ b/adapters/peergrpc/contract_test.go
@@ -201,6 +201,7 @@
 	}
 	return []gossip.Message{
 		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3}, &gossip.Heartbeat{Version: 4},
+		&gossip.Heartbeat{Version: 4, Confirmation: gossip.Confirmation{Number: 7, Revision: 19, Age: 300 * time.Millisecond}},
 		&gossip.Records{Records: []member.Record{record}, FromAntiEntropy: true},
 		&gossip.Configuration{Update: update}, &gossip.Have{Versions: versions},
 		&gossip.Pull{Servers: []member.ServerID{"a"}, Configure: true, Version: 2, Graft: true},
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -74,9 +74,19 @@
 	return []telemetry.Metric{
 		{Name: "fescuehoist.platform.calls.failed", Description: "Calls to the platform without a usable response.", Monotonic: true,
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(o.store.FailedCalls()) }},
+		{Name: "fescuehoist.version.confirmation.age", Unit: "ms", Description: "Age of the latest confirmation that the known configuration version is the newest; no point before the first one.",
+			Read: o.confirmationAge},
 	}
 }
 
+func (o *objectPlatform) confirmationAge() []telemetry.Point {
+	c := o.d.configs.Confirmation()
+	if c.Number == 0 {
+		return nil
+	}
+	return telemetry.SinglePoint(uint64(time.Since(c.At).Milliseconds()))
+}
+
 func (o *objectPlatform) platformCalls() uint64 { return o.store.Calls() }
 
 func (o *objectPlatform) close() { o.store.Close() }
--- /dev/null
+++ b/mesh/configwatch/readers.go
@@ -0,0 +1,72 @@
+package configwatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuehoist.example/mesh/member"
+)
+
+// roles says which daemons read the source, as far as this daemon knows.
+type roles struct {
+	// reader reads for this daemon's failure domain.
+	reader member.ServerID
+	// confirming means that this daemon is the first reader of the fleet.
+	confirming bool
+	// rank is the number of daemons of the failure domain before this one in the
+	// order of readers, size the number of all.
+	rank rank
+}
+
+type rank struct{ position, size int }
+
+// chooseReaders determines who reads the source. The order of readers puts daemons
+// that can reach the source first, then those with the most bandwidth; ties are
+// broken by hash order. The first daemon of a failure domain reads for it.
+func (w *Watcher) chooseReaders() roles {
+	known, _ := w.members.Get(w.self)
+	own := member.Record{Server: w.self, LinkMbps: known.LinkMbps, StoreUnreachable: w.storeUnreachable}
+	first := &own
+	r := roles{confirming: true, rank: rank{size: 1}}
+	for _, m := range w.members.View().All() {
+		if m.Server == w.self || m.Terminal() || m.Health != member.Alive {
+			continue
+		}
+		precedesOwn := precedes(m, &own)
+		if precedesOwn {
+			r.confirming = false
+		}
+		if m.Domain != w.domain {
+			continue
+		}
+		r.rank.size++
+		if precedesOwn {
+			r.rank.position++
+		}
+		if precedes(m, first) {
+			first = m
+		}
+	}
+	r.reader = first.Server
+	return r
+}
+
+// precedes reports whether daemon a is before b in the order of readers.
+func precedes(a, b *member.Record) bool {
+	switch {
+	case a.StoreUnreachable != b.StoreUnreachable:
+		return b.StoreUnreachable
+	case a.LinkMbps != b.LinkMbps:
+		return a.LinkMbps > b.LinkMbps
+	}
+	return xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server))
+}
+
+// watchTimeout returns how long a call of this daemon waits for a change.
+func (r *roles) watchTimeout(cfg *Config) time.Duration {
+	if r.confirming {
+		return cfg.ConfirmInterval
+	}
+	return cfg.WatchTimeout
+}
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -1,6 +1,10 @@
 // Package configwatch watches the platform's object store for the configuration,
 // which operators write there as a whole, under version numbers of their own. One
 // daemon in each failure domain reads it; the others receive it by gossip.
+//
+// A daemon does not rely on the detection of failed readers, which takes longer
+// than a change may. Confirmations by the source spread with the heartbeats, and a
+// daemon that has not received one for a while asks the source itself.
 package configwatch
 
 import (
@@ -9,7 +13,6 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
@@ -51,33 +54,6 @@
 	Ping(ctx context.Context) error
 }
 
-// Config holds the settings of a Watcher.
-type Config struct {
-	// WatchTimeout is how long one call waits for a change. A source that no
-	// longer responds is detected after WatchTimeout plus CallTimeout.
-	WatchTimeout time.Duration
-	// CallTimeout bounds a call, in addition to the time that it waits for a
-	// change.
-	CallTimeout time.Duration
-	// RetryBase and RetryMax are the initial and the longest delay of the
-	// jittered exponential backoff after failed calls.
-	RetryBase, RetryMax time.Duration
-	// ProbeInterval is the mean time between the pings of a daemon that cannot
-	// reach the source while others of its failure domain can.
-	ProbeInterval time.Duration
-	// MinReadInterval is the shortest time between two reads of the source.
-	MinReadInterval time.Duration
-}
-
-// DefaultConfig returns the default settings.
-func DefaultConfig() Config {
-	return Config{
-		WatchTimeout: 4 * time.Second, CallTimeout: time.Second,
-		RetryBase: 100 * time.Millisecond, RetryMax: time.Second,
-		ProbeInterval: 2 * time.Second, MinReadInterval: 300 * time.Millisecond,
-	}
-}
-
 // Logger receives the log messages of a Watcher.
 type Logger interface {
 	Infof(format string, args ...any)
@@ -88,7 +64,8 @@
 // source.
 type Announcer interface{ SetStoreUnreachable(unreachable bool) }
 
-// Watcher reads the source while this daemon is the reader of its failure domain.
+// Watcher reads the source while this daemon is the reader of its failure domain,
+// and checks it on its own when no daemon has confirmed the configuration lately.
 type Watcher struct {
 	cfg       Config
 	self      member.ServerID
@@ -99,50 +76,60 @@
 	announcer Announcer
 	logger    Logger
 
-	revision         Revision
+	// reread means that the source no longer has the changes after the known
+	// revision.
+	reread           bool
 	storeUnreachable bool
 	// reader is the daemon that was last known to read for the failure domain.
 	reader member.ServerID
+	// probeAt is when a source that was unreachable is probed again.
+	probeAt time.Time
+	// checkAfter is the earliest time of the next check of the source; before the
+	// first confirmation it counts from the start.
+	checkAfter time.Time
+	checkDelay *backoff.ExponentialBackOff
 }
 
 // New returns a Watcher; Run starts it.
 func New(cfg Config, self member.ServerID, domain string, source Source, members *member.Table,
 	configs *manifest.Store, announcer Announcer, logger Logger) *Watcher {
-	return &Watcher{cfg: cfg, self: self, domain: domain, source: source, members: members, configs: configs, announcer: announcer, logger: logger}
+	return &Watcher{
+		cfg: cfg, self: self, domain: domain, source: source, members: members, configs: configs,
+		announcer: announcer, logger: logger, checkDelay: newBackOff(&cfg),
+	}
 }
 
-// Run reads the source while this daemon is the reader of its failure domain,
-// until ctx ends.
-func (w *Watcher) Run(ctx context.Context) error {
+func newBackOff(cfg *Config) *backoff.ExponentialBackOff {
 	delay := backoff.NewExponentialBackOff()
-	delay.InitialInterval, delay.MaxInterval = w.cfg.RetryBase, w.cfg.RetryMax
+	delay.InitialInterval, delay.MaxInterval = cfg.RetryBase, cfg.RetryMax
+	return delay
+}
+
+// Run keeps the configuration current until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	delay := newBackOff(&w.cfg)
+	w.checkAfter = time.Now().Add(w.cfg.CheckAge)
 	for ctx.Err() == nil {
 		changed := w.members.Changed()
-		w.updateReader()
-		switch {
-		case w.reader == w.self:
-			if w.readOnce(ctx) {
-				delay.Reset()
-				_ = wait.For(ctx, w.cfg.MinReadInterval)
-				continue
-			}
-			_ = wait.For(ctx, delay.NextBackOff())
-		case w.storeUnreachable:
-			w.probe(ctx)
-		default:
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
+		roles := w.chooseReaders()
+		w.logReader(roles.reader)
+		if roles.reader != w.self {
+			w.follow(ctx, roles.rank, changed)
+			continue
+		}
+		start := time.Now()
+		if w.read(ctx, roles.watchTimeout(&w.cfg)) {
+			delay.Reset()
+			_ = wait.For(ctx, w.cfg.MinReadInterval-time.Since(start))
+			continue
 		}
+		_ = wait.For(ctx, delay.NextBackOff())
 	}
 	return nil
 }
 
-// updateReader determines which daemon reads for the failure domain and logs a
-// change.
-func (w *Watcher) updateReader() {
-	reader := w.domainReader()
+// logReader logs a change of the daemon that reads for the failure domain.
+func (w *Watcher) logReader(reader member.ServerID) {
 	if reader == w.reader {
 		return
 	}
@@ -151,67 +138,55 @@
 	w.reader = reader
 }
 
-// domainReader returns the daemon that reads the source for this failure domain.
-// It is chosen among the daemons that can reach the source, or among all if none
-// can: the one with the most bandwidth, ties broken by hash order.
-func (w *Watcher) domainReader() member.ServerID {
-	own, _ := w.members.Get(w.self)
-	best := member.Record{Server: w.self, LinkMbps: own.LinkMbps, StoreUnreachable: w.storeUnreachable}
-	for _, m := range w.members.View().All() {
-		if m.Server != w.self && m.Domain == w.domain && !m.Terminal() && m.Health == member.Alive && precedes(m, &best) {
-			best = *m
-		}
+// read makes one call to the source as the reader of the failure domain. It
+// reports whether the source responded and has a configuration.
+func (w *Watcher) read(ctx context.Context, limit time.Duration) bool {
+	err := w.callSource(ctx, limit)
+	if ctx.Err() != nil {
+		return false
 	}
-	return best.Server
+	w.setReachable(err == nil || errors.Is(err, ErrNoConfiguration), err)
+	return err == nil
 }
 
-// precedes reports whether daemon a is preferred to b as a reader.
-func precedes(a, b *member.Record) bool {
-	switch {
-	case a.StoreUnreachable != b.StoreUnreachable:
-		return b.StoreUnreachable
-	case a.LinkMbps != b.LinkMbps:
-		return a.LinkMbps > b.LinkMbps
+// callSource makes one call to the source, which waits for a change for limit at
+// most, and records what it returns. A source that has dropped its history has
+// responded, too; the next call reads the whole configuration.
+func (w *Watcher) callSource(ctx context.Context, limit time.Duration) error {
+	known := w.configs.Confirmation().Revision
+	if known == 0 || w.reread {
+		limit = 0
 	}
-	return xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server))
-}
-
-// readOnce makes one call to the source and applies the configuration that it
-// returns. It reports whether the source responded and has a configuration.
-func (w *Watcher) readOnce(ctx context.Context) bool {
-	c, revision, err := w.callSource(ctx)
+	start := time.Now()
+	c, revision, err := w.query(ctx, Revision(known), limit)
 	switch {
 	case err == nil:
-		w.revision = revision
+		w.reread = false
 		w.apply(c)
-	case errors.Is(err, ErrUnchanged):
-		w.revision = revision
 	case errors.Is(err, ErrCompacted):
-		w.logger.Infof("the platform's store has dropped the changes after revision %d, reading the whole configuration", w.revision)
-		w.revision = 0
-	case errors.Is(err, ErrNoConfiguration):
-		w.setReachable(true, nil)
-		return false
-	case ctx.Err() != nil:
-		return false
-	default:
-		w.setReachable(false, err)
-		return false
+		w.logger.Infof("the platform's store has dropped the changes after revision %d, reading the whole configuration", known)
+		w.reread = true
+		return nil
+	case !errors.Is(err, ErrUnchanged):
+		return err
 	}
-	w.setReachable(true, nil)
+	// An answer that was delayed on its way says nothing about the time after the
+	// source gave it.
+	at := start.Add(min(time.Since(start), limit))
+	w.configs.ConfirmFromSource(uint64(revision), at)
 	w.configs.SkipQuorum()
-	return true
+	return nil
 }
 
-func (w *Watcher) callSource(ctx context.Context) (*Configuration, Revision, error) {
-	if w.revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, w.cfg.CallTimeout)
-		defer cancel()
+// query waits for a change after a revision, or reads the whole configuration if
+// the changes since then are unknown.
+func (w *Watcher) query(ctx context.Context, after Revision, limit time.Duration) (*Configuration, Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit+w.cfg.CallTimeout)
+	defer cancel()
+	if after == 0 || w.reread {
 		return w.source.Latest(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.cfg.WatchTimeout+w.cfg.CallTimeout)
-	defer cancel()
-	return w.source.Next(ctx, w.revision, w.cfg.WatchTimeout)
+	return w.source.Next(ctx, after, limit)
 }
 
 func (w *Watcher) apply(c *Configuration) {
@@ -232,6 +207,7 @@
 		return
 	}
 	w.storeUnreachable = !reachable
+	w.probeAt = time.Now().Add(wait.Jitter(w.cfg.ProbeInterval))
 	w.announcer.SetStoreUnreachable(w.storeUnreachable)
 	if w.storeUnreachable {
 		w.logger.Warnf("the platform's store is unreachable, leaving it to other daemons of the failure domain and retrying: %v", err)
@@ -239,16 +215,3 @@
 	}
 	w.logger.Infof("the platform's store is reachable again")
 }
-
-// probe pings the source after a jittered ProbeInterval and records it as
-// reachable if it responds.
-func (w *Watcher) probe(ctx context.Context) {
-	if wait.For(ctx, wait.Jitter(w.cfg.ProbeInterval)) != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, w.cfg.CallTimeout)
-	defer cancel()
-	if w.source.Ping(ctx) == nil {
-		w.setReachable(true, nil)
-	}
-}
--- a/mesh/gossip/message.go
+++ b/mesh/gossip/message.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
@@ -28,7 +29,20 @@
 
 // Heartbeat tells the receiver that the sender is alive and which version it
 // knows.
-type Heartbeat struct{ Version manifest.Version }
+type Heartbeat struct {
+	Version manifest.Version
+	// Confirmation is the latest confirmation by the source, or zero if the
+	// receiver already has it.
+	Confirmation Confirmation
+}
+
+// Confirmation is a manifest.Confirmation with its age in place of a time, since
+// the clocks of two daemons cannot be compared.
+type Confirmation struct {
+	Number   uint64
+	Revision uint64
+	Age      time.Duration
+}
 
 // Records carries records that the receiver may be missing.
 type Records struct {
--- a/mesh/gossip/peer.go
+++ b/mesh/gossip/peer.go
@@ -37,6 +37,9 @@
 	// to have, sentVersion the one whose content was last sent to it and
 	// advertisedVersion the one last sent to it as a number.
 	knownVersion, sentVersion, advertisedVersion manifest.Version
+	// confirmation is the highest number of a confirmation that the peer has or
+	// was sent.
+	confirmation uint64
 	// configPulled means that the peer pulled configuration.
 	configPulled bool
 	// antiEntropyDue means that an anti-entropy exchange should start.
--- a/mesh/gossip/stream.go
+++ b/mesh/gossip/stream.go
@@ -97,6 +97,7 @@
 	switch m := m.(type) {
 	case *Heartbeat:
 		p.observeVersion(m.Version)
+		n.receiveConfirmation(p, m)
 		p.addMissing(nil, m.Version > n.configs.KnownVersion())
 	case *Records:
 		n.receiveRecords(p, m)
@@ -237,7 +238,7 @@
 	graftScheduled, antiEntropyDue := true, false
 	var lastFlush time.Time
 	for {
-		changed := n.configs.Changed()
+		changed, confirmed := n.configs.Changed(), n.configs.Confirmed()
 		sent, err := n.flush(p)
 		if err != nil {
 			return err
@@ -265,7 +266,12 @@
 				graftTimer.Reset(wait.Jitter(n.cfg.GraftDelay))
 			}
 		case <-heartbeat.C:
-			err = p.link.Send(&Heartbeat{Version: n.configs.KnownVersion()})
+			err = p.link.Send(n.heartbeat(p))
+		case <-confirmed:
+			if n.configs.Confirmation().Number > p.confirmationNumber() {
+				heartbeat.Reset(n.cfg.HeartbeatInterval)
+				err = p.link.Send(n.heartbeat(p))
+			}
 		case <-antiEntropyTimer.C:
 			antiEntropyDue = true
 			n.pullFaulty(p)
@@ -349,7 +355,7 @@
 		}
 	}
 	if p.markAdvertised(known) {
-		return []Message{&Heartbeat{Version: known}}
+		return []Message{n.heartbeat(p)}
 	}
 	return nil
 }
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -36,6 +36,10 @@
 	refusal, rejection *Refusal
 	quorum             *sourceQuorum
 	changed            chan struct{}
+	// confirmation is the latest confirmation by the source; confirmed is closed
+	// and replaced at the next one.
+	confirmation Confirmation
+	confirmed    chan struct{}
 
 	inForce atomic.Pointer[Snapshot]
 }
@@ -43,7 +47,8 @@
 // NewStore returns a store at version 0.
 func NewStore() *Store {
 	empty := &Snapshot{services: map[string]*target.Service{}}
-	store := &Store{known: &Table{}, contents: map[target.Digest]*content{}, newestValid: empty, changed: make(chan struct{})}
+	store := &Store{known: &Table{}, contents: map[target.Digest]*content{}, newestValid: empty,
+		changed: make(chan struct{}), confirmed: make(chan struct{})}
 	store.inForce.Store(empty)
 	return store
 }
