Do not take the store for unreachable when its configuration is malformed

What callers would see: after an object that cannot be decoded was written as the configuration, each reader in turn announces that the store is unreachable, and all daemons of a failure domain go over to retries and pings. The next valid version then waits for them.

Cause: the watcher knew answers, outages and nothing between. A configuration that cannot be decoded counted as an outage, was read again at each retry, and was shown nowhere but on that line.

Change: the source reports it as malformed, with the revision from which the next watch continues. The version in force stays, the refusal is shown as that of any other version, and the source counts as having answered, so that the confirmation spreads and nobody else reads the same object.

--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -27,6 +27,9 @@
 	// ErrCompacted means that the source has dropped the changes after the
 	// requested revision.
 	ErrCompacted = errors.New("the source has dropped the changes after the requested revision")
+	// ErrMalformed means that the source responded with a configuration that
+	// cannot be decoded.
+	ErrMalformed = errors.New("malformed configuration")
 	// ErrNoConfiguration means that no configuration was written yet.
 	ErrNoConfiguration = errors.New("there is no configuration yet")
 )
@@ -43,12 +46,12 @@
 
 // Source provides the configurations that operators write.
 type Source interface {
-	// Latest returns the newest configuration and its revision, or
-	// ErrNoConfiguration.
+	// Latest returns the newest configuration and its revision,
+	// ErrNoConfiguration, or ErrMalformed with the revision.
 	Latest(ctx context.Context) (*Configuration, Revision, error)
 	// Next waits for a configuration after a revision, for limit at most. It
-	// returns ErrUnchanged with the revision from which the next call continues,
-	// or ErrCompacted.
+	// returns ErrUnchanged or ErrMalformed with the revision from which the next
+	// call continues, or ErrCompacted.
 	Next(ctx context.Context, after Revision, limit time.Duration) (*Configuration, Revision, error)
 	// Ping makes a cheap call that returns nil if the source is reachable.
 	Ping(ctx context.Context) error
@@ -163,6 +166,9 @@
 	case err == nil:
 		w.reread = false
 		w.apply(c)
+	case errors.Is(err, ErrMalformed):
+		w.reread = false
+		w.reject(err)
 	case errors.Is(err, ErrCompacted):
 		w.logger.Infof("the platform's store has dropped the changes after revision %d, reading the whole configuration", known)
 		w.reread = true
@@ -200,6 +206,13 @@
 	}
 }
 
+// reject records a configuration that cannot be decoded. The known version stays
+// in force until a later one is written.
+func (w *Watcher) reject(err error) {
+	w.logger.Warnf("configuration not applied, keeping version %d: %v", w.configs.KnownVersion(), err)
+	w.configs.SetRejection(manifest.NewRefusal(0, "", "expected a configuration, found: %v", err))
+}
+
 // setReachable records whether the source is reachable and announces a change to
 // the peers. The error is logged if it is not.
 func (w *Watcher) setReachable(reachable bool, err error) {
--- a/mesh/configwatch/watcher_test.go
+++ b/mesh/configwatch/watcher_test.go
@@ -24,6 +24,7 @@
 	version   int
 	down      bool
 	compacted bool
+	malformed bool
 	changed   chan struct{}
 	reads     int
 }
@@ -39,6 +40,9 @@
 }
 
 func (s *source) configuration() (*configwatch.Configuration, configwatch.Revision, error) {
+	if s.malformed {
+		return nil, configwatch.Revision(s.version), configwatch.ErrMalformed
+	}
 	class := target.Class{Name: "search", Path: "/", Rank: 1, Latency: time.Second, Timeout: time.Second, Success: 0.9}
 	return &configwatch.Configuration{
 		Version:  manifest.Version(s.version),
@@ -66,7 +70,7 @@
 		s.mu.Lock()
 		s.reads++
 		down, compacted, newer, changed := s.down, s.compacted, configwatch.Revision(s.version) > after, s.changed
-		c, revision, _ := s.configuration()
+		c, revision, err := s.configuration()
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -74,7 +78,7 @@
 		case compacted:
 			return nil, 0, configwatch.ErrCompacted
 		case newer:
-			return c, revision, nil
+			return c, revision, err
 		}
 		select {
 		case <-changed:
@@ -182,6 +186,26 @@
 	}
 }
 
+func TestWatcherKeepsVersionWhileConfigurationIsMalformed(t *testing.T) {
+	s := newSource()
+	s.update(func() { s.version = 4 })
+	d := start(t, s, "a")
+	await(t, "the first version", d.hasVersion(4))
+	s.update(func() { s.version, s.malformed = 5, true })
+	await(t, "the refusal", func() bool { return d.configs.Refusal() != nil })
+	if !d.hasVersion(4)() {
+		t.Errorf("version %d in force, want 4", d.configs.Snapshot().Version())
+	}
+	if d.storeUnreachable("a")() {
+		t.Error("store announced as unreachable although it responded")
+	}
+	s.update(func() { s.version, s.malformed = 6, false })
+	await(t, "the next valid version", d.hasVersion(6))
+	if r := d.configs.Refusal(); r != nil {
+		t.Errorf("refusal %v remains after a valid version", r)
+	}
+}
+
 // nameAfter returns a name that follows another in hash order.
 func nameAfter(other string) string {
 	for name := "a"; ; name += "a" {
