Log what a backend server says about itself in its answers

Nothing acts on it yet. A limit that is no number, negative or without bound is ignored with a line at debug level.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -16,10 +16,18 @@
 
 var errNoBackend = errors.New("no backend server has announced its address")
 
+// NoticeObserver receives what the backend server says about itself in its answers.
+type NoticeObserver interface {
+	ObserveNotice(instance string, n call.Notice)
+	ObserveInvalidNotice(instance string, err error)
+}
+
 // Client makes calls to one backend server, whose address may change.
 type Client struct {
 	// Dialect encodes the metadata of calls; nil means callhttp.Native.
 	Dialect callhttp.Dialect
+	// Notices may be nil.
+	Notices NoticeObserver
 
 	mu      sync.Mutex
 	address string
@@ -71,12 +79,29 @@
 	if err := pool.DoWith(ctx, req, resp, o); err != nil {
 		return nil, err
 	}
-	if refusal := dialect.Refusal(r, resp); refusal != nil {
+	refusal := dialect.Refusal(r, resp)
+	if refusal == nil || refusal.Reason != call.Misdirected {
+		c.observeNotice(r.Instance, resp)
+	}
+	if refusal != nil {
 		return nil, refusal
 	}
 	return callhttp.ReadAnswer(resp), nil
 }
 
+// observeNotice passes on the notice in an answer of the instance that the call was
+// addressed to.
+func (c *Client) observeNotice(instance string, resp *fasthttp.Response) {
+	if c.Notices == nil {
+		return
+	}
+	n, err := c.dialect().Notice(resp)
+	if err != nil {
+		c.Notices.ObserveInvalidNotice(instance, err)
+	}
+	c.Notices.ObserveNotice(instance, n)
+}
+
 func (c *Client) currentPool() *httpconn.Pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
