Keep to the limit of requests a second that a backend server names

Cause: nothing on the path of a call knew the header; the gate bounds how many calls run at once, not how many are sent. A server that is in need and still answers quickly frees its slots quickly and gets more. Class: a word of the other side that is passed on unread.

Change: the gate beside the backend server counts what it sends with a token bucket of a quarter of a second at the named rate. Queued calls go by rank, three quarters of the bucket are kept for more urgent classes with recent calls, and what would wait too long is refused at once. The load that other daemons see shrinks to the calls that run at that rate.

--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -21,9 +21,19 @@
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Queued)) }},
 		{Name: "fescuehoist.backend.calls.limit", Description: "Limit of concurrent calls at the backend server.",
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Limit)) }},
+		{Name: "fescuehoist.backend.rate.limit", Unit: "mHz", Description: "Requests in 1,000 s that the backend server takes; no point without a limit.",
+			Read: d.rateLimit},
 	}
 }
 
+func (d *Daemon) rateLimit() []telemetry.Point {
+	limit := d.gate.RateLimit()
+	if limit == 0 {
+		return nil
+	}
+	return telemetry.SinglePoint(uint64(limit * 1000))
+}
+
 func (d *Daemon) controlMetrics() []telemetry.Metric {
 	return []telemetry.Metric{
 		{Name: "fescuehoist.version", Description: "Configuration version: the one in force and the highest known.", Label: "kind",
--- a/fescuehoistd/daemon/notices.go
+++ b/fescuehoistd/daemon/notices.go
@@ -8,9 +8,10 @@
 	"fescuehoist.example/mesh/call"
 )
 
-// notices logs what the backend server beside the daemon says about itself in its
-// answers.
+// notices passes on what the backend server beside the daemon says about itself in
+// its answers, and logs changes of it.
 type notices struct {
+	gate   interface{ ObserveNotice(n call.Notice) }
 	logger *logrus.Entry
 
 	mu       sync.Mutex
@@ -18,23 +19,33 @@
 	last     call.Notice
 }
 
-// ObserveNotice logs a notice that differs from the one before.
+// ObserveNotice applies a notice of an instance.
 func (n *notices) ObserveNotice(instance string, notice call.Notice) {
+	n.gate.ObserveNotice(notice)
+	n.logChange(instance, notice)
+}
+
+// logChange logs a notice that differs from the one before.
+func (n *notices) logChange(instance string, notice call.Notice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if instance == n.instance && notice == n.last {
+	last := n.last
+	if instance != n.instance {
+		last = call.Notice{}
+	}
+	n.instance, n.last = instance, notice
+	if notice == last {
 		return
 	}
-	entry := n.logger.WithFields(logrus.Fields{"instance": instance, "limit": notice.RateLimit, "limit_was": n.last.RateLimit})
+	entry := n.logger.WithFields(logrus.Fields{"instance": instance, "limit": notice.RateLimit, "limit_was": last.RateLimit})
 	switch {
-	case notice.Leaving && !(n.last.Leaving && instance == n.instance):
+	case notice.Leaving && !last.Leaving:
 		entry.Info("backend server says that it leaves")
 	case notice.RateLimited:
 		entry.Info("backend server names a limit")
-	case n.last.RateLimited:
+	case last.RateLimited:
 		entry.Info("backend server names no limit any more")
 	}
-	n.instance, n.last = instance, notice
 }
 
 // ObserveInvalidNotice logs a notice that cannot be read.
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -19,6 +19,11 @@
 	proxy.Gate
 	announce.Gate
 	Load() call.Load
+	// ObserveNotice applies what the backend server says about itself.
+	ObserveNotice(n call.Notice)
+	// RateLimit returns the requests a second that the backend server takes, 0
+	// without a limit.
+	RateLimit() float64
 	// Idle reports whether the gate is closed or draining and no calls run or
 	// wait.
 	Idle() bool
--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -90,6 +90,15 @@
 	c.demand += (float64(c.running+c.queue.len()) - c.demand) * (1 - math.Exp(-float64(elapsed)/float64(demandWindow)))
 }
 
+// recentDemand returns the mean demand, less what has passed since its last change
+// if there are no calls now.
+func (c *class) recentDemand(now time.Time) float64 {
+	if c.running+c.queue.len() > 0 {
+		return c.demand
+	}
+	return c.demand * math.Exp(-float64(now.Sub(c.demandAt))/float64(demandWindow))
+}
+
 // precedes orders classes by rank, and those of the same rank by virtual start
 // time.
 func (c *class) precedes(other *class) bool {
@@ -102,9 +111,9 @@
 // charge counts one call against the guaranteed share of the class. A class
 // that had less than its share catches up by at most one service time; one that
 // had more waits for at most one call.
-func (c *class) charge(now time.Time, limit float64) {
+func (c *class) charge(now time.Time, limit float64, rate *rateLimit) {
 	guaranteed := max(c.target.GuaranteedShare*limit, minSlots)
-	cost := time.Duration(float64(c.serviceTime) / guaranteed)
+	cost := max(time.Duration(float64(c.serviceTime)/guaranteed), rate.interval(c.target.GuaranteedShare))
 	if earliest := now.Add(-c.serviceTime); c.virtualStart.Before(earliest) {
 		c.virtualStart = earliest
 	}
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -23,13 +23,16 @@
 // that has been below its guaranteed share for longest, then to the most urgent
 // class; within a class, clients are served by fair queueing.
 type Gate struct {
-	mu       sync.Mutex
-	limit    limiter
-	running  int
-	queued   int
-	classes  classes
-	draining bool
-	idle     chan struct{}
+	mu    sync.Mutex
+	limit limiter
+	rate  rateLimit
+	// refillTimer fills free slots once the rate limit permits another request.
+	refillTimer *time.Timer
+	running     int
+	queued      int
+	classes     classes
+	draining    bool
+	idle        chan struct{}
 }
 
 // waiter is a call at the gate.
@@ -70,6 +73,26 @@
 	g.fillSlots(time.Now())
 }
 
+// ObserveNotice applies the rate limit that the backend server names in an answer.
+func (g *Gate) ObserveNotice(n call.Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !n.RateLimited && !g.rate.limited() {
+		return
+	}
+	now := time.Now()
+	g.rate.observe(n, now)
+	g.fillSlots(now)
+}
+
+// RateLimit returns the requests a second that the backend server takes, 0 without
+// a limit.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate.perSecond
+}
+
 // Enter waits for a slot. The caller must call the returned function with the
 // call's error when the call has ended. An error of Enter is a *call.Failure
 // with verdict NotRun.
@@ -147,6 +170,7 @@
 	if refusal := g.enqueue(w, bucketOf(r.Client)); refusal != nil {
 		return nil, refusal
 	}
+	g.awaitRefill(now)
 	return w, nil
 }
 
@@ -161,7 +185,8 @@
 // the queue is full and displace finds no call to remove.
 func (g *Gate) enqueue(w *waiter, b bucket) *call.Failure {
 	c := w.class
-	if g.estimateWait(c, c.queue.position(b)) > w.expires.Sub(w.arrived) {
+	position := c.queue.position(b)
+	if max(g.estimateWait(c, position), g.estimateRateWait(c, position, w.arrived)) > w.expires.Sub(w.arrived) {
 		return call.Refuse(call.Overloaded, errTooLate)
 	}
 	if c.queue.len() >= g.limit.value()*QueuePerSlot {
@@ -183,6 +208,28 @@
 	return time.Duration(float64(position) * float64(c.serviceTime) / slots)
 }
 
+// estimateRateWait estimates how long the call at a position of a class's queue
+// waits because of the rate limit.
+func (g *Gate) estimateRateWait(c *class, position int, now time.Time) time.Duration {
+	for _, other := range g.classes {
+		if other.target.Rank < c.target.Rank {
+			position += other.queue.len()
+		}
+	}
+	return g.rate.wait(float64(position-1)+g.tokensFor(c, now), now)
+}
+
+// tokensFor returns the tokens that the rate limit must hold for a call of a class
+// to start: one, and those kept for more urgent classes with recent demand.
+func (g *Gate) tokensFor(c *class, now time.Time) float64 {
+	for _, other := range g.classes {
+		if other.target.Rank < c.target.Rank && other.recentDemand(now) > unreservedDemand {
+			return 1 + urgentTokens*(g.rate.capacity()-1)
+		}
+	}
+	return 1
+}
+
 // availableSlots estimates the slots that serve a class: those that more urgent
 // classes do not use and that less urgent ones are not guaranteed.
 func (g *Gate) availableSlots(c *class) float64 {
@@ -205,7 +252,10 @@
 // reserved for more urgent ones.
 func (g *Gate) mayStart(c *class, now time.Time) bool {
 	if c.belowGuarantee(now) {
-		return true
+		return g.rate.wait(1, now) == 0
+	}
+	if g.rate.wait(g.tokensFor(c, now), now) > 0 {
+		return false
 	}
 	limit := float64(g.limit.value())
 	running, unreserved := 0, limit
@@ -241,7 +291,7 @@
 		if c.queue.len() == 0 {
 			continue
 		}
-		if c.belowGuarantee(now) && (starved == nil || c.virtualStart.Before(starved.virtualStart)) {
+		if c.belowGuarantee(now) && g.mayStart(c, now) && (starved == nil || c.virtualStart.Before(starved.virtualStart)) {
 			starved = c
 		}
 		if (urgent == nil || c.precedes(urgent)) && g.mayStart(c, now) {
@@ -301,8 +351,37 @@
 	g.limit.observe(w.class.observeServiceTime(elapsed, unloaded), g.running)
 }
 
+// awaitRefill makes the queued calls go on once the rate limit permits one. Calls
+// that wait for a slot go on when it becomes free.
+func (g *Gate) awaitRefill(now time.Time) {
+	if g.queued == 0 || !g.rate.limited() {
+		return
+	}
+	tokens := math.Inf(1)
+	for _, c := range g.classes {
+		if c.queue.len() > 0 {
+			tokens = min(tokens, g.tokensFor(c, now))
+		}
+	}
+	pause := g.rate.wait(tokens, now)
+	if pause == 0 {
+		return
+	}
+	if g.refillTimer != nil {
+		g.refillTimer.Reset(pause)
+		return
+	}
+	g.refillTimer = time.AfterFunc(pause, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.fillSlots(time.Now())
+		g.signalIdle()
+	})
+}
+
 // fillSlots admits queued calls to the free slots.
 func (g *Gate) fillSlots(now time.Time) {
+	defer g.awaitRefill(now)
 	for g.running < g.limit.value() && g.queued > 0 {
 		c := g.nextClass(now)
 		if c == nil {
@@ -320,8 +399,9 @@
 
 func (g *Gate) admit(w *waiter, now time.Time) {
 	g.running++
+	g.rate.take()
 	w.class.running++
-	w.class.charge(now, float64(g.limit.value()))
+	w.class.charge(now, float64(g.limit.value()), &g.rate)
 	w.started = now
 	close(w.decided)
 }
@@ -400,6 +480,7 @@
 		load.Queued = g.queued
 		return load
 	}
+	load.Limit = g.rate.concurrency(load.Limit, c.serviceTime)
 	load.ServiceTime = c.serviceTime
 	for _, other := range g.classes {
 		if other.target.Rank <= c.target.Rank {
--- /dev/null
+++ b/mesh/admit/rate.go
@@ -0,0 +1,92 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"fescuehoist.example/mesh/call"
+)
+
+const (
+	// rateBurst is the time for which unused requests of a rate limit are kept.
+	rateBurst = 250 * time.Millisecond
+	// minRate is the least rate in requests a second. Only answers can tell that a
+	// backend server takes more again, so that it must go on getting some.
+	minRate = 0.5
+	// urgentTokens is the share of the unused requests that are kept for more urgent
+	// classes.
+	urgentTokens = 0.75
+	// rateLimitHold is how long a rate limit lasts at least after the backend
+	// server named it, whatever answers without one arrive late.
+	rateLimitHold = time.Second
+)
+
+// rateLimit bounds the requests that a backend server gets in any period, as a
+// token bucket. The zero value has no limit.
+type rateLimit struct {
+	// perSecond is the rate, 0 without a limit.
+	perSecond float64
+	namedAt   time.Time
+	tokens    float64
+	updatedAt time.Time
+}
+
+// observe applies what a backend server says in an answer.
+func (r *rateLimit) observe(n call.Notice, now time.Time) {
+	switch {
+	case n.RateLimited:
+		r.refill(now)
+		r.perSecond, r.namedAt = max(n.RateLimit, minRate), now
+		r.tokens = min(r.tokens, r.capacity())
+	case r.limited() && now.Sub(r.namedAt) > rateLimitHold:
+		*r = rateLimit{}
+	}
+}
+
+func (r *rateLimit) limited() bool { return r.perSecond > 0 }
+
+// capacity returns the most tokens that the bucket holds.
+func (r *rateLimit) capacity() float64 { return max(r.perSecond*rateBurst.Seconds(), 1) }
+
+// refill adds the tokens of the time since the last update.
+func (r *rateLimit) refill(now time.Time) {
+	if r.limited() {
+		r.tokens = min(r.tokens+r.perSecond*now.Sub(r.updatedAt).Seconds(), r.capacity())
+	}
+	r.updatedAt = now
+}
+
+// wait returns the time until the bucket holds a number of tokens, 0 if it does.
+func (r *rateLimit) wait(tokens float64, now time.Time) time.Duration {
+	if !r.limited() {
+		return 0
+	}
+	r.refill(now)
+	missing := tokens - r.tokens
+	return max(time.Duration(missing/r.perSecond*float64(time.Second)), 0)
+}
+
+// interval returns the time between the requests of a class that is guaranteed a
+// share of the rate, 0 without a limit or a share.
+func (r *rateLimit) interval(share float64) time.Duration {
+	if !r.limited() || share <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / (share * r.perSecond))
+}
+
+// take counts one request.
+func (r *rateLimit) take() {
+	if r.limited() {
+		r.tokens--
+	}
+}
+
+// concurrency returns how many calls run at once, slots at most, if calls of a
+// service time are sent at the rate.
+func (r *rateLimit) concurrency(slots int, serviceTime time.Duration) int {
+	if !r.limited() || serviceTime == 0 {
+		return slots
+	}
+	return min(max(int(math.Ceil(r.perSecond*serviceTime.Seconds())), 1), slots)
+}
