Send no requests to a backend server that says in its answers that it leaves

What backend servers see: requests that reach them more than two seconds after they said in an answer that they leave, if the status report that says so was lost, late, or never sent.

Only status reports removed a backend server from the routes.

Change: the daemon beside the server withdraws it, as after a status report: it is out of the routes at once and refuses calls after a second. The notice also travels with the answer, and each daemon that passes it on leaves out that instance for good, since it is bound by what it has itself seen, whether or not the record of the server reaches it and whether or not the other daemon still knows.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -80,26 +80,30 @@
 		return nil, err
 	}
 	refusal := dialect.Refusal(r, resp)
-	if refusal == nil || refusal.Reason != call.Misdirected {
-		c.observeNotice(r.Instance, resp)
+	if refusal != nil && refusal.Reason == call.Misdirected {
+		return nil, refusal
 	}
+	notice := c.observeNotice(r.Instance, resp)
 	if refusal != nil {
 		return nil, refusal
 	}
-	return callhttp.ReadAnswer(resp), nil
+	answer := callhttp.ReadAnswer(resp)
+	answer.Leaving = notice.Leaving
+	return answer, nil
 }
 
-// observeNotice passes on the notice in an answer of the instance that the call was
-// addressed to.
-func (c *Client) observeNotice(instance string, resp *fasthttp.Response) {
+// observeNotice returns the notice in an answer of the instance that the call was
+// addressed to, and passes it on.
+func (c *Client) observeNotice(instance string, resp *fasthttp.Response) call.Notice {
+	n, err := c.dialect().Notice(resp)
 	if c.Notices == nil {
-		return
+		return n
 	}
-	n, err := c.dialect().Notice(resp)
 	if err != nil {
 		c.Notices.ObserveInvalidNotice(instance, err)
 	}
 	c.Notices.ObserveNotice(instance, n)
+	return n
 }
 
 func (c *Client) currentPool() *httpconn.Pool {
--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -143,6 +143,7 @@
 		return nil, &call.Failure{Verdict: verdict, Reason: reason, Err: errRemoteFailure, Load: load}
 	}
 	a := ReadAnswer(resp)
+	a.Leaving = len(resp.Header.Peek(headerLeaving)) > 0
 	a.Load = parseLoad(string(resp.Header.Peek(headerLoad)))
 	return a, nil
 }
--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -82,6 +82,9 @@
 	}
 	writeAnswer(answer, resp)
 	resp.Header.Set(HeaderVerdict, call.Ran.String())
+	if answer.Leaving {
+		resp.Header.Set(headerLeaving, "1")
+	}
 	writeLoad(answer.Load, resp)
 }
 
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -57,6 +57,8 @@
 	headerInstance = "F-Instance"
 	// headerCall is the number of a request; the answer repeats it.
 	headerCall = "F-Call"
+	// headerLeaving is set in answers of a backend server that will stop soon.
+	headerLeaving = "F-Leaving"
 )
 
 // hopByHop lists the fields that describe a single connection, not the message.
@@ -72,7 +74,7 @@
 	HeaderVerdict: true, HeaderReason: true, HeaderClient: true, HeaderTimeout: true, HeaderDepth: true,
 	HeaderAttempts: true, headerMesh: true, headerServer: true, headerService: true, headerClass: true,
 	headerAttempt: true, headerLoad: true, headerElapsed: true, headerSuspect: true, headerCall: true, headerControl: true,
-	headerID: true, headerOrigin: true, headerInstance: true,
+	headerID: true, headerOrigin: true, headerInstance: true, headerLeaving: true,
 }
 
 func isEndToEnd(name string) bool { return !hopByHop[name] && !meshFields[name] }
--- a/fescuehoistd/daemon/notices.go
+++ b/fescuehoistd/daemon/notices.go
@@ -11,18 +11,23 @@
 // notices passes on what the backend server beside the daemon says about itself in
 // its answers, and logs changes of it.
 type notices struct {
-	gate   interface{ ObserveNotice(n call.Notice) }
-	logger *logrus.Entry
+	gate      interface{ ObserveNotice(n call.Notice) }
+	announcer interface{ Withdraw(instance string) bool }
+	logger    *logrus.Entry
 
 	mu       sync.Mutex
 	instance string
 	last     call.Notice
 }
 
-// ObserveNotice applies a notice of an instance.
+// ObserveNotice applies a notice of an instance. One that leaves is withdrawn even
+// if it announces nothing of the kind.
 func (n *notices) ObserveNotice(instance string, notice call.Notice) {
 	n.gate.ObserveNotice(notice)
 	n.logChange(instance, notice)
+	if notice.Leaving {
+		n.announcer.Withdraw(instance)
+	}
 }
 
 // logChange logs a notice that differs from the one before.
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -78,6 +78,8 @@
 	Body   []byte
 	// Load is zero if the answer carried none.
 	Load Load
+	// Leaving means that the backend server says that it will stop soon.
+	Leaving bool
 }
 
 // Status codes that affect decisions.
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -171,6 +171,9 @@
 	outcome := route.Outcome{Class: r.ClassName}
 	if answer != nil {
 		outcome.Load, outcome.Size = answer.Load, len(r.Body)+len(answer.Body)
+		if answer.Leaving {
+			outcome.LeavingInstance = r.Instance
+		}
 	}
 	switch {
 	case err != nil:
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -104,6 +104,9 @@
 	Load call.Load
 	// Failure is nil if the call was answered.
 	Failure *call.Failure
+	// LeavingInstance is the instance of the server if its answer says that it will
+	// stop soon.
+	LeavingInstance string
 }
 
 // Pick compares some random servers that were not tried, most of them from the
@@ -178,7 +181,7 @@
 
 // excluded reports whether the call must not go to a server.
 func (p *Picker) excluded(q *Query, r *member.Record) bool {
-	return slices.Contains(q.Tried, r.Server) || (!q.AllowUnreachable && p.isUnreachable(r))
+	return slices.Contains(q.Tried, r.Server) || (!q.AllowUnreachable && p.isUnreachable(r)) || p.statsFor(r.Server).isLeaving(r.Instance)
 }
 
 // fromRandom yields every server once, starting at a random one.
--- a/mesh/route/picker_test.go
+++ b/mesh/route/picker_test.go
@@ -264,3 +264,24 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+func TestPickLeavesOutInstanceThatSaidItLeaves(t *testing.T) {
+	s := testService("lookup", 3)
+	for _, r := range s.Servers {
+		r.Instance = "i-" + string(r.Server)
+	}
+	leaving := s.Servers[1]
+	p := NewPicker("1", nil)
+	p.Done(leaving.Server, Outcome{LeavingInstance: leaving.Instance})
+	isLeaving := func(r *member.Record) bool { return r.Server == leaving.Server }
+	if share := pickShare(p, s, isLeaving); share != 0 {
+		t.Errorf("%.2f of the calls go to an instance that leaves, want none", share)
+	}
+	if r := p.Pick(&Service{Servers: s.Servers[1:2]}, Query{AllowUnreachable: true}); r != nil {
+		t.Errorf("picked %s, the only server, which leaves", r.Server)
+	}
+	leaving.Instance = "i-next"
+	if share := pickShare(p, s, isLeaving); share == 0 {
+		t.Error("no call goes to the next instance at the same server")
+	}
+}
--- a/mesh/route/stats.go
+++ b/mesh/route/stats.go
@@ -42,6 +42,8 @@
 	failures     int
 	ejectedUntil time.Time
 	pickedAt     time.Time
+	// leavingInstance is the instance that said last that it will stop soon.
+	leavingInstance string
 }
 
 // record updates the statistics with the outcome of a call.
@@ -50,6 +52,9 @@
 		s.load, s.loadAt, s.inflightAtReport = outcome.Load, now, s.inflight
 		s.serviceTimes[outcome.Class] = outcome.Load.ServiceTime
 	}
+	if outcome.LeavingInstance != "" {
+		s.leavingInstance = outcome.LeavingInstance
+	}
 	if outcome.Failure == nil {
 		s.failures, s.ejectedUntil = 0, time.Time{}
 		return
@@ -70,6 +75,11 @@
 	}
 }
 
+// isLeaving reports whether an instance has said that it will stop soon.
+func (s *serverStats) isLeaving(instance string) bool {
+	return instance != "" && instance == s.leavingInstance
+}
+
 // recordFailure counts a failure and ejects the server once there are more than
 // toleratedFailures. Failures during an ejection do not count: they belong to
 // calls that began before it.
