Bound the memory of answers that do not end

What happened here: heads were bounded, by the buffer of 8 KiB and the number of interim answers. Bodies were bounded at 32 MiB each, but not together: eight answers without end read 303 MB before they failed (chunks), 306 MB without a length, and a body of 30 MB by its declared length is allocated before its first byte. A backend server runs 12 requests at once and a daemon may take 284 MB, so a faulty server ends the daemon beside it.

Change: the answers that a daemon reads at the same time share a budget of an eighth of its memory, beyond 64 KiB for each. Whoever finds it empty fails and closes the connection; the request may have run. A declared length is taken from the budget before the body is read.

Tests: TestPoolEndlessAnswersStayWithinBudget, eleven kinds of bytes without end; three failed without the budget (body without length, chunks, body of a declared length).

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -28,6 +28,9 @@
 	Dialect callhttp.Dialect
 	// Notices may be nil.
 	Notices NoticeObserver
+	// AnswerBudget bounds the bytes of the answers that are read at the same time;
+	// nil means no bound.
+	AnswerBudget *httpconn.Budget
 
 	mu      sync.Mutex
 	address string
@@ -46,6 +49,7 @@
 		c.pool.Close()
 	}
 	c.address, c.pool = address, httpconn.NewPool(address, nil)
+	c.pool.SetAnswerBudget(c.AnswerBudget)
 }
 
 func (c *Client) dialect() callhttp.Dialect {
--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -35,6 +35,9 @@
 	// call that may run twice; 0 means no limit, for daemons that send no
 	// interim answers.
 	InactivityTimeout time.Duration
+	// AnswerBudget bounds the bytes of the answers that are read at the same time;
+	// nil means no bound.
+	AnswerBudget *httpconn.Budget
 
 	dial           httpconn.DialFunc
 	lastCallNumber atomic.Uint64
@@ -158,6 +161,7 @@
 	p := f.pools[address]
 	if p == nil {
 		p = &pool{Pool: httpconn.NewPool(address, f.dial)}
+		p.SetAnswerBudget(f.AnswerBudget)
 		f.pools[address] = p
 	}
 	p.lastUsed = now
--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -31,9 +31,9 @@
 
 // readAnswer reads one complete answer and consumes no byte after it. Answers for
 // which o.Check returns ErrOtherRequest are dropped.
-func readAnswer(r *bufio.Reader, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+func readAnswer(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	for range maxStaleAnswers {
-		if err := readFinalHeader(r, resp); err != nil {
+		if err := readFinalHeader(c.r, resp); err != nil {
 			return err
 		}
 		var checkErr error
@@ -43,7 +43,7 @@
 		if checkErr != nil && !errors.Is(checkErr, ErrOtherRequest) {
 			return checkErr
 		}
-		if err := readBody(r, req, resp, o); err != nil || checkErr == nil {
+		if err := readBody(c, req, resp, o); err != nil || checkErr == nil {
 			return err
 		}
 		resp.Reset()
@@ -51,7 +51,7 @@
 	return ErrOtherRequest
 }
 
-func readBody(r *bufio.Reader, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+func readBody(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	if hasNoBody(req, resp) {
 		resp.SkipBody = true
 		return nil
@@ -61,15 +61,21 @@
 		if !o.AllowCloseDelimited {
 			return errNoAnswerLength
 		}
-		return readUntilClose(r, resp)
+		return readUntilClose(c.r, resp)
 	}
-	if err := resp.ReadBody(r, MaxAnswerSize); err != nil {
+	if length > 0 && length <= MaxAnswerSize {
+		// The library allocates the declared length at once.
+		if err := c.answer.reserve(int64(length)); err != nil {
+			return err
+		}
+	}
+	if err := resp.ReadBody(c.r, MaxAnswerSize); err != nil {
 		return fmt.Errorf("answer body truncated: %w", err)
 	}
 	if length != lengthChunked {
 		return nil
 	}
-	if err := resp.Header.ReadTrailer(r); err != nil {
+	if err := resp.Header.ReadTrailer(c.r); err != nil {
 		return fmt.Errorf("answer trailer truncated: %w", err)
 	}
 	return nil
--- a/adapters/httpconn/conn.go
+++ b/adapters/httpconn/conn.go
@@ -72,10 +72,11 @@
 	received   bool
 	idleSince  time.Time
 	inactivity *inactivityTimer
+	answer     account
 }
 
-func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc}
+func newConn(nc net.Conn, budget *Budget) *conn {
+	c := &conn{Conn: nc, answer: account{budget: budget}}
 	c.r = bufio.NewReaderSize(c, answerBufferSize)
 	c.w = bufio.NewWriterSize(c, requestBufferSize)
 	return c
@@ -88,7 +89,7 @@
 	return n, err
 }
 
-// Read restarts the inactivity timer when bytes arrive.
+// Read restarts the inactivity timer when bytes arrive, and counts them.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -96,6 +97,9 @@
 		if c.inactivity != nil {
 			c.inactivity.reset()
 		}
+		if budgetErr := c.answer.receive(n); budgetErr != nil {
+			return 0, budgetErr
+		}
 	}
 	return n, err
 }
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -21,6 +21,7 @@
 type Pool struct {
 	address string
 	dial    DialFunc
+	budget  *Budget
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -59,6 +60,10 @@
 	return &Pool{address: address, dial: dial}
 }
 
+// SetAnswerBudget bounds the bytes of the answers that are read at the same time.
+// It must be called before the first exchange.
+func (p *Pool) SetAnswerBudget(b *Budget) { p.budget = b }
+
 // Do sends the request and reads the complete answer. Errors are of type
 // *call.Failure, with the verdict NotRun if no byte of the request was sent.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
@@ -77,6 +82,7 @@
 	startInactivityTimer(c, o.InactivityTimeout)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	err = roundTrip(c, req, resp, &o)
+	c.answer.release()
 	interrupted := !stop()
 	inactive := stopInactivityTimer(c)
 	if err == nil {
@@ -111,11 +117,11 @@
 		if err := send(c, req); err != nil {
 			return err
 		}
-		return readAnswer(c.r, req, resp, o)
+		return readAnswer(c, req, resp, o)
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(c, req) }()
-	err := readAnswer(c.r, req, resp, o)
+	err := readAnswer(c, req, resp, o)
 	select {
 	case sendErr := <-sent:
 		if err == nil {
@@ -160,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	return newConn(nc, p.budget), nil
 }
 
 func (p *Pool) pop() (*conn, error) {
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -178,6 +178,10 @@
 		traffic:   &peergrpc.Traffic{},
 	}
 	d.forwarder.Mesh = s.Mesh
+	if s.Limits.MemoryBytes > 0 {
+		budget := httpconn.NewBudget(s.Limits.MemoryBytes / answerMemoryDivisor)
+		d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
+	}
 	d.retry.Store(&s.Retry)
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
@@ -374,6 +378,11 @@
 	minServerDescriptors = 16
 )
 
+// The answers that are read at the same time may have one part in
+// answerMemoryDivisor of the memory allowed by the settings. While one is read, its
+// buffer grows by doubling, and a read one is copied.
+const answerMemoryDivisor = 8
+
 func (d *Daemon) newServer(h httpconn.Handler, progress time.Duration, name string) *httpconn.Server {
 	server := httpconn.NewServer(h, progress)
 	if n := d.cfg.Settings.Limits.Descriptors; n > 0 {
