Do not deny a route that a newer configuration may have

What callers saw: 404, after which they do not ask again, for a route that had been added. A daemon whose configuration may be outdated knows that now, and still answered as if it were current: while it cannot reach the store, and in the second before it asks.

Change: a daemon whose latest confirmation is older than 1.5 s, or that has none yet, answers a call without a route with 'not run' and a time to come back, as one without a configuration does. So 404 rests on a proof that the configuration was the newest at most 1.5 s ago. Platforms whose source confirms nothing keep 404.

Evidence: TestOutboundDoesNotDenyRouteWhileItsConfigurationMayBeOutdated fails without the check ('no-route', want 'unconfigured').

--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -233,6 +233,9 @@
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
 		Idempotency: d.idempotency, Remote: d.forwarder, Local: d.inbound, Observer: observers{d.metrics, d.meter, calls},
 	}
+	if d.cfg.Settings.API == settings.Objects {
+		d.outbound.Configs = d.configs
+	}
 }
 
 // handleBackendCrash announces that the backend server is down, so that it gets no
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -15,6 +15,7 @@
 	errNoConfiguration = errors.New("this daemon has no configuration in force yet")
 	errNoService       = errors.New("the configuration in force has no such service")
 	errNoClass         = errors.New("method and path match no class of the service")
+	errOutdated        = errors.New("no such route in a configuration that may be outdated")
 	errThrottled       = errors.New("throttled: the servers refuse most calls of this class and client")
 	errMisdirected     = errors.New("the call is addressed to another backend server or service")
 	errNoServer        = errors.New("no backend server of the service accepts calls")
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
@@ -24,9 +25,20 @@
 	ObserveCall(r *call.Request, duration time.Duration, err error)
 }
 
+// outdatedAge is the age of the latest confirmation of the configuration above which
+// it may lack a route. A daemon that reaches the source or a peer has a newer one.
+const outdatedAge = 1500 * time.Millisecond
+
+// Configs tells when the configuration was last confirmed to be the newest.
+type Configs interface {
+	Confirmation() manifest.Confirmation
+}
+
 // Outbound handles calls from callers, including their retries.
 type Outbound struct {
-	Self        member.ServerID
+	Self member.ServerID
+	// Configs is nil if the source of the configuration does not confirm it.
+	Configs     Configs
 	Routes      *route.Router
 	Picker      Picker
 	Unreachable UnreachableServers
@@ -55,7 +67,7 @@
 
 func (p *Outbound) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if err := classify(p.Routes.Table(), r); err != nil {
-		return nil, err
+		return nil, p.checkOutdated(asFailure(err))
 	}
 	r.Service = r.Class.Destination(r.Service, rand.Float64())
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
@@ -66,6 +78,19 @@
 	return p.Idempotency.Run(ctx, r, p.sendThrottled)
 }
 
+// checkOutdated returns the failure of a call that could not be classified. Whoever
+// asks for a route that a newer configuration may have is told to come back, since
+// "no route" would be final.
+func (p *Outbound) checkOutdated(f *call.Failure) *call.Failure {
+	if p.Configs == nil || f.Reason != call.NoRoute {
+		return f
+	}
+	if c := p.Configs.Confirmation(); c.Number > 0 && time.Since(c.At) < outdatedAge {
+		return f
+	}
+	return call.Refuse(call.Unconfigured, errOutdated)
+}
+
 // sendThrottled sends a call unless the throttle refuses it. A request with a
 // key gets here only after its replicas reported no earlier copy, so a NotRun
 // verdict holds for all copies.
--- a/mesh/proxy/outbound_test.go
+++ b/mesh/proxy/outbound_test.go
@@ -108,6 +108,40 @@
 }
 
 // The service is configured, but no backend server serves it.
+func TestOutboundDoesNotDenyRouteWhileItsConfigurationMayBeOutdated(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		confirmed time.Duration
+		want      call.Reason
+	}{
+		{"never confirmed", 0, call.Unconfigured},
+		{"confirmed lately", time.Second, call.NoRoute},
+		{"confirmed long ago", time.Minute, call.Unconfigured},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			outbound := newOutbound(t, 1, &silentForwarder{})
+			configs := manifest.NewStore()
+			if c.confirmed > 0 {
+				configs.ConfirmFromSource(1, time.Now().Add(-c.confirmed))
+			}
+			outbound.Configs = configs
+			_, err := outbound.Call(context.Background(), &call.Request{Service: "unknown", Method: "GET", URI: "/"})
+			var f *call.Failure
+			if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != c.want {
+				t.Errorf("got %v, want not-run and %s", err, c.want)
+			}
+		})
+	}
+}
+
+func TestOutboundDeniesUnknownRouteWithoutConfirmations(t *testing.T) {
+	_, err := newOutbound(t, 1, &silentForwarder{}).Call(context.Background(), &call.Request{Service: "unknown", Method: "GET", URI: "/"})
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Reason != call.NoRoute {
+		t.Errorf("got %v, want no-route", err)
+	}
+}
+
 func TestOutboundNoServersFailsAsNotRun(t *testing.T) {
 	_, err := newOutbound(t, 0, &silentForwarder{}).Call(context.Background(), newSearchRequest())
 	var f *call.Failure
