Send two calls to a backend server until the first has ended

Cause: a gate with fixed slots fills all of them, 13 there, before the first answer tells it that there is a limit.

Change: until a call has ended, two run at once. The same holds for a backend server that has just started. The adaptive gate starts with a quarter of the slots anyway. Weighed: passing limits on by gossip, so that peers tell a restarted daemon (more state, and nothing for a server that starts).

Evidence: TestRestartedDaemonKeepsToLowRateLimitFromFirstAnswerOn, 13 admitted in 4 s before, at most 7 now.

--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -328,6 +328,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.limit.observeEnd()
 	g.observeOutcome(w, now.Sub(w.started), err)
 	w.class.updateDemand(now)
 	g.running--
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -25,6 +25,9 @@
 	// unloadedShare is the share of the limit up to which a server counts as
 	// unloaded.
 	unloadedShare = 0.25
+	// firstCalls is how many calls a backend server with a fixed limit runs at once
+	// until the first of them has ended: its answer may name a rate limit.
+	firstCalls = 2
 	// busyShare is the share of the limit from which on a server counts as
 	// busy.
 	busyShare = 0.7
@@ -37,8 +40,10 @@
 	// fixed keeps the limit at the slots, for servers whose service times vary
 	// for reasons other than load.
 	fixed bool
-	slots int
-	limit float64
+	// answered means that a call has ended since the slots were set.
+	answered bool
+	slots    int
+	limit    float64
 	// ratio is the moving average of service time to unloaded service time.
 	ratio float64
 	// slowStartDone means that the limit has fallen or has reached the slots
@@ -49,7 +54,7 @@
 func (l *limiter) setSlots(slots int) {
 	switch {
 	case l.fixed:
-		l.limit = float64(slots)
+		l.limit, l.answered = float64(slots), false
 	case l.slots == 0:
 		l.limit = initialLimitShare * float64(slots)
 	}
@@ -67,9 +72,15 @@
 	if l.slots <= 0 {
 		return 0
 	}
+	if l.fixed && !l.answered {
+		return min(firstCalls, l.slots)
+	}
 	return max(int(l.limit+0.5), 1)
 }
 
+// observeEnd records that a call has ended.
+func (l *limiter) observeEnd() { l.answered = true }
+
 // unloaded reports whether so few calls run that their service times count as
 // unloaded. At the minimum limit they always do, as the limit cannot fall
 // further.
--- a/mesh/admit/rate_test.go
+++ b/mesh/admit/rate_test.go
@@ -171,3 +171,30 @@
 		}
 	})
 }
+
+func TestRestartedDaemonKeepsToLowRateLimitFromFirstAnswerOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, window = 1.0, 4 * time.Second
+		g := NewFixedGate()
+		g.SetSlots(12)
+		l := load{class: submission, perSecond: 50, serviceTime: 200 * time.Millisecond, duration: 10 * time.Second}
+		r := l.run(g, call.Notice{RateLimited: true, RateLimit: perSecond})
+		// The daemon before the restart may have sent what the limit allows.
+		want := int(1.5*perSecond*window.Seconds()) + 5 - int(perSecond*window.Seconds())
+		if got := busiest(r.admitted, window); got > want {
+			t.Errorf("%d calls admitted in %s at a limit of %g a second, want at most %d", got, window, perSecond, want)
+		}
+	})
+}
+
+func TestFixedGateFillsItsSlotsAfterFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewFixedGate()
+		g.SetSlots(12)
+		l := load{class: submission, perSecond: 500, serviceTime: submissionServiceTime, duration: time.Second}
+		r := l.run(g, call.Notice{})
+		if want := int(0.9 * 12 * l.duration.Seconds() / submissionServiceTime.Seconds()); len(r.admitted) < want {
+			t.Errorf("%d calls admitted in %s, want at least %d", len(r.admitted), l.duration, want)
+		}
+	})
+}
