--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -16,18 +16,18 @@
 
 var errNoBackend = errors.New("no backend server has announced its address")
 
-// NoticeObserver receives what the backend server says about itself in its answers.
-type NoticeObserver interface {
-	ObserveNotice(instance string, n call.Notice)
-	ObserveInvalidNotice(instance string, err error)
+// ConditionObserver receives what the backend server says about itself in its answers.
+type ConditionObserver interface {
+	ObserveCondition(instance string, n call.Condition)
+	ObserveInvalidCondition(instance string, err error)
 }
 
 // Client makes calls to one backend server, whose address may change.
 type Client struct {
 	// Dialect encodes the metadata of calls; nil means callhttp.Native.
 	Dialect callhttp.Dialect
-	// Notices may be nil.
-	Notices NoticeObserver
+	// Conditions may be nil.
+	Conditions ConditionObserver
 	// AnswerBudget bounds the bytes of the answers that are read at the same time;
 	// nil means no bound.
 	AnswerBudget *httpconn.Budget
@@ -87,26 +87,26 @@
 	if refusal != nil && refusal.Reason == call.Misdirected {
 		return nil, refusal
 	}
-	notice := c.observeNotice(r.Instance, resp)
+	condition := c.observeCondition(r.Instance, resp)
 	if refusal != nil {
 		return nil, refusal
 	}
 	answer := callhttp.ReadAnswer(resp)
-	answer.Leaving = notice.Leaving
+	answer.Leaving = condition.Leaving
 	return answer, nil
 }
 
-// observeNotice returns the notice in an answer of the instance that the call was
+// observeCondition returns the condition in an answer of the instance that the call was
 // addressed to, and passes it on.
-func (c *Client) observeNotice(instance string, resp *fasthttp.Response) call.Notice {
-	n, err := c.dialect().Notice(resp)
-	if c.Notices == nil {
+func (c *Client) observeCondition(instance string, resp *fasthttp.Response) call.Condition {
+	n, err := c.dialect().Condition(resp)
+	if c.Conditions == nil {
 		return n
 	}
 	if err != nil {
-		c.Notices.ObserveInvalidNotice(instance, err)
+		c.Conditions.ObserveInvalidCondition(instance, err)
 	}
-	c.Notices.ObserveNotice(instance, n)
+	c.Conditions.ObserveCondition(instance, n)
 	return n
 }
 
--- a/adapters/callhttp/dialect.go
+++ b/adapters/callhttp/dialect.go
@@ -29,9 +29,9 @@
 	// Refusal returns the failure of a call that the backend server did not run,
 	// or nil if it ran the call.
 	Refusal(r *call.Request, resp *fasthttp.Response) *call.Failure
-	// Notice returns what the backend server says about itself in an answer, with
+	// Condition returns what the backend server says about itself in an answer, with
 	// an error if a part of it is malformed.
-	Notice(resp *fasthttp.Response) (call.Notice, error)
+	Condition(resp *fasthttp.Response) (call.Condition, error)
 	// CloseDelimited reports whether the body of an answer may end with its
 	// connection.
 	CloseDelimited() bool
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// Notice returns nothing: backend servers of this dialect announce themselves.
-func (Native) Notice(*fasthttp.Response) (call.Notice, error) { return call.Notice{}, nil }
+// Condition returns nothing: backend servers of this dialect announce themselves.
+func (Native) Condition(*fasthttp.Response) (call.Condition, error) { return call.Condition{}, nil }
 
 // CloseDelimited returns false: answers must declare their length.
 func (Native) CloseDelimited() bool { return false }
--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -32,8 +32,8 @@
 // Idle returns false, since the gate never closes.
 func (g *OpenGate) Idle() bool { return false }
 
-// ObserveNotice does nothing.
-func (g *OpenGate) ObserveNotice(call.Notice) {}
+// ObserveCondition does nothing.
+func (g *OpenGate) ObserveCondition(call.Condition) {}
 
 // RateLimit returns 0: there is no limit.
 func (g *OpenGate) RateLimit() float64 { return 0 }
@@ -130,8 +130,8 @@
 // LoadFor returns the gate's load.
 func (g *FIFOGate) LoadFor(string) call.Load { return g.Load() }
 
-// ObserveNotice does nothing.
-func (g *FIFOGate) ObserveNotice(call.Notice) {}
+// ObserveCondition does nothing.
+func (g *FIFOGate) ObserveCondition(call.Condition) {}
 
 // RateLimit returns 0: there is no limit.
 func (g *FIFOGate) RateLimit() float64 { return 0 }
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -219,7 +219,7 @@
 
 func (d *Daemon) buildCalls(self member.ServerID) {
 	d.backend.Dialect = d.platformAdapter.dialect()
-	d.backend.Notices = &notices{gate: d.gate, announcer: d.announcer, logger: d.partLogger("belief")}
+	d.backend.Conditions = &conditions{gate: d.gate, announcer: d.announcer, logger: d.partLogger("belief")}
 	d.router = route.NewRouter(d.configs, d.members)
 	d.replicas = idempotency.NewReplicas(d.cfg.Idempotency, d.members)
 	d.ledger = idempotency.NewLedger(d.cfg.Idempotency, d.replicas)
--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -21,7 +21,7 @@
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Queued)) }},
 		{Name: "fescuehoist.backend.calls.limit", Description: "Limit of concurrent calls at the backend server.",
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Limit)) }},
-		{Name: "fescuehoist.backend.rate.limit", Unit: "mHz", Description: "Requests in 1,000 s that the backend server takes; no point without a limit.",
+		{Name: "fescuehoist.backend.rate.limit", Description: "Requests in 1,000 s that the backend server takes; no point without a limit.",
 			Read: d.rateLimit},
 	}
 }
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -19,8 +19,8 @@
 	proxy.Gate
 	announce.Gate
 	Load() call.Load
-	// ObserveNotice applies what the backend server says about itself.
-	ObserveNotice(n call.Notice)
+	// ObserveCondition applies what the backend server says about itself.
+	ObserveCondition(n call.Condition)
 	// RateLimit returns the requests a second that the backend server takes, 0
 	// without a limit.
 	RateLimit() float64
--- a/mesh/admit/rate.go
+++ b/mesh/admit/rate.go
@@ -32,7 +32,7 @@
 }
 
 // observe applies what a backend server says in an answer.
-func (r *rateLimit) observe(n call.Notice, now time.Time) {
+func (r *rateLimit) observe(n call.Condition, now time.Time) {
 	switch {
 	case n.RateLimited:
 		r.refill(now)
@@ -90,3 +90,73 @@
 	}
 	return min(max(int(math.Ceil(r.perSecond*serviceTime.Seconds())), 1), slots)
 }
+
+// ObserveCondition applies the rate limit that the backend server names in an answer.
+func (g *Gate) ObserveCondition(n call.Condition) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !n.RateLimited && !g.rate.limited() {
+		return
+	}
+	now := time.Now()
+	g.rate.observe(n, now)
+	g.fillSlots(now)
+}
+
+// RateLimit returns the requests a second that the backend server takes, 0 without
+// a limit.
+func (g *Gate) RateLimit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rate.perSecond
+}
+
+// estimateRateWait estimates how long the call at a position of a class's queue
+// waits because of the rate limit.
+func (g *Gate) estimateRateWait(c *class, position int, now time.Time) time.Duration {
+	for _, other := range g.classes {
+		if other.target.Rank < c.target.Rank {
+			position += other.queue.len()
+		}
+	}
+	return g.rate.wait(float64(position-1)+g.tokensFor(c, now), now)
+}
+
+// tokensFor returns the tokens that the rate limit must hold for a call of a class
+// to start: one, and those kept for more urgent classes with recent demand.
+func (g *Gate) tokensFor(c *class, now time.Time) float64 {
+	for _, other := range g.classes {
+		if other.target.Rank < c.target.Rank && other.recentDemand(now) > unreservedDemand {
+			return 1 + urgentTokens*(g.rate.capacity()-1)
+		}
+	}
+	return 1
+}
+
+// awaitRefill makes the queued calls go on once the rate limit permits one. Calls
+// that wait for a slot go on when it becomes free.
+func (g *Gate) awaitRefill(now time.Time) {
+	if g.queued == 0 || !g.rate.limited() {
+		return
+	}
+	tokens := math.Inf(1)
+	for _, c := range g.classes {
+		if c.queue.len() > 0 {
+			tokens = min(tokens, g.tokensFor(c, now))
+		}
+	}
+	pause := g.rate.wait(tokens, now)
+	if pause == 0 {
+		return
+	}
+	if g.refillTimer != nil {
+		g.refillTimer.Reset(pause)
+		return
+	}
+	g.refillTimer = time.AfterFunc(pause, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.fillSlots(time.Now())
+		g.signalIdle()
+	})
+}
--- a/mesh/admit/rate_test.go
+++ b/mesh/admit/rate_test.go
@@ -29,8 +29,8 @@
 }
 
 // run sends the load and returns what became of it. Each call that ends passes the
-// notice to the gate.
-func (l *load) run(g *Gate, notice call.Notice) *result {
+// condition to the gate.
+func (l *load) run(g *Gate, condition call.Condition) *result {
 	r := &result{}
 	random := rand.New(rand.NewPCG(1, 0))
 	var mu sync.Mutex
@@ -52,7 +52,7 @@
 			mu.Unlock()
 			if err == nil {
 				time.Sleep(l.serviceTime)
-				g.ObserveNotice(notice)
+				g.ObserveCondition(condition)
 				leave(nil)
 			}
 		})
@@ -77,10 +77,10 @@
 	for _, perSecond := range []float64{0, 0.3, 8, 30.5} {
 		synctest.Test(t, func(t *testing.T) {
 			g := warmGate(12)
-			notice := call.Notice{RateLimited: true, RateLimit: perSecond}
-			g.ObserveNotice(notice)
+			condition := call.Condition{RateLimited: true, RateLimit: perSecond}
+			g.ObserveCondition(condition)
 			l := load{class: search, perSecond: 120, serviceTime: searchServiceTime, duration: 30 * time.Second}
-			r := l.run(g, notice)
+			r := l.run(g, condition)
 			for _, window := range []time.Duration{time.Second, 4 * time.Second} {
 				rate := max(perSecond, minRate)
 				want := int(rate*window.Seconds()+max(rate*rateBurst.Seconds(), 1)) + 1
@@ -98,10 +98,10 @@
 func TestGateRefusesAtOnceWhatRateLimitCannotServeInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate(12)
-		notice := call.Notice{RateLimited: true, RateLimit: 2}
-		g.ObserveNotice(notice)
+		condition := call.Condition{RateLimited: true, RateLimit: 2}
+		g.ObserveCondition(condition)
 		l := load{class: search, perSecond: 100, serviceTime: searchServiceTime, duration: 10 * time.Second}
-		r := l.run(g, notice)
+		r := l.run(g, condition)
 		if r.refused < 900 {
 			t.Fatalf("%d calls refused, want at least 900", r.refused)
 		}
@@ -114,15 +114,15 @@
 func TestGateServesUrgentClassFirstAtRateLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate(12)
-		notice := call.Notice{RateLimited: true, RateLimit: 20}
-		g.ObserveNotice(notice)
+		condition := call.Condition{RateLimited: true, RateLimit: 20}
+		g.ObserveCondition(condition)
 		// Below its guaranteed share, which is 10 a second.
 		urgent := load{class: search, perSecond: 8, serviceTime: searchServiceTime, duration: 20 * time.Second}
 		other := load{class: submission, perSecond: 60, serviceTime: submissionServiceTime, duration: 20 * time.Second}
 		var searches *result
 		var tasks sync.WaitGroup
-		tasks.Go(func() { searches = urgent.run(g, notice) })
-		tasks.Go(func() { other.run(g, notice) })
+		tasks.Go(func() { searches = urgent.run(g, condition) })
+		tasks.Go(func() { other.run(g, condition) })
 		tasks.Wait()
 		if served := len(searches.admitted); served < 9*searches.refused {
 			t.Errorf("%d searches admitted and %d refused beside a flood of a less urgent class, want nine in ten admitted", served, searches.refused)
@@ -133,8 +133,8 @@
 func TestGateLiftsRateLimitThatIsNoLongerNamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate(12)
-		g.ObserveNotice(call.Notice{RateLimited: true, RateLimit: 5})
-		g.ObserveNotice(call.Notice{})
+		g.ObserveCondition(call.Condition{RateLimited: true, RateLimit: 5})
+		g.ObserveCondition(call.Condition{})
 		if g.RateLimit() == 0 {
 			t.Error("an answer that was under way when the limit was named lifts it")
 		}
@@ -142,7 +142,7 @@
 		if g.RateLimit() == 0 {
 			t.Error("limit lifted without an answer")
 		}
-		g.ObserveNotice(call.Notice{})
+		g.ObserveCondition(call.Condition{})
 		if limit := g.RateLimit(); limit != 0 {
 			t.Errorf("limit %g after an answer that names none, want no limit", limit)
 		}
@@ -153,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate(12)
 		patient := &target.Class{Name: "patient", Rank: 1, Latency: 10 * time.Second, Timeout: 10 * time.Second}
-		g.ObserveNotice(call.Notice{RateLimited: true, RateLimit: 1})
+		g.ObserveCondition(call.Condition{RateLimited: true, RateLimit: 1})
 		admitted := make(chan struct{}, 2)
 		for range 2 {
 			go func() {
@@ -164,7 +164,7 @@
 			}()
 		}
 		time.Sleep(rateLimitHold + 100*time.Millisecond)
-		g.ObserveNotice(call.Notice{})
+		g.ObserveCondition(call.Condition{})
 		synctest.Wait()
 		if len(admitted) != 2 {
 			t.Errorf("%d of 2 queued calls admitted once the limit was lifted", len(admitted))
@@ -178,7 +178,7 @@
 		g := NewFixedGate()
 		g.SetSlots(12)
 		l := load{class: submission, perSecond: 50, serviceTime: 200 * time.Millisecond, duration: 10 * time.Second}
-		r := l.run(g, call.Notice{RateLimited: true, RateLimit: perSecond})
+		r := l.run(g, call.Condition{RateLimited: true, RateLimit: perSecond})
 		// The daemon before the restart may have sent what the limit allows.
 		want := int(1.5*perSecond*window.Seconds()) + 5 - int(perSecond*window.Seconds())
 		if got := busiest(r.admitted, window); got > want {
@@ -192,7 +192,7 @@
 		g := NewFixedGate()
 		g.SetSlots(12)
 		l := load{class: submission, perSecond: 500, serviceTime: submissionServiceTime, duration: time.Second}
-		r := l.run(g, call.Notice{})
+		r := l.run(g, call.Condition{})
 		if want := int(0.9 * 12 * l.duration.Seconds() / submissionServiceTime.Seconds()); len(r.admitted) < want {
 			t.Errorf("%d calls admitted in %s, want at least %d", len(r.admitted), l.duration, want)
 		}
--- a/mesh/call/notice.go
+++ b/mesh/call/condition.go
@@ -1,7 +1,8 @@
 package call
 
-// Notice is what a backend server says about itself in an answer.
-type Notice struct {
+// Condition is what a backend server says in an answer about the load that it takes
+// and about its end.
+type Condition struct {
 	// RateLimited means that the backend server names the number of requests a
 	// second, RateLimit, that it accepts from all daemons together.
 	RateLimited bool
