Remember the withdrawal of an instance that was not announced yet

What backend servers saw: requests 2.8 s after the daemon beside them had acknowledged that they leave (bound 2.5 s).

Cause: a daemon that had just started and had no announcement yet acknowledged a withdrawal and forgot it, since it only compared the instance with the last one announced. A status report that was under way then made the server ready again, for this daemon and by gossip for all. Class: a promise given before the state to keep it exists.

Change: such a withdrawal is remembered for 30 s, longer than a report is under way, and binds announcements of starts up to the time of the withdrawal; a later start is ready at once.

TestLateAnnouncementOfWithdrawnInstanceIsNotReadyAfterDaemonRestart failed before (ready, gate open).

--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -54,6 +54,9 @@
 // daemons that have not yet received its new state.
 const NoticePeriod = time.Second
 
+// lateAnnouncementPeriod is how long an announcement may be on its way.
+const lateAnnouncementPeriod = 30 * time.Second
+
 // Announcer keeps the record up to date with the backend server. An announcement
 // expires unless the backend server repeats it within the lifetime.
 type Announcer struct {
@@ -72,6 +75,10 @@
 	suspended bool
 	// retired means that this start of the backend server is leaving or has left.
 	retired bool
+	// unknownWithdrawn is an instance that withdrew before this daemon had an
+	// announcement of it, at unknownWithdrawnAt.
+	unknownWithdrawn   string
+	unknownWithdrawnAt time.Time
 }
 
 // New returns an announcer for a record that holds the daemon's name, failure
@@ -93,6 +100,9 @@
 	if !b.newerThan(&a.last) {
 		return false
 	}
+	if a.isWithdrawn(&b) {
+		b.Draining = true
+	}
 	restarted := b.Started > a.last.Started
 	a.last = b
 	if a.leaving {
@@ -127,12 +137,21 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.last.Instance != instance {
+		a.unknownWithdrawn, a.unknownWithdrawnAt = instance, time.Now()
 		return false
 	}
 	a.retire()
 	return true
 }
 
+// isWithdrawn reports whether an announcement is a late one of an instance that
+// withdrew before this daemon had any of it, as after the daemon's restart.
+func (a *Announcer) isWithdrawn(b *Backend) bool {
+	return b.Instance != "" && b.Instance == a.unknownWithdrawn &&
+		time.Since(a.unknownWithdrawnAt) < lateAnnouncementPeriod &&
+		b.Started <= uint64(a.unknownWithdrawnAt.UnixMilli())
+}
+
 // retire removes the backend server from the routes, and refuses calls after
 // NoticePeriod.
 func (a *Announcer) retire() {
--- a/mesh/announce/announcer_test.go
+++ b/mesh/announce/announcer_test.go
@@ -84,3 +84,22 @@
 		}
 	})
 }
+
+func TestLateAnnouncementOfWithdrawnInstanceIsNotReadyAfterDaemonRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeDeps{}
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, time.Hour)
+		started := uint64(time.Now().Add(-time.Minute).UnixMilli())
+		a.Withdraw("i-1")
+		time.Sleep(3 * time.Second)
+		a.Announce(newBackend("i-1", started, 7))
+		time.Sleep(announce.NoticePeriod + time.Millisecond)
+		if state, closed := p.snapshot(); state != member.Draining || !closed {
+			t.Errorf("state %s, gate closed: %t after a late announcement of an instance that withdrew, want draining and closed", state, closed)
+		}
+		a.Announce(newBackend("i-1", uint64(time.Now().UnixMilli()), 1))
+		if state, closed := p.snapshot(); state != member.Ready || closed {
+			t.Errorf("state %s, gate closed: %t after a later start of the same instance, want ready and open", state, closed)
+		}
+	})
+}
