Let the soak's stand-ins listen on a loopback address of their own process

Cause, inferred: PRI * opens an HTTP/2 connection, which only peers of daemons do. Tests of other packages run at the same time, and their daemons redial ports of 127.0.0.1 whose listeners are gone; the soak's backend servers and proxies took free ports of the same address.

--- a/soak/faultproxy/proxy.go
+++ b/soak/faultproxy/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"fescuehoist.example/platform/platformtest"
 )
 
 // Fault says how a proxy treats data. The zero value forwards it at once.
@@ -47,7 +49,7 @@
 
 // NewProxy returns a running proxy that listens on a free loopback port.
 func NewProxy(target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := platformtest.Listen()
 	if err != nil {
 		return nil, err
 	}
