Take a backend server for crashed when its listener closes last

The daemon beside a server asks once, when a call is cut, whether the server still accepts connections. A listener that closes a moment after the first connection still accepts that question's connection, so the crash was not recorded.

Change: the question's connection has to stay open for 20 ms; if it is closed, a second one decides, so that a server that closes connections beyond its limit is not taken for crashed. The stand-in closes in the order of a process that ends.

Crash identifiers counted from 1 again after a restart of the daemon, and the second crash was taken for the first. They carry the start now.

TestInvalidHeadReportedByReadersRecoveryApplied waited for the readers found before the head was spoiled.

--- a/adapters/backendhttp/client.go
+++ b/adapters/backendhttp/client.go
@@ -4,8 +4,11 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -116,17 +119,36 @@
 	return c.pool
 }
 
-// Alive reports whether the backend server accepts connections. Only a refused
-// connection counts as proof that it does not; a timeout, for example, does not.
+// shutdownPeriod is how long the listener of a crashed backend server may stay open
+// after the first of its connections was cut.
+const shutdownPeriod = 20 * time.Millisecond
+
+// Alive reports whether the backend server accepts connections and keeps them. Only a
+// refused connection counts as proof that it does not; a timeout, for example, does
+// not, nor does a connection that is closed by a server at its limit of connections.
 func (c *Client) Alive(ctx context.Context) bool {
 	c.mu.Lock()
 	address := c.address
 	c.mu.Unlock()
-	nc, err := httpconn.Dialer().DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = nc.Close()
+	for range 2 {
+		nc, err := httpconn.Dialer().DialContext(ctx, "tcp", address)
+		if err != nil {
+			return !errors.Is(err, syscall.ECONNREFUSED)
+		}
+		if staysOpen(nc) {
+			return true
+		}
 	}
-	return !errors.Is(err, syscall.ECONNREFUSED)
+	return true
+}
+
+// staysOpen closes a connection after shutdownPeriod and reports whether the other
+// end had kept it open until then.
+func staysOpen(nc net.Conn) bool {
+	defer nc.Close()
+	_ = nc.SetReadDeadline(time.Now().Add(shutdownPeriod))
+	_, err := nc.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Close closes all idle connections.
--- a/bench/fleet/config_test.go
+++ b/bench/fleet/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"fescuehoist.example/mesh/manifest/manifesttest"
 	"fescuehoist.example/mesh/reader"
 	"fescuehoist.example/mesh/target"
+	"fescuehoist.example/mesh/wait"
 	"fescuehoist.example/standin/platform"
 )
 
@@ -27,6 +29,9 @@
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
+// pollInterval is the time between two looks at the readers.
+const pollInterval = 10 * time.Millisecond
+
 // testFleet is a fleet with an operator that edits its configuration.
 type testFleet struct {
 	*fleet.Fleet
@@ -196,6 +201,25 @@
 	}
 }
 
+// awaitReadersRefusal waits until all readers report a refusal with the given reason.
+// It asks for the readers again each time: while daemons that have just started learn
+// of each other, a lease may pass from one to another.
+func (m *testFleet) awaitReadersRefusal(reason string) {
+	m.t.Helper()
+	for {
+		readers, _ := m.awaitReaders()
+		silent := slices.DeleteFunc(readers, func(r *fleet.Member) bool {
+			return strings.Contains(r.Daemon.State().Refused, reason)
+		})
+		if len(silent) == 0 {
+			return
+		}
+		if err := wait.For(m.ctx, pollInterval); err != nil {
+			m.t.Fatalf("reader %s: refused %q, want %q", silent[0].Server.Name, silent[0].Daemon.State().Refused, reason)
+		}
+	}
+}
+
 // An invalid head in the platform must be reported by the readers and leave the
 // version in force unchanged, until the operator recovers with a new version.
 func TestInvalidHeadReportedByReadersRecoveryApplied(t *testing.T) {
@@ -210,11 +234,8 @@
 			m := newTestFleet(t, 6)
 			before, _ := m.Platform.Load("config/head")
 			m.awaitVersion(m.publishLatency(2), m.Members)
-			readers, _ := m.awaitReaders()
 			m.Platform.Store("config/head", c.corrupt(before))
-			if err := m.Await(m.ctx, readers, func(s daemon.State) bool { return strings.Contains(s.Refused, c.reason) }); err != nil {
-				t.Fatal(err)
-			}
+			m.awaitReadersRefusal(c.reason)
 			for _, member := range m.Members {
 				if v := member.Daemon.State().InForce; v != 2 {
 					t.Errorf("server %s: version %d in force, want 2", member.Server.Name, v)
--- a/mesh/quarantine/tracker.go
+++ b/mesh/quarantine/tracker.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"sync"
@@ -84,8 +85,11 @@
 
 // Tracker tracks requests and crashes for one daemon.
 type Tracker struct {
-	cfg    Config
-	self   member.ServerID
+	cfg  Config
+	self member.ServerID
+	// start tells the crashes that this tracker reports from those that another
+	// start of the daemon reported.
+	start  string
 	prober Prober
 	peers  Peers
 	// onCrash is called when the backend server has crashed.
@@ -106,11 +110,14 @@
 	until   time.Time
 }
 
+// startLength is the length of Tracker.start in characters, 5 bits each.
+const startLength = 8
+
 // NewTracker returns an empty tracker. It calls onCrash when the backend server
 // has crashed.
 func NewTracker(cfg Config, self member.ServerID, prober Prober, peers Peers, onCrash func()) *Tracker {
 	return &Tracker{
-		cfg: cfg, self: self, prober: prober, peers: peers, onCrash: onCrash, suspectSlot: make(chan struct{}, 1),
+		cfg: cfg, self: self, start: rand.Text()[:startLength], prober: prober, peers: peers, onCrash: onCrash, suspectSlot: make(chan struct{}, 1),
 		suspects: map[Fingerprint]*suspect{}, cleared: map[Fingerprint]struct{}{},
 	}
 }
@@ -224,7 +231,7 @@
 	t.mu.Lock()
 	number := ticket.crashesAtEntry + 1
 	t.crashes = max(t.crashes, number)
-	r := &Report{Crash: fmt.Sprintf("%s/%d", t.self, number), Suspects: []Fingerprint{ticket.fingerprint}}
+	r := &Report{Crash: fmt.Sprintf("%s/%s/%d", t.self, t.start, number), Suspects: []Fingerprint{ticket.fingerprint}}
 	t.mu.Unlock()
 	t.Apply(r)
 	return r
--- a/mesh/quarantine/tracker_test.go
+++ b/mesh/quarantine/tracker_test.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// A daemon that restarted counts the crashes beside it from 1 again. They must not be
+// taken for those that it reported before.
+func TestRequestQuarantinedAfterCrashesBeforeAndAfterDaemonRestart(t *testing.T) {
+	g := newGroup(2)
+	_ = enter(t, g.trackers[0], "/crashing").End(context.Background(), errCut)
+	g.trackers[0] = newGroup(1).trackers[0]
+	g.trackers[0].peers = g
+	_ = enter(t, g.trackers[0], "/crashing").End(context.Background(), errCut)
+	_, err := g.trackers[1].Enter(context.Background(), get("/crashing"))
+	wantReason(t, err, call.Quarantined)
+}
+
 func TestSuspectsRunOneAtATimeUntilCleared(t *testing.T) {
 	g := newGroup(2)
 	a, b := enter(t, g.trackers[0], "/a"), enter(t, g.trackers[0], "/b")
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -62,6 +62,8 @@
 	cfg     Config
 	address string
 	crash   context.CancelFunc
+	// closed is closed once the listener and all connections are closed.
+	closed chan struct{}
 
 	slots      chan struct{}
 	mu         sync.Mutex
@@ -77,7 +79,7 @@
 		cfg.Announced = cfg.Slots
 	}
 	cfg.Connections = max(cfg.Connections, cfg.Slots)
-	return &Backend{cfg: cfg, slots: make(chan struct{}, cfg.Slots), executions: map[string]int{}}
+	return &Backend{cfg: cfg, slots: make(chan struct{}, cfg.Slots), closed: make(chan struct{}), executions: map[string]int{}}
 }
 
 // SetShedding makes the server refuse every request with the verdict not-run.
@@ -109,6 +111,7 @@
 	g.Go(func() error { return server.Serve(ln) })
 	g.Go(func() error {
 		<-ctx.Done()
+		defer close(b.closed)
 		return server.Close()
 	})
 	g.Go(func() error { return b.announce(ctx) })
@@ -178,6 +181,9 @@
 	defer b.releaseSlot()
 	if r.Header.Get(HeaderCrash) != "" {
 		b.crash()
+		// The kernel closes the listener of a process that ends before the
+		// connections that it accepted.
+		<-b.closed
 		panic(http.ErrAbortHandler)
 	}
 	if !b.simulateWork(r) {
