Keep a call in its failure domain while a server there meets its target

Change: a server of the own failure domain that has a free slot and is expected to answer within three quarters of the target latency is taken; only otherwise are servers of other failure domains compared, at 5% instead of 2% of the target latency a kilobyte.

--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -117,6 +117,7 @@
 	var last *call.Failure
 	var failedAnswer *call.Answer
 	for {
+		query.Elapsed = time.Since(r.Arrived)
 		server := p.pick(r.Service, query)
 		if server == nil && r.NewConnection {
 			// A server that stopped responding may respond over a new connection.
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -17,7 +17,11 @@
 	crossDomainLatency = 3 * time.Millisecond
 	// crossDomainCostPerKB is the cost of sending one kilobyte to another
 	// failure domain, as a share of the class's target latency.
-	crossDomainCostPerKB = 0.02
+	crossDomainCostPerKB = 0.05
+	// targetShare is the share of the target latency that the expected duration of
+	// a call may take at a server that counts as good enough. The rest is for calls
+	// that take longer than the mean.
+	targetShare = 0.75
 	// queueingThreshold is the share of a server's limit up to which a call
 	// hardly waits; waitAtLimit is the wait when the server is at its limit, as
 	// a share of the service time.
@@ -82,9 +86,9 @@
 // Query describes which server a call needs.
 type Query struct {
 	// Class names the class of the call; Latency is the target latency of the
-	// class.
-	Class   string
-	Latency time.Duration
+	// class and Elapsed the part of it that has passed.
+	Class            string
+	Latency, Elapsed time.Duration
 	// Tried lists the servers that the call was already sent to.
 	Tried []member.ServerID
 	// NeedCapacity restricts the choice to servers that may have a free slot.
@@ -133,6 +137,9 @@
 	for range localSamples {
 		best = p.cheaper(q, best, s.next(best, p.domain))
 	}
+	if best != nil && best.Domain == p.domain && p.meetsTarget(q, best) {
+		return best
+	}
 	for range globalSamples {
 		best = p.cheaper(q, best, s.next(best, anyDomain))
 	}
@@ -157,6 +164,15 @@
 	return a
 }
 
+// meetsTarget reports whether a server of the own failure domain has a free slot and
+// is expected to answer a call in time, so that no other failure domain needs to be
+// considered. Without a free slot the calls of the failure domain are spread, since
+// it may have too few servers for them.
+func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
+	calls, limit := p.statsFor(r.Server).occupancy(r.Slots, time.Now())
+	return calls < limit && q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
+}
+
 // maxCapacityChecks bounds the servers that are checked for free capacity.
 const maxCapacityChecks = 16
 
--- a/mesh/route/picker_test.go
+++ b/mesh/route/picker_test.go
@@ -196,6 +196,47 @@
 	})
 }
 
+// A call leaves the failure domain for a server that meets the target only if no
+// server of its own does: a faster answer is not worth the bytes of the crossing.
+func TestPickLeavesDomainOnlyForTarget(t *testing.T) {
+	q := Query{Class: "lookup", Latency: 250 * time.Millisecond}
+	load := func(running int, service time.Duration) Outcome {
+		return Outcome{Class: q.Class, Load: call.Load{Running: running, Limit: 12, ServiceTime: service}}
+	}
+	for _, c := range []struct {
+		name       string
+		own        Outcome
+		elapsed    time.Duration
+		wantLeaves bool
+	}{
+		{"own server slower, in time", load(6, 120*time.Millisecond), 0, false},
+		{"own server misses the target", load(6, 220*time.Millisecond), 0, true},
+		{"too late for the own server after a first attempt", load(6, 120*time.Millisecond), 100 * time.Millisecond, true},
+		{"own server without a free slot", load(12, 120*time.Millisecond), 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := testService("a", 2)
+				p, q := NewPicker(s.Servers[0].Domain, nil), q
+				q.Elapsed = c.elapsed
+				observe := func(i int, o Outcome) {
+					r := p.Pick(&Service{Servers: s.Servers[i : i+1]}, q)
+					p.Done(r.Server, o)
+				}
+				observe(0, c.own)
+				observe(1, load(2, 20*time.Millisecond))
+				for range 50 {
+					r := p.Pick(s, q)
+					if leaves := r != s.Servers[0]; leaves != c.wantLeaves {
+						t.Fatalf("leaves the failure domain: got %t, want %t", leaves, c.wantLeaves)
+					}
+					p.Done(r.Server, Outcome{})
+				}
+			})
+		})
+	}
+}
+
 func TestPickAvoidsSlowServer(t *testing.T) {
 	p, s := NewPicker("0", nil), testService("a", 3)
 	for i, r := range s.Servers {
