Leave a failure domain for a late call, not for a full server

Change: a kilobyte costs 20% of the target latency; 5% only for a call that the own failure domain would run at once but too slowly.

--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -16,8 +16,11 @@
 	// domain.
 	crossDomainLatency = 3 * time.Millisecond
 	// crossDomainCostPerKB is the cost of sending one kilobyte to another
-	// failure domain, as a share of the class's target latency.
-	crossDomainCostPerKB = 0.05
+	// failure domain, as a share of the class's target latency. If all servers are
+	// busy, so are those of other failure domains. lateCrossDomainCostPerKB is the
+	// cost for a call that the own failure domain would run at once, but too slowly.
+	crossDomainCostPerKB     = 0.2
+	lateCrossDomainCostPerKB = 0.05
 	// targetShare is the share of the target latency that the expected duration of
 	// a call may take at a server that counts as good enough. The rest is for calls
 	// that take longer than the mean.
@@ -95,6 +98,9 @@
 	NeedCapacity bool
 	// AllowUnreachable also allows servers that are marked as unreachable.
 	AllowUnreachable bool
+	// late means that the servers of the own failure domain have a free slot, but
+	// are not expected to meet the target.
+	late bool
 }
 
 // Outcome is the result of a call as far as it concerns the server's
@@ -137,8 +143,11 @@
 	for range localSamples {
 		best = p.cheaper(q, best, s.next(best, p.domain))
 	}
-	if best != nil && best.Domain == p.domain && p.meetsTarget(q, best) {
-		return best
+	if best != nil && p.hasFreeSlot(best) {
+		if p.meetsTarget(q, best) {
+			return best
+		}
+		q.late = true
 	}
 	for range globalSamples {
 		best = p.cheaper(q, best, s.next(best, anyDomain))
@@ -164,13 +173,16 @@
 	return a
 }
 
-// meetsTarget reports whether a server of the own failure domain has a free slot and
-// is expected to answer a call in time, so that no other failure domain needs to be
-// considered. Without a free slot the calls of the failure domain are spread, since
-// it may have too few servers for them.
-func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
+// hasFreeSlot reports whether a call to a server is not expected to wait.
+func (p *Picker) hasFreeSlot(r *member.Record) bool {
 	calls, limit := p.statsFor(r.Server).occupancy(r.Slots, time.Now())
-	return calls < limit && q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
+	return calls < limit
+}
+
+// meetsTarget reports whether a server of the own failure domain is expected to
+// answer a call in time, so that no other failure domain needs to be considered.
+func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
+	return q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
 }
 
 // maxCapacityChecks bounds the servers that are checked for free capacity.
@@ -299,8 +311,12 @@
 // round trip, plus a share of the target latency for each kilobyte of the
 // class's mean size.
 func (p *Picker) crossDomainCost(q Query) time.Duration {
+	perKB := crossDomainCostPerKB
+	if q.late {
+		perKB = lateCrossDomainCostPerKB
+	}
 	kilobytes := p.meanSizes[q.Class] / 1024
-	return crossDomainLatency + time.Duration(kilobytes*crossDomainCostPerKB*float64(q.Latency))
+	return crossDomainLatency + time.Duration(kilobytes*perKB*float64(q.Latency))
 }
 
 // Done ends a call that Pick counted and updates the server's statistics with
