Make room for connections before callers are cut off

A listener closed each connection beyond a third of the descriptors unread, without a line in a log. Most open connections are idle: a client opens a new one for each retry and keeps it. Change: above three quarters of the limit an answer ends its connection, so that no request can cross its end; at the limit the connections idle for longest are closed; on an eighth more the request is read and refused, not run, with a time to come back; what is left is dropped. Counted, and one line a second in the log.

--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -10,9 +10,18 @@
 	"fescuehoist.example/mesh/call"
 )
 
+// Refuser decides what callers are told whose calls are not made.
+type Refuser interface {
+	// Refuse returns the failure of a call for which there is no room.
+	Refuse(r *call.Request, cause error) *call.Failure
+}
+
+var errCrowded = errors.New("too many open connections")
+
 // CallerHandler handles requests from callers.
 type CallerHandler struct {
 	Handler call.Handler
+	Refuser Refuser
 	// Dialect encodes the metadata of calls; nil means Native.
 	Dialect Dialect
 	// Origin is the service of the backend server beside this daemon.
@@ -39,6 +48,17 @@
 	d.AnnotateAnswer(r, resp)
 }
 
+// Refuse answers a request for which there was no room.
+func (h *CallerHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response) {
+	d := defaultDialect(h.Dialect)
+	r := ReadRequest(req)
+	if _, err := d.ReadCall(req, r); err != nil {
+		d.WriteFailure(r, call.Refuse(call.BadRequest, err), resp)
+		return
+	}
+	d.WriteFailure(r, h.Refuser.Refuse(r, errCrowded), resp)
+}
+
 // RejectMalformed marks the response to a malformed request.
 func (h *CallerHandler) RejectMalformed(resp *fasthttp.Response) { markMalformed(resp) }
 
@@ -94,6 +114,12 @@
 	}
 }
 
+// Refuse answers a request for which there was no room.
+func (h *DaemonHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response) {
+	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
+	writeFailure(call.Refuse(call.Overloaded, errCrowded), resp)
+}
+
 // RejectMalformed marks the response to a malformed request.
 func (h *DaemonHandler) RejectMalformed(resp *fasthttp.Response) { markMalformed(resp) }
 
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -184,6 +185,10 @@
 	return c, nil
 }
 
+// maxSpareAge is how long a connection may stay idle while the pool is in use. The
+// connection used last is used next, so that one that stays idle is not needed.
+const maxSpareAge = 5 * time.Second
+
 // put returns a connection to the pool. It closes it if it was interrupted (its
 // deadline is in the past), if the answer ends it, or if bytes after the answer were
 // received.
@@ -200,6 +205,10 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	if oldest := p.idle[0]; c.idleSince.Sub(oldest.idleSince) > maxSpareAge {
+		p.idle = slices.Delete(p.idle, 0, 1)
+		_ = oldest.Close()
+	}
 }
 
 // CloseExpired closes the connections that were idle for longer than MaxIdleAge.
--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -37,6 +37,9 @@
 // disconnects.
 type Handler interface {
 	Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response)
+	// Refuse writes the answer to a request that is not handled because too many
+	// connections are open.
+	Refuse(req *fasthttp.Request, resp *fasthttp.Response)
 	// RejectMalformed may add to the error response to a request that could not
 	// be read and is not passed to Handle.
 	RejectMalformed(resp *fasthttp.Response)
@@ -49,15 +52,14 @@
 	// progressInterval is the time between interim answers; 0 means that none are
 	// sent.
 	progressInterval time.Duration
-	// maxConnections limits the open connections.
-	maxConnections int
-	draining       atomic.Bool
+	draining         atomic.Bool
 	// onAcceptError is called for each failed Accept; it may be nil.
 	onAcceptError func(error)
 
 	mu       sync.Mutex
 	sessions map[*session]bool
 	closed   bool
+	room     room
 }
 
 // NewServer returns a server that passes each request to the handler. While a
@@ -66,13 +68,28 @@
 func NewServer(h Handler, progressInterval time.Duration) *Server {
 	return &Server{
 		handler: h, progressInterval: progressInterval, sessions: map[*session]bool{},
-		maxConnections: DefaultMaxConnections,
+		room: room{limit: DefaultMaxConnections},
 	}
 }
 
-// SetMaxConnections limits the open connections to n; one beyond the limit is
-// closed immediately, without reading from it. It must be called before Run.
-func (s *Server) SetMaxConnections(n int) { s.maxConnections = n }
+// SetMaxConnections limits the open connections to n. Close to the limit, answers end
+// their connections; at the limit, connections that have been idle for minIdleAge or
+// longer are closed, and the requests on a few connections beyond it are refused. It
+// must be called before Run.
+func (s *Server) SetMaxConnections(n int, minIdleAge time.Duration) {
+	s.room.limit, s.room.minIdleAge = n, minIdleAge
+}
+
+// OnCrowded sets a function that is called, once a second at most, when the limit of
+// open connections is reached. It must be called before Run and must not block.
+func (s *Server) OnCrowded(report func(limit int, total Crowding)) { s.room.report = report }
+
+// Crowding returns the counts since the start of the server.
+func (s *Server) Crowding() Crowding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room.counts
+}
 
 // OnAcceptError sets a function that is called for each failed Accept. It must be
 // called before Run.
@@ -111,8 +128,8 @@
 	}
 }
 
-// start starts the goroutine of a connection, or closes the connection if it is
-// beyond the limit.
+// start starts the goroutine of a connection, or closes the connection if there is no
+// room for it.
 func (s *Server) start(ctx context.Context, tasks *errgroup.Group, c net.Conn) {
 	n := newSession(s, c)
 	if !s.add(n) {
@@ -128,17 +145,13 @@
 func (s *Server) add(n *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.sessions) >= s.maxConnections {
-		return false
-	}
-	s.sessions[n] = true
-	return true
+	return !s.closed && s.admit(n, time.Now())
 }
 
 func (s *Server) remove(n *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, n)
+	s.release(n)
 	_ = n.Close()
 }
 
--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -24,6 +24,11 @@
 	resp.SetBody(req.Body())
 }
 
+func (echoHandler) Refuse(_ *fasthttp.Request, resp *fasthttp.Response) {
+	resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	resp.SetBodyString("crowded")
+}
+
 func (echoHandler) RejectMalformed(resp *fasthttp.Response) { resp.Header.Set("X-Refused", "yes") }
 
 func startServer(t *testing.T, h Handler) (*Server, string) {
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -22,8 +22,12 @@
 	w      *bufio.Writer
 	// slots is a semaphore that limits the concurrently running requests.
 	slots chan struct{}
+	// refusing is true if no request of the connection is handled.
+	refusing bool
 
 	mu sync.Mutex
+	// idleSince is when the last request ended, or when the connection was opened.
+	idleSince time.Time
 	// queue holds the unanswered exchanges in the order of their requests.
 	queue []*exchange
 	// reading is true while a request is partly read, closing once no further
@@ -53,7 +57,7 @@
 
 func newSession(s *Server, c net.Conn) *session {
 	return &session{
-		Conn: c, server: s, slots: make(chan struct{}, maxPipelined),
+		Conn: c, server: s, idleSince: time.Now(), slots: make(chan struct{}, maxPipelined),
 		r: bufio.NewReaderSize(c, requestBufferSize), w: bufio.NewWriterSize(c, requestBufferSize),
 	}
 }
@@ -95,7 +99,7 @@
 			n.rejectMalformed(x, err)
 			return lastRequest
 		}
-		x.last = x.req.Header.ConnectionClose()
+		x.last = x.req.Header.ConnectionClose() || n.refusing
 		last := x.last
 		if !n.enqueue(x) {
 			x.release()
@@ -173,7 +177,11 @@
 		_ = n.SetReadDeadline(time.Time{})
 		return
 	}
-	_ = n.SetReadDeadline(time.Now().Add(IdleTimeout))
+	timeout := IdleTimeout
+	if n.refusing {
+		timeout = refusalTimeout
+	}
+	_ = n.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // enqueue adds an exchange to the queue. It returns false if an earlier answer has
@@ -204,9 +212,13 @@
 }
 
 func (n *session) handle(ctx context.Context, x *exchange) {
-	stopProgress := n.startProgress(x)
-	n.server.handler.Handle(ctx, x.req, x.resp)
-	stopProgress()
+	if n.refusing {
+		n.server.handler.Refuse(x.req, x.resp)
+	} else {
+		stopProgress := n.startProgress(x)
+		n.server.handler.Handle(ctx, x.req, x.resp)
+		stopProgress()
+	}
 	x.resp.SkipBody = x.req.Header.IsHead()
 	n.deliver(x)
 }
@@ -224,6 +236,7 @@
 		head.release()
 	}
 	if len(n.queue) == 0 && !n.closing && !n.reading {
+		n.idleSince = time.Now()
 		n.setIdleDeadline()
 	}
 }
@@ -231,7 +244,7 @@
 // write writes one answer. If it is the last one or the write fails, no further
 // request is read.
 func (n *session) write(x *exchange) {
-	if n.server.draining.Load() && len(n.queue) == 0 {
+	if len(n.queue) == 0 && (n.server.draining.Load() || n.server.room.crowded.Load()) {
 		n.closing = true
 	}
 	last := x.last || x.resp.ConnectionClose() || (n.closing && len(n.queue) == 0)
@@ -264,14 +277,25 @@
 	_, _ = io.Copy(io.Discard, n.Conn)
 }
 
-// closeIfIdle closes the connection unless a request is in progress.
-func (n *session) closeIfIdle() {
+// idle returns since when the connection has had no request in progress, and whether
+// it has none.
+func (n *session) idle() (time.Time, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.queue) == 0 && !n.reading {
-		n.closing = true
-		_ = n.Close()
+	return n.idleSince, len(n.queue) == 0 && !n.reading && !n.closing
+}
+
+// closeIfIdle closes the connection unless a request is in progress, and reports
+// whether it did.
+func (n *session) closeIfIdle() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.queue) > 0 || n.reading {
+		return false
 	}
+	n.closing = true
+	_ = n.Close()
+	return true
 }
 
 // interimAnswer tells the caller that the request is still being processed.
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -363,14 +363,14 @@
 // callerServer returns the server for calls from callers.
 func (d *Daemon) callerServer() *httpconn.Server {
 	s := d.cfg.Settings
-	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers")
+	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers", callerIdleAge)
 }
 
 // daemonServer returns the server for calls from other daemons.
 func (d *Daemon) daemonServer() *httpconn.Server {
 	s := d.cfg.Settings
 	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls")
+	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
 }
 
 // The connections of callers and those of other daemons may each use one part in
@@ -386,12 +386,24 @@
 // buffer grows by doubling, and a read one is copied.
 const answerMemoryDivisor = 8
 
-func (d *Daemon) newServer(h httpconn.Handler, progress time.Duration, name string) *httpconn.Server {
+// Connections that have been idle for callerIdleAge or daemonIdleAge may be closed to
+// make room. A daemon sends no request that must not run twice on a connection that
+// was idle for as long, since it could not tell whether it was read.
+const (
+	callerIdleAge = time.Second
+	daemonIdleAge = httpconn.MaxIdleAgeNonIdempotent + time.Second
+)
+
+func (d *Daemon) newServer(h httpconn.Handler, progress time.Duration, name string, minIdleAge time.Duration) *httpconn.Server {
 	server := httpconn.NewServer(h, progress)
 	if n := d.cfg.Settings.Limits.Descriptors; n > 0 {
-		server.SetMaxConnections(max(n/descriptorDivisor, minServerDescriptors))
+		server.SetMaxConnections(max(n/descriptorDivisor, minServerDescriptors), minIdleAge)
 	}
 	logger := d.partLogger(name)
+	server.OnCrowded(func(limit int, total httpconn.Crowding) {
+		logger.WithFields(logrus.Fields{"limit": limit, "closed_idle": total.ClosedIdle, "refused": total.Refused, "dropped": total.Dropped}).
+			Warn("too many connections are open; counts since the start")
+	})
 	server.OnAcceptError(func(err error) { logger.Warnf("cannot accept a connection, retrying: %v", err) })
 	return server
 }
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -65,6 +65,18 @@
 	return answer, err
 }
 
+// Refuse returns the failure of a call that is not made because this daemon has no
+// room for it.
+func (p *Outbound) Refuse(r *call.Request, cause error) *call.Failure {
+	f := call.Refuse(call.Overloaded, cause)
+	if err := classify(p.Routes.Table(), r); err != nil {
+		f = p.checkOutdated(asFailure(err))
+	}
+	f.RetryAfter = retry.RetryAfter(r, f)
+	p.Observer.ObserveCall(r, 0, f)
+	return f
+}
+
 func (p *Outbound) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	if err := classify(p.Routes.Table(), r); err != nil {
 		return nil, p.checkOutdated(asFailure(err))
