Refuse calls that come late in a planned stop and may outlast it

Change: one end is set at SIGTERM, no later than the drain timeout where the platform kills then. TestDaemonStopAnswersCallsThatComeLate fails without the refusal.

--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -311,9 +311,10 @@
 		}
 		d.draining.Store(true)
 		logger.Info("draining before exit")
+		end := time.Now().Add(d.drainTimeout())
 		callerServer.Drain()
 		_ = wait.For(controlCtx, d.platformAdapter.drainDelay())
-		d.drain(controlCtx, stopCalls, servers.Wait)
+		d.drain(controlCtx, end, stopCalls, servers.Wait)
 		logger.Info("drained, leaving the mesh")
 		return nil
 	})
@@ -323,11 +324,14 @@
 	return oops.In("daemon").Wrap(err)
 }
 
-// drain ends calls in order within drainTimeout: the backend server accepts no
-// new calls, the running ones end, then the peers are notified that it has left.
-func (d *Daemon) drain(ctx context.Context, stopCalls func(), waitServers func() error) {
-	ctx, cancel := context.WithTimeout(ctx, d.drainTimeout())
+// drain ends calls in order until end: the backend server accepts no new calls, the
+// running ones end, then the peers are notified that it has left. Callers that have
+// not left after the notice may still make calls, if these are sure to end in time.
+func (d *Daemon) drain(ctx context.Context, end time.Time, stopCalls func(), waitServers func() error) {
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	notice := time.AfterFunc(announce.NoticePeriod, func() { d.outbound.EndBy(end.Add(-leaveGossipPeriod)) })
+	defer notice.Stop()
 	if err := d.announcer.Drain(ctx); err != nil {
 		d.partLogger("daemon").Warn("drain timeout expired while calls were running, ending them")
 	}
@@ -346,10 +350,13 @@
 	time.Sleep(leaveGossipPeriod)
 }
 
-// drainTimeout returns the drain timeout of the settings, or the time in which the
-// longest calls to this service can end if that is longer.
+// drainTimeout returns the drain timeout of the settings. Unless the process is killed
+// after it, it is extended to the time in which the longest calls to this service end.
 func (d *Daemon) drainTimeout() time.Duration {
 	longest := d.cfg.Settings.DrainTimeout
+	if d.platformAdapter.killsAfterDrainTimeout() {
+		return longest
+	}
 	d.configs.Snapshot().Each(func(s *target.Service) {
 		for i := range s.Classes {
 			if c := &s.Classes[i]; c.RoutesTo(s.Name, d.announcer.Service()) {
--- a/fescuehoistd/daemon/native_platform.go
+++ b/fescuehoistd/daemon/native_platform.go
@@ -55,6 +55,8 @@
 
 func (n *nativePlatform) drainDelay() time.Duration { return 0 }
 
+func (n *nativePlatform) killsAfterDrainTimeout() bool { return false }
+
 func (n *nativePlatform) metrics() []telemetry.Metric {
 	return []telemetry.Metric{
 		{Name: "fescuehoist.status.reports", Description: "Status reports sent to other daemons.", Monotonic: true,
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -70,6 +70,8 @@
 
 func (o *objectPlatform) drainDelay() time.Duration { return drainDelayPeriod }
 
+func (o *objectPlatform) killsAfterDrainTimeout() bool { return true }
+
 func (o *objectPlatform) metrics() []telemetry.Metric {
 	return []telemetry.Metric{
 		{Name: "fescuehoist.platform.calls.failed", Description: "Calls to the platform without a usable response.", Monotonic: true,
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -33,9 +33,9 @@
 	exited                        chan error
 }
 
-// startHost starts a backend server and the daemon beside it; both are stopped at
-// the end of the test.
-func startHost(t *testing.T, store *platformtest.Store, name, domain, service string) *host {
+// startHost starts a backend server and the daemon beside it, with settings changed by
+// tune; both are stopped at the end of the test.
+func startHost(t *testing.T, store *platformtest.Store, name, domain, service string, tune ...func(*settings.Settings)) *host {
 	t.Helper()
 	h := &host{backend: platformtest.NewBackend(service, "i-"+name), exited: make(chan error, 1)}
 	t.Cleanup(h.backend.Close)
@@ -45,6 +45,9 @@
 		Platform: store.Address(), API: settings.Objects, FixedSlots: true, Retry: settings.Retry{Share: 0.1, Burst: 56},
 		AnnounceLifetime: eventTimeout, DrainTimeout: 6 * time.Second,
 	}
+	for _, f := range tune {
+		f(set)
+	}
 	listeners, err := daemon.Listen(set)
 	if err != nil {
 		t.Fatal(err)
@@ -141,11 +144,11 @@
 
 // startPair starts two hosts of one service, the second in the given failure
 // domain, and waits until both serve calls and know each other's backend server.
-func startPair(t *testing.T, store *platformtest.Store, second string) (*host, *host) {
+func startPair(t *testing.T, store *platformtest.Store, second string, tune ...func(*settings.Settings)) (*host, *host) {
 	t.Helper()
 	store.Put("config", "main", configuration(4))
-	a := startHost(t, store, "host-a", "cairo-a", "lookup")
-	b := startHost(t, store, "host-b", second, "lookup")
+	a := startHost(t, store, "host-a", "cairo-a", "lookup", tune...)
+	b := startHost(t, store, "host-b", second, "lookup", tune...)
 	for _, h := range []*host{a, b} {
 		await(t, "the first route", respondsWith(t, h, "/search/x", 200))
 	}
@@ -268,6 +271,44 @@
 	}
 }
 
+// A call that comes late in a planned stop, while the daemon waits for others, must be
+// answered before the process is killed. One that is not sure to end in time is told
+// that it has not run.
+func TestDaemonStopAnswersCallsThatComeLate(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	// Calls time out after 2 s, so that one which comes in the last second of the stop
+	// may outlast it.
+	const drain, lateAt = 4 * time.Second, 2800 * time.Millisecond
+	a, b := startPair(t, store, "cairo-b", func(s *settings.Settings) { s.DrainTimeout = drain })
+	start := time.Now()
+	a.stop()
+	// The daemon waits for a call that runs at its own backend server.
+	time.Sleep(1400 * time.Millisecond)
+	a.backend.SetServiceTime(1900 * time.Millisecond)
+	b.backend.SetServiceTime(1900 * time.Millisecond)
+	var early sync.WaitGroup
+	for n := range 8 {
+		early.Go(func() { sendRequest(t, a, "GET", "/search/x", fmt.Sprint("early-", n)) })
+	}
+	time.Sleep(lateAt - time.Since(start))
+	late := sendRequest(t, a, "POST", "/submit/x", "late")
+	if late.status != 503 || late.retryAfter == "" {
+		t.Errorf("late call: got %+v, want status 503 with a time to come back", late)
+	}
+	if n := a.backend.Executions("late") + b.backend.Executions("late"); n != 0 {
+		t.Errorf("late call ran %d times, want 0 after a refusal", n)
+	}
+	early.Wait()
+	if err := <-a.exited; err != nil {
+		t.Error(err)
+	}
+	a.exited <- nil
+	if elapsed := time.Since(start); elapsed > drain {
+		t.Errorf("daemon ended %s after the start of the stop, want at most %s", elapsed, drain)
+	}
+}
+
 func TestFailedCallIsRetriedAtOtherServer(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
--- a/fescuehoistd/daemon/platform_adapter.go
+++ b/fescuehoistd/daemon/platform_adapter.go
@@ -27,6 +27,9 @@
 	// drainDelay returns how long a stopping daemon continues to serve before it
 	// announces that it leaves.
 	drainDelay() time.Duration
+	// killsAfterDrainTimeout reports whether the platform kills a process that has
+	// not ended within the drain timeout.
+	killsAfterDrainTimeout() bool
 	metrics() []telemetry.Metric
 	// platformCalls returns the number of calls made to the platform.
 	platformCalls() uint64
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -18,6 +18,7 @@
 	errOutdated        = errors.New("no such route in a configuration that may be outdated")
 	errThrottled       = errors.New("throttled: the servers refuse most calls of this class and client")
 	errMisdirected     = errors.New("the call is addressed to another backend server or service")
+	errStopping        = errors.New("the daemon stops before the call is sure to end")
 	errNoServer        = errors.New("no backend server of the service accepts calls")
 )
 
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"fescuehoist.example/mesh/call"
@@ -48,6 +49,23 @@
 	Remote      Forwarder
 	Local       call.Handler
 	Observer    Observer
+
+	// end is when the daemon stops, nil while that is unknown.
+	end atomic.Pointer[time.Time]
+}
+
+// EndBy makes the daemon refuse the calls that may last longer than until end.
+func (p *Outbound) EndBy(end time.Time) { p.end.Store(&end) }
+
+// endsInTime reports whether a call ends before the daemon does, however long it
+// takes. Nobody would be left to answer it.
+func (p *Outbound) endsInTime(ctx context.Context) bool {
+	end := p.end.Load()
+	if end == nil {
+		return true
+	}
+	deadline, ok := ctx.Deadline()
+	return ok && !deadline.After(*end)
 }
 
 // Call handles one call. Its errors are of type *call.Failure.
@@ -84,6 +102,9 @@
 	r.Service = r.Class.Destination(r.Service, rand.Float64())
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
 	defer cancel()
+	if !p.endsInTime(ctx) {
+		return nil, call.Refuse(call.Draining, errStopping)
+	}
 	if r.Class.Idempotent || r.Key == "" {
 		return p.sendThrottled(ctx, r)
 	}
