--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -41,6 +41,9 @@
 // SetSlots does nothing.
 func (g *OpenGate) SetSlots(int) {}
 
+// OpenFully does nothing.
+func (g *OpenGate) OpenFully() {}
+
 // Drain does nothing.
 func (g *OpenGate) Drain(context.Context) error { return nil }
 
@@ -146,6 +149,9 @@
 	return call.Load{Running: g.running, Queued: len(g.waiting), Limit: g.slots}
 }
 
+// OpenFully does nothing.
+func (g *FIFOGate) OpenFully() {}
+
 // SetSlots sets the number of slots.
 func (g *FIFOGate) SetSlots(slots int) {
 	g.mu.Lock()
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -73,6 +73,15 @@
 	g.fillSlots(time.Now())
 }
 
+// OpenFully lets calls use all slots before the first of them has ended, for a backend
+// server that has not answered any other daemon.
+func (g *Gate) OpenFully() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.answered = true
+	g.fillSlots(time.Now())
+}
+
 // Enter waits for a slot. The caller must call the returned function with the
 // call's error when the call has ended. An error of Enter is a *call.Failure
 // with verdict NotRun.
@@ -169,7 +178,7 @@
 	if max(g.estimateWait(c, position), g.estimateRateWait(c, position, w.arrived)) > w.expires.Sub(w.arrived) {
 		return call.Refuse(call.Overloaded, errTooLate)
 	}
-	if c.queue.len() >= g.limit.value()*QueuePerSlot {
+	if c.queue.len() >= g.limit.queueLimit()*QueuePerSlot {
 		newest := c.queue.displace(b)
 		if newest == nil {
 			return call.Refuse(call.Overloaded, errQueueFull)
@@ -191,7 +200,7 @@
 // availableSlots estimates the slots that serve a class: those that more urgent
 // classes do not use and that less urgent ones are not guaranteed.
 func (g *Gate) availableSlots(c *class) float64 {
-	limit := float64(g.limit.value())
+	limit := float64(g.limit.queueLimit())
 	slots := limit
 	for _, other := range g.classes {
 		if other == c {
--- a/mesh/admit/limit.go
+++ b/mesh/admit/limit.go
@@ -26,7 +26,8 @@
 	// unloaded.
 	unloadedShare = 0.25
 	// firstCalls is how many calls a backend server with a fixed limit runs at once
-	// until the first of them has ended: its answer may name a rate limit.
+	// until the first of them has ended: its answer may name a rate limit that it
+	// named before this daemon's start.
 	firstCalls = 2
 	// busyShare is the share of the limit from which on a server counts as
 	// busy.
@@ -78,6 +79,15 @@
 	return max(int(l.limit+0.5), 1)
 }
 
+// queueLimit returns the limit that queued calls can count on. While the first calls
+// of a backend server with a fixed limit run, others wait for its slots to open.
+func (l *limiter) queueLimit() int {
+	if l.fixed {
+		return l.slots
+	}
+	return l.value()
+}
+
 // observeEnd records that a call has ended.
 func (l *limiter) observeEnd() { l.answered = true }
 
--- a/mesh/admit/rate.go
+++ b/mesh/admit/rate.go
@@ -31,10 +31,14 @@
 	updatedAt time.Time
 }
 
-// observe applies what a backend server says in an answer.
-func (r *rateLimit) observe(n call.Condition, now time.Time) {
+// observe applies what a backend server says in an answer while running calls run.
+// Those that were sent before the limit was named count against it.
+func (r *rateLimit) observe(n call.Condition, running int, now time.Time) {
 	switch {
 	case n.RateLimited:
+		if !r.limited() {
+			r.tokens = -float64(running)
+		}
 		r.refill(now)
 		r.perSecond, r.namedAt = max(n.RateLimit, minRate), now
 		r.tokens = min(r.tokens, r.capacity())
@@ -99,7 +103,7 @@
 		return
 	}
 	now := time.Now()
-	g.rate.observe(n, now)
+	g.rate.observe(n, g.running, now)
 	g.fillSlots(now)
 }
 
--- a/mesh/admit/rate_test.go
+++ b/mesh/admit/rate_test.go
@@ -187,6 +187,33 @@
 	})
 }
 
+// Calls that come while the first ones run wait for them instead of being refused.
+func TestFixedGateRefusesNoCallBeforeFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewFixedGate()
+		g.SetSlots(18)
+		l := load{class: submission, perSecond: 180, serviceTime: submissionServiceTime, duration: 100 * time.Millisecond}
+		if r := l.run(g, call.Condition{}); len(r.admitted) < 18 {
+			t.Errorf("%d of 18 calls admitted in the first 100 ms, want all", len(r.admitted))
+		}
+	})
+}
+
+// Calls sent before a limit was named count against it.
+func TestFullyOpenedGateKeepsToRateLimitAfterFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, perSecond, window = 12, 6.0, 4 * time.Second
+		g := NewFixedGate()
+		g.SetSlots(slots)
+		g.OpenFully()
+		l := load{class: submission, perSecond: 50, serviceTime: 200 * time.Millisecond, duration: 10 * time.Second}
+		r := l.run(g, call.Condition{RateLimited: true, RateLimit: perSecond})
+		if got, want := busiest(r.admitted, window), int(perSecond*window.Seconds())+2; got > want {
+			t.Errorf("%d calls admitted in %s at a limit of %g a second, want at most %d", got, window, perSecond, want)
+		}
+	})
+}
+
 func TestFixedGateFillsItsSlotsAfterFirstAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewFixedGate()
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -41,6 +41,8 @@
 // Gate admits calls to the backend server.
 type Gate interface {
 	SetSlots(slots int)
+	// OpenFully lets calls use all slots at once.
+	OpenFully()
 	Drain(ctx context.Context) error
 	// Close refuses new calls until Open is called.
 	Close()
@@ -54,6 +56,10 @@
 // daemons that have not yet received its new state.
 const NoticePeriod = time.Second
 
+// startTolerance is how long before the daemon a backend server may have started and
+// still not have answered an earlier start of the daemon.
+const startTolerance = 500 * time.Millisecond
+
 // lateAnnouncementPeriod is how long an announcement may be on its way.
 const lateAnnouncementPeriod = 30 * time.Second
 
@@ -64,6 +70,8 @@
 	backend   AddressSetter
 	gate      Gate
 	lifetime  time.Duration
+	// startedAt is the start of this daemon in Unix milliseconds.
+	startedAt uint64
 
 	mu     sync.Mutex
 	record member.Record
@@ -86,7 +94,9 @@
 func New(record member.Record, publisher Publisher, backend AddressSetter, gate Gate, lifetime time.Duration) *Announcer {
 	record.State = member.Starting
 	record.Incarnation = uint64(time.Now().UnixMilli())
-	a := &Announcer{publisher: publisher, backend: backend, gate: gate, lifetime: lifetime, record: record}
+	a := &Announcer{
+		publisher: publisher, backend: backend, gate: gate, lifetime: lifetime, record: record, startedAt: record.Incarnation,
+	}
 	publisher.Announce(record)
 	return a
 }
@@ -126,6 +136,9 @@
 		return true
 	}
 	a.gate.SetSlots(b.Slots)
+	if b.Started+uint64(startTolerance.Milliseconds()) > a.startedAt {
+		a.gate.OpenFully()
+	}
 	a.record.State, a.record.Service, a.record.Slots, a.record.Instance = member.Ready, b.Service, b.Slots, b.Instance
 	a.publisher.Announce(a.record)
 	return true
--- a/mesh/announce/announcer_test.go
+++ b/mesh/announce/announcer_test.go
@@ -16,11 +16,14 @@
 	mu     sync.Mutex
 	state  member.State
 	closed bool
+	// openedFully counts the calls of OpenFully.
+	openedFully int
 }
 
 func (p *fakeDeps) Announce(own member.Record) { p.update(func() { p.state = own.State }) }
 func (p *fakeDeps) Close()                     { p.update(func() { p.closed = true }) }
 func (p *fakeDeps) Open()                      { p.update(func() { p.closed = false }) }
+func (p *fakeDeps) OpenFully()                 { p.update(func() { p.openedFully++ }) }
 
 func (*fakeDeps) SetAddress(string)           {}
 func (*fakeDeps) SetSlots(int)                {}
@@ -42,6 +45,30 @@
 	return announce.Backend{Service: "lookup", Address: instance, Slots: 4, Instance: instance, Started: started, Sequence: sequence}
 }
 
+// Only a backend server that cannot have answered an earlier start of the daemon gets
+// all calls at once.
+func TestAnnounceOpensFullyForServerStartedAfterDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeDeps{}
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, time.Hour)
+		now := uint64(time.Now().UnixMilli())
+		for _, step := range []struct {
+			name string
+			b    announce.Backend
+			want int
+		}{
+			{"running for ten seconds", newBackend("i-1", now-10_000, 1), 0},
+			{"restarted", newBackend("i-2", now+200, 1), 1},
+			{"repeated", newBackend("i-2", now+200, 2), 1},
+		} {
+			a.Announce(step.b)
+			if p.openedFully != step.want {
+				t.Errorf("%s: opened fully %d times, want %d", step.name, p.openedFully, step.want)
+			}
+		}
+	})
+}
+
 func TestAnnounceIgnoresOutdatedAnnouncement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeDeps{}
