--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -309,6 +309,43 @@
 	}
 }
 
+// A backend server whose status reports stay away gets no new calls, but the work that
+// it does goes on, is answered, and is started nowhere else.
+func TestCallRunsOnAtBackendServerWithoutReports(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	const lifetime = 2 * time.Second
+	a, b := startPair(t, store, "cairo-b", func(s *settings.Settings) { s.AnnounceLifetime = lifetime })
+	for _, h := range []*host{a, b} {
+		if _, err := h.backend.SendReport(h.announcements, "ready"); err != nil {
+			t.Fatal(err)
+		}
+		h.backend.SetServiceTime(lifetime - 200*time.Millisecond)
+	}
+	time.Sleep(lifetime / 2)
+	var calls sync.WaitGroup
+	for n := range 4 {
+		calls.Go(func() {
+			id := fmt.Sprint("silent-", n)
+			if got := sendRequest(t, b, "POST", "/submit/x", id); got.status != 200 {
+				t.Errorf("request %s: got %+v, want status 200", id, got)
+			}
+			if runs := a.backend.Executions(id) + b.backend.Executions(id); runs != 1 {
+				t.Errorf("request %s ran %d times, want 1", id, runs)
+			}
+		})
+	}
+	await(t, "the backend servers to leave the routes", func() bool {
+		for _, m := range b.daemon.State().Members {
+			if m.State == "ready" {
+				return false
+			}
+		}
+		return true
+	})
+	calls.Wait()
+}
+
 func TestFailedCallIsRetriedAtOtherServer(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
