Let a few daemons of each failure domain read the store when all start

Change: a starting daemon knows from the registry how many others its failure domain has. Four of them, chosen at random, read at once; the others wait for 400 ms at most until they know of a reader. Not by the order of readers, since entries outlive their daemons. Smaller failure domains start as before.

--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -43,6 +43,7 @@
 	}}
 	own := discover.Entry{Server: self, Domain: s.Domain, PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String())}
 	o.discovery = discover.New(d.cfg.Discover, own, registry, d.node, &sweeper{self: self, members: d.members}, logger)
+	o.watcher.Neighborhood = o.discovery
 	announceLogger := d.partLogger("announce")
 	o.reportHandler = &platform.ReportHandler{Announcer: d.announcer, Service: s.Service, Address: s.Backend,
 		OnRejected: func(instance string, err error) {
--- a/mesh/configwatch/config.go
+++ b/mesh/configwatch/config.go
@@ -34,6 +34,11 @@
 	// ProbeInterval is the mean time between the pings of a daemon that cannot
 	// reach the source while others of its failure domain can.
 	ProbeInterval time.Duration
+	// FirstReaders is the mean number of daemons of a failure domain that read the
+	// source as soon as they start. The others wait for JoinWait at most to hear
+	// of one that reads for them.
+	FirstReaders int
+	JoinWait     time.Duration
 	// MinReadInterval is the shortest time between two reads of the source.
 	MinReadInterval time.Duration
 }
@@ -46,5 +51,6 @@
 		CheckWait: 10 * time.Millisecond, CallTimeout: time.Second,
 		RetryBase: 100 * time.Millisecond, RetryMax: time.Second, RetryDomainSize: 50,
 		ProbeInterval: 2 * time.Second, MinReadInterval: 300 * time.Millisecond,
+		FirstReaders: 4, JoinWait: 400 * time.Millisecond,
 	}
 }
--- a/mesh/configwatch/fleet_test.go
+++ b/mesh/configwatch/fleet_test.go
@@ -157,7 +157,7 @@
 		defer tasks.Wait()
 		defer cancel()
 		for i := range count {
-			fl.start(ctx, &tasks, i)
+			fl.start(ctx, &tasks, i, count)
 		}
 		time.Sleep(10 * time.Second)
 		fl.requireVersion(1, fl.daemons)
@@ -165,7 +165,13 @@
 	})
 }
 
-func (f *watchingFleet) start(ctx context.Context, tasks *sync.WaitGroup, i int) {
+// neighborhood is the number of other daemons of the failure domain.
+type neighborhood int
+
+func (n neighborhood) Neighbors(context.Context) int { return int(n) }
+
+// start starts daemon i of count.
+func (f *watchingFleet) start(ctx context.Context, tasks *sync.WaitGroup, i, count int) {
 	id := member.ServerID(fmt.Sprintf("server-%d", i))
 	d := &fleetDaemon{id: id, source: &cutSource{source: f.source}, configs: manifest.NewStore()}
 	table := member.NewTable(id)
@@ -175,6 +181,7 @@
 	d.node = gossip.NewNode(gossip.DefaultConfig(), id, d.own.Domain, seeds, f.net.Dialer(string(id)), table, d.configs, nopDebugLogger{})
 	d.node.Announce(d.own)
 	watcher := configwatch.New(configwatch.DefaultConfig(), id, d.own.Domain, d.source, table, d.configs, d, discardLogger{})
+	watcher.Neighborhood = neighborhood(count/3 - 1)
 	f.daemons = append(f.daemons, d)
 	tasks.Go(func() { _ = d.node.Run(ctx) })
 	tasks.Go(func() { f.net.Listen(ctx, string(id), d.node) })
@@ -268,6 +275,25 @@
 	})
 }
 
+// A whole fleet that starts at the same time must not read the source once for each
+// daemon.
+func TestFewDaemonsReadSourceWhenAllStartTogether(t *testing.T) {
+	const count, domains = 90, 3
+	runWatchingFleet(t, count, func(f *watchingFleet) {
+		_, others := f.readers()
+		calling := 0
+		for _, d := range others {
+			if d.source.callCount() > 0 {
+				calling++
+			}
+		}
+		if most := domains * 3 * configwatch.DefaultConfig().FirstReaders; calling > most {
+			t.Errorf("%d of %d daemons that do not read the source called it at their start, want at most %d", calling, count, most)
+		}
+		t.Logf("%d of %d daemons called the source at their start", calling, count)
+	})
+}
+
 func TestOneDaemonPerFailureDomainCallsSourceInSteadyState(t *testing.T) {
 	runWatchingFleet(t, 18, func(f *watchingFleet) {
 		before := make([]int, len(f.daemons))
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -78,6 +78,9 @@
 	configs   *manifest.Store
 	announcer Announcer
 	logger    Logger
+	// Neighborhood may be nil: then the daemon does not wait for others at its
+	// start. It must be set before Run.
+	Neighborhood Neighborhood
 
 	// reread means that the source no longer has the changes after the known
 	// revision.
@@ -110,6 +113,7 @@
 
 // Run keeps the configuration current until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	w.awaitTurn(ctx)
 	delay := newBackOff(&w.cfg)
 	w.checkAfter = time.Now().Add(w.cfg.CheckAge)
 	for ctx.Err() == nil {
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -91,11 +91,29 @@
 
 	// goneAtLastSweep holds the daemons that were gone at the last sweep.
 	goneAtLastSweep map[member.ServerID]bool
+
+	// listed is closed after the first listing, which found neighbors entries of the
+	// own failure domain.
+	listed    chan struct{}
+	neighbors int
 }
 
 // New returns a finder; Run starts it.
 func New(cfg Config, self Entry, registry Registry, peers Peers, members Members, logger Logger) *Finder {
-	return &Finder{cfg: cfg, self: self, registry: registry, peers: peers, members: members, logger: logger}
+	return &Finder{
+		cfg: cfg, self: self, registry: registry, peers: peers, members: members, logger: logger, listed: make(chan struct{}),
+	}
+}
+
+// Neighbors returns the number of other daemons of the failure domain that the
+// registry named at the start of this one, or 0 if ctx ends before it was read.
+func (f *Finder) Neighbors(ctx context.Context) int {
+	select {
+	case <-f.listed:
+		return f.neighbors
+	case <-ctx.Done():
+		return 0
+	}
 }
 
 // Run registers the daemon, adds registered daemons as contacts, and does so again
@@ -185,10 +203,21 @@
 		return err
 	}
 	var addresses []string
+	neighbors := 0
 	for _, e := range entries {
-		if e.Server != f.self.Server && e.PeerAddress != f.self.PeerAddress {
-			addresses = append(addresses, e.PeerAddress)
+		if e.Server == f.self.Server || e.PeerAddress == f.self.PeerAddress {
+			continue
 		}
+		addresses = append(addresses, e.PeerAddress)
+		if e.Domain == f.self.Domain {
+			neighbors++
+		}
+	}
+	select {
+	case <-f.listed:
+	default:
+		f.neighbors = neighbors
+		close(f.listed)
 	}
 	f.logger.Infof("found %d other registered daemons", len(addresses))
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
