Compare attempts and parts in a diff; fix the race of a gate's drain

A diff of two declarations passed over the number of attempts and the parts, so that an edit of them showed nothing. A drain of the gate read the channel that Open replaces without the lock (race detector).

--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -386,9 +386,11 @@
 	g.mu.Lock()
 	g.draining = true
 	g.signalIdle()
+	// Open may replace the channel.
+	idle := g.idle
 	g.mu.Unlock()
 	select {
-	case <-g.idle:
+	case <-idle:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/mesh/admit/gate_test.go
+++ b/mesh/admit/gate_test.go
@@ -320,6 +320,21 @@
 	})
 }
 
+// A backend server may be ready again while a drain of its gate still waits.
+func TestGateDrainAndOpenAtTheSameTime(t *testing.T) {
+	g := NewGate(1)
+	var tasks sync.WaitGroup
+	for range 100 {
+		ctx, cancel := context.WithCancel(context.Background())
+		tasks.Go(func() { _ = g.Drain(ctx) })
+		tasks.Go(func() {
+			g.Open()
+			cancel()
+		})
+	}
+	tasks.Wait()
+}
+
 func TestGateCanceledCallLeavesQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate(1)
--- a/mesh/target/diff.go
+++ b/mesh/target/diff.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -92,9 +93,20 @@
 		{"idempotent", strconv.FormatBool(c.Idempotent)},
 		{"internal", strconv.FormatBool(c.Internal)},
 		{"notice", c.Notice.String()},
+		{"attempts", strconv.Itoa(c.Attempts)},
+		{"parts", formatParts(c.Parts)},
 	}
 }
 
+// formatParts formats parts as "lookup 90, archive 10".
+func formatParts(parts []Part) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = p.Service + " " + strconv.Itoa(p.Weight)
+	}
+	return quote(strings.Join(texts, ", "))
+}
+
 // Target returns the class's target as text, such as "99% of calls within
 // 60ms".
 func (c *Class) Target() string {
