--- a/adapters/httpconn/cut_answer_test.go
+++ b/adapters/httpconn/cut_answer_test.go
@@ -51,7 +51,7 @@
 // An answer that ends early must not become a complete one with an empty or short
 // body, wherever it ends: in its head, its body or the end of its chunks.
 func TestPoolAnswerThatEndsEarlyIsNoAnswer(t *testing.T) {
-	const fields = "HTTP/1.1 200 OK\r\nFescuehoist-Response-Seal: ab.1\r\nContent-Type: text/plain\r\n"
+	const fields = "HTTP/1.1 200 OK\r\nX-Seal: ab.1\r\nContent-Type: text/plain\r\n"
 	for _, c := range []struct {
 		name, answer string
 		reset        bool
