Ask silent replicas of a key once more before a request fails

Seen: TestSubmissionRepeatedAtThreeDaemonsRunsOnce, 1 run in 15 beside a load of 10 to 14: a copy is told "unrecorded (may-have-run): too few replicas could record the idempotency key", although no copy had begun. Cause: a replica that takes longer than 250 ms to answer counts as one that did not record the key, and the request ends at once, while rounds are left for replicas that disagree.

--- a/mesh/idempotency/idempotency_test.go
+++ b/mesh/idempotency/idempotency_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// A replica that is slow for a moment must not fail a request that no other copy of
+// has begun; replicas that stay silent must not hold it for long.
+func TestRunnerAsksSilentReplicasOnceMore(t *testing.T) {
+	net, exec := newNetwork(6), &executor{}
+	net.loseBegins = 1
+	answer, err := runRequest(net.nodes["s0"], exec, "k")
+	wantAnswer(t, "k", answer, err)
+	if exec.executions["k"] != 1 {
+		t.Errorf("executed %d times, want 1", exec.executions["k"])
+	}
+	net = newNetwork(6)
+	net.loseBegins = 100
+	_, err = runRequest(net.nodes["s0"], exec, "silent")
+	wantOutcomeUnknown(t, err)
+	for address, n := range net.lostBegins {
+		if n > 2 {
+			t.Errorf("replica %s was asked %d times, want at most 2", address, n)
+		}
+	}
+}
+
 func TestRunnerRepeatAfterNotRunExecutes(t *testing.T) {
 	net, exec := newNetwork(6), &executor{err: call.Refuse(call.Overloaded, nil)}
 	if _, err := runRequest(net.nodes["s0"], exec, "k"); err == nil {
--- a/mesh/idempotency/network_test.go
+++ b/mesh/idempotency/network_test.go
@@ -30,6 +30,21 @@
 	nodes map[string]*node
 	// cut holds the pairs of daemons that cannot reach each other.
 	partitioned map[[2]string]bool
+	// loseBegins is the number of Begin messages that are lost at each daemon, and
+	// lostBegins the number of those that were.
+	loseBegins int
+	lostBegins map[string]int
+}
+
+// losesBegin reports whether a Begin message to a daemon is lost.
+func (net *network) losesBegin(address string) bool {
+	net.mu.Lock()
+	defer net.mu.Unlock()
+	if net.lostBegins[address] >= net.loseBegins {
+		return false
+	}
+	net.lostBegins[address]++
+	return true
 }
 
 // link is the transport of one node.
@@ -54,6 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.net.losesBegin(address) {
+		return nil, context.DeadlineExceeded
+	}
 	return n.ledger.Begin(m), nil
 }
 
@@ -82,7 +100,7 @@
 }
 
 func newNetwork(size int) *network {
-	net := &network{nodes: map[string]*node{}, partitioned: map[[2]string]bool{}}
+	net := &network{nodes: map[string]*node{}, partitioned: map[[2]string]bool{}, lostBegins: map[string]int{}}
 	for i := range size {
 		net.join(i, nil)
 	}
--- a/mesh/idempotency/runner.go
+++ b/mesh/idempotency/runner.go
@@ -85,6 +85,7 @@
 // key. Else it returns the outcome of an earlier copy or an error.
 func (p *Runner) record(ctx context.Context, e *execution) (*call.Answer, error) {
 	var ids []member.ServerID
+	repeated := false
 	for round := range p.cfg.Rounds {
 		if round > 0 && wait.For(ctx, mathrand.N(p.cfg.RoundDelay<<(round-1))) != nil {
 			break
@@ -98,6 +99,12 @@
 			return nil, nil
 		}
 		p.finish(ctx, e, Finish{Abandoned: true})
+		if v.onlySilent() && !repeated {
+			// A replica may only have been slow. One round more is all that the
+			// caller can wait for.
+			repeated = true
+			continue
+		}
 		answer, err := p.earlierOutcome(ctx, e, v)
 		if answer != nil || err != nil {
 			return answer, err
@@ -155,7 +162,10 @@
 
 // votes sums up the replies of the replicas to Begin.
 type votes struct {
-	replicas, granted, reliable         int
+	replicas, granted, reliable int
+	// silent counts the replicas that are not known to have failed and did not
+	// reply.
+	silent                              int
 	running                             *replica
 	finished, keyReused, replicasDiffer *Reply
 }
@@ -170,6 +180,8 @@
 		if reply != nil {
 			lostState = append(lostState, reply.LostState...)
 			v.add(e.replicas[i], reply)
+		} else if !e.replicas[i].failed {
+			v.silent++
 		}
 	}
 	for i, reply := range replies {
@@ -209,6 +221,12 @@
 	return v.replicas > 0 && v.granted >= majority && v.reliable > v.replicas-majority
 }
 
+// onlySilent reports whether the execution may not start for no other reason than that
+// replicas did not reply.
+func (v *votes) onlySilent() bool {
+	return v.silent > 0 && v.running == nil && v.finished == nil && v.keyReused == nil && v.replicasDiffer == nil
+}
+
 // earlierOutcome returns the outcome of an earlier execution, or nil, nil to
 // start another round.
 func (p *Runner) earlierOutcome(ctx context.Context, e *execution, v votes) (*call.Answer, error) {
