--- a/mesh/idempotency/runner.go
+++ b/mesh/idempotency/runner.go
@@ -165,7 +165,8 @@
 	replicas, granted, reliable int
 	// silent counts the replicas that are not known to have failed and did not
 	// reply.
-	silent                              int
+	silent int
+
 	running                             *replica
 	finished, keyReused, replicasDiffer *Reply
 }
