Tell an unreachable server that came back from one that was given up in the log

The probe logged the same line for both. The test of the end of the probes asks for the difference. A branch of the log of failed calls that never ran is gone.

--- a/fescuehoistd/daemon/call_log.go
+++ b/fescuehoistd/daemon/call_log.go
@@ -51,11 +51,8 @@
 }
 
 // LogFailure logs a call that failed at the daemon beside the backend server, with the
-// load on that server; err is nil for one that succeeded, which is not logged.
+// load on that server.
 func (l *callLog) LogFailure(r *call.Request, load call.Load, err error) {
-	if err == nil {
-		return
-	}
 	l.logger.WithFields(logrus.Fields{
 		"id": r.ID, "class": r.ClassName, "origin": r.Origin, "running": load.Running, "queued": load.Queued,
 		"limit": load.Limit, "usual": load.ServiceTime, "cause": err,
--- a/mesh/route/unreachable.go
+++ b/mesh/route/unreachable.go
@@ -86,8 +86,10 @@
 // has passed, and then removes the server from the set.
 func (u *UnreachableServers) probe(ctx context.Context, prober Prober, r *member.Record) {
 	backoff, deadline := minProbeInterval, time.Now().Add(maxProbeTime)
+	var lastErr error
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		err := prober.Probe(ctx, r.CallAddress)
+		lastErr = err
 		if err == nil {
 			break
 		}
@@ -100,6 +102,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.unreachable, r.CallAddress)
+	if lastErr != nil {
+		u.logger.Warnf("server %s: still unreachable after %s, probing ended, routing calls to it again: %v", r.Server, maxProbeTime, lastErr)
+		return
+	}
 	u.logger.Infof("server %s: probing ended, routing calls to it again", r.Server)
 }
 
--- a/mesh/route/unreachable_test.go
+++ b/mesh/route/unreachable_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -16,6 +18,15 @@
 func (discardLogger) Infof(string, ...any) {}
 func (discardLogger) Warnf(string, ...any) {}
 
+// recordingLogger keeps the last message.
+type recordingLogger struct{ last atomic.Pointer[string] }
+
+func (l *recordingLogger) Infof(format string, args ...any) { l.Warnf(format, args...) }
+func (l *recordingLogger) Warnf(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	l.last.Store(&text)
+}
+
 // fakeDaemon accepts connections, refuses them or does not respond.
 type fakeDaemon struct {
 	reachable, refuses atomic.Bool
@@ -82,7 +93,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		u := NewUnreachableServers(discardLogger{})
+		logger := &recordingLogger{}
+		u := NewUnreachableServers(logger)
 		go func() { _ = u.Run(ctx, &fakeDaemon{}) }()
 		r := &member.Record{Server: "a", CallAddress: "old"}
 		u.Add(r, errRefused)
@@ -93,5 +105,8 @@
 		if u.Contains(r) {
 			t.Error("server still marked unreachable after maxProbeTime")
 		}
+		if got := *logger.last.Load(); !strings.Contains(got, "still unreachable") {
+			t.Errorf("logged %q at the end of the probes, want that the server is still unreachable", got)
+		}
 	})
 }
