Share a test server and a check of votes; log no give-up at a stop

The server with a limit was written beside its twin in the tests; the votes' check for other uses of a key stood in two places. Nothing else changes.

--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -32,21 +32,8 @@
 func (echoHandler) RejectMalformed(resp *fasthttp.Response) { resp.Header.Set("X-Refused", "yes") }
 
 func startServer(t *testing.T, h Handler) (*Server, string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := NewServer(h, 0)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx, ln) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
-	return s, ln.Addr().String()
+	t.Helper()
+	return startLimitedServer(t, h, DefaultMaxConnections, 0)
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- a/mesh/idempotency/runner.go
+++ b/mesh/idempotency/runner.go
@@ -215,7 +215,7 @@
 // that may have recorded an earlier one includes a replica that replied and
 // did not lose its records.
 func (v *votes) mayStart() bool {
-	if v.running != nil || v.finished != nil || v.keyReused != nil || v.replicasDiffer != nil {
+	if v.disputed() {
 		return false
 	}
 	majority := v.replicas/2 + 1
@@ -224,8 +224,12 @@
 
 // onlySilent reports whether the execution may not start for no other reason than that
 // replicas did not reply.
-func (v *votes) onlySilent() bool {
-	return v.silent > 0 && v.running == nil && v.finished == nil && v.keyReused == nil && v.replicasDiffer == nil
+func (v *votes) onlySilent() bool { return v.silent > 0 && !v.disputed() }
+
+// disputed reports whether a replica knows of another use of the key, or of other
+// replicas.
+func (v *votes) disputed() bool {
+	return v.running != nil || v.finished != nil || v.keyReused != nil || v.replicasDiffer != nil
 }
 
 // earlierOutcome returns the outcome of an earlier execution, or nil, nil to
--- a/mesh/route/unreachable.go
+++ b/mesh/route/unreachable.go
@@ -86,11 +86,9 @@
 // has passed, and then removes the server from the set.
 func (u *UnreachableServers) probe(ctx context.Context, prober Prober, r *member.Record) {
 	backoff, deadline := minProbeInterval, time.Now().Add(maxProbeTime)
-	var lastErr error
+	var err error
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		err := prober.Probe(ctx, r.CallAddress)
-		lastErr = err
-		if err == nil {
+		if err = prober.Probe(ctx, r.CallAddress); err == nil {
 			break
 		}
 		if errors.Is(err, ErrNotResponding) {
@@ -102,11 +100,12 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.unreachable, r.CallAddress)
-	if lastErr != nil {
-		u.logger.Warnf("server %s: still unreachable after %s, probing ended, routing calls to it again: %v", r.Server, maxProbeTime, lastErr)
-		return
+	switch {
+	case err == nil:
+		u.logger.Infof("server %s: probing ended, routing calls to it again", r.Server)
+	case ctx.Err() == nil:
+		u.logger.Warnf("server %s: still unreachable after %s, probing ended, routing calls to it again: %v", r.Server, maxProbeTime, err)
 	}
-	u.logger.Infof("server %s: probing ended, routing calls to it again", r.Server)
 }
 
 // cancelCalls cancels the calls to a server that may be retried elsewhere. It
