--- a/review/harness/uploads.go
+++ b/review/harness/uploads.go
@@ -20,7 +20,7 @@
 	// uploadBytes is the length of such a body, below 8 MiB.
 	uploadBytes = 7_500_000
 	// searchers is the number of other clients, with kept connections.
-	searchers = 12
+	searchers = 30
 	// memoryCheckInterval is the time between two looks at a daemon's memory.
 	memoryCheckInterval = 5 * time.Millisecond
 	// restartDelay is how long after its end a daemon is started again.
