--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Needs target/fescuehoistd from the build of deploy/system.toml and review/build.sh.
+case=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$case/../.." && pwd)
+exec "$root/review/bin/review-case" forgotten-suspect "$root" "$case"
