--- a/review/harness/forgotten_suspect.go
+++ b/review/harness/forgotten_suspect.go
@@ -32,13 +32,14 @@
 	var crashes []Arrival
 	for _, u := range l.Upstreams {
 		u.OnRun = func(a Arrival, r *http.Request) error {
+			l.Record.Logf("%s runs request %s %s", a.Instance, a.ID, r.URL.Path)
 			if !strings.HasSuffix(r.URL.Path, "/poison") {
 				return nil
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			crashes = append(crashes, a)
-			l.Record.Logf("%s runs request %s and crashes (crash %d)", a.Instance, a.ID, len(crashes))
+			l.Record.Logf("%s crashes while it runs %s (crash %d)", a.Instance, a.ID, len(crashes))
 			time.AfterFunc(downTime, func() {
 				if err := u.Start(); err != nil {
 					l.Record.Logf("upstream at %s does not start: %v", u.Machine.Name, err)
