--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -39,8 +39,8 @@
 		return r
 	}
 	req.Host = hostname
-	req.Header.Set(headerID, id)
-	req.Header.Set("Fescuehoist-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(names.ID, id)
+	req.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(req)
@@ -51,7 +51,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	r.Status, r.Err, r.Body, r.Seal, r.Took = resp.StatusCode, err, string(text), resp.Header.Get(headerSeal), time.Since(start)
+	r.Status, r.Err, r.Body, r.Seal, r.Took = resp.StatusCode, err, string(text), resp.Header.Get(names.Seal), time.Since(start)
 	return r
 }
 
@@ -85,22 +85,10 @@
 var mainRoutes = []Route{{"r-submit", submitPath, false}, {"r-search", searchPath, true}}
 
 // Configuration returns the operator's configuration with routes to a service.
-func Configuration(version int, service string, routes []Route) any {
-	paths := make([]any, len(routes))
-	for i, r := range routes {
-		kind, timeout, latency, priority := "non_idempotent", 1.2, 0.6, 1
-		if r.Idempotent {
-			kind, timeout, latency, priority = "idempotent", 1.0, 0.5, 0
-		}
-		paths[i] = map[string]any{
-			"name": r.Name, "path_prefix": r.Path, "kind": kind, "timeout_s": timeout, "target_latency_s": latency,
-			"priority": priority, "service": service, "max_attempts": 2,
-		}
-	}
-	return map[string]any{
-		"version":       version,
-		"services":      []any{map[string]any{"name": service, "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
-		"limits":        map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
-		"virtual_hosts": []any{map[string]any{"hostname": hostname, "paths": paths}},
-	}
+func Configuration(version int, service string, routes []Route) []byte {
+	return message("configuration.tmpl", struct {
+		Version           int
+		Service, Hostname string
+		Routes            []Route
+	}{version, service, hostname, routes})
 }
--- a/review/harness/kept.go
+++ b/review/harness/kept.go
@@ -54,8 +54,8 @@
 	if err := c.conn.SetDeadline(time.Now().Add(deadline)); err != nil {
 		return err
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nFescuehoist-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		method, path, hostname, headerID, r.ID, deadline.Milliseconds(), len(body))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+		method, path, hostname, names.ID, r.ID, names.Deadline, deadline.Milliseconds(), len(body))
 	if _, err := c.conn.Write(append([]byte(head), body...)); err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	r.Status, r.Body, r.Seal = resp.StatusCode, string(text), resp.Header.Get(headerSeal)
+	r.Status, r.Body, r.Seal = resp.StatusCode, string(text), resp.Header.Get(names.Seal)
 	c.answered++
 	if resp.Close {
 		c.Close()
--- a/review/harness/odd_report.go
+++ b/review/harness/odd_report.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -52,15 +51,10 @@
 	l.Record.Logf("report %d (draining) of %s is acknowledged by %s; the upstream serves on and goes on reporting", report.Sequence, report.Instance, daemon.Name)
 	time.Sleep(oddReportAfter)
 	if l.Trouble {
-		body, err := json.Marshal(map[string]any{
-			"address": daemon.AppAddress, "born": time.Now().UnixMilli(),
-			"info":   map[string]any{"service": service, "version": "v1", "slots": 13},
-			"status": map[string]any{"state": "ready", "sequence": 1, "cold_left_s": "none"},
+		body := message("odd-report.tmpl", reportValues{
+			Address: daemon.AppAddress, Service: service, State: "ready", Born: time.Now().UnixMilli(), Slots: 13, Sequence: 1,
 		})
-		if err != nil {
-			return false, err
-		}
-		err = leaving.callControl(http.MethodPut, leaving.Instance(), body)
+		err := leaving.callControl(http.MethodPut, leaving.Instance(), body)
 		l.Record.Logf("a report of another writer for %s is sent to %s: %s; error %v", leaving.Instance(), daemon.Name, body, err)
 	}
 	time.Sleep(time.Until(ack.Add(leavesAfter)))
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -70,11 +70,7 @@
 func (s *Store) Close() { _ = s.server.Close() }
 
 // Put creates or replaces an object, as the operator does.
-func (s *Store) Put(kind, name string, spec any) error {
-	text, err := json.Marshal(spec)
-	if err != nil {
-		return err
-	}
+func (s *Store) Put(kind, name string, text []byte) error {
 	if len(text) > maxValue {
 		return fmt.Errorf("value of %d bytes, want at most %d", len(text), maxValue)
 	}
@@ -114,7 +110,7 @@
 }
 
 func (s *Store) respond(r *http.Request) (int, any) {
-	path, found := strings.CutPrefix(r.URL.Path, "/-/objects/")
+	path, found := strings.CutPrefix(r.URL.Path, names.ObjectsPath)
 	kind, name, _ := strings.Cut(path, "/")
 	if !found || kind == "" {
 		return http.StatusNotFound, nil
@@ -165,18 +161,18 @@
 }
 
 func (s *Store) list(kind, after string) any {
-	var names []string
+	var found []string
 	for name := range s.objects[kind] {
 		if name > after {
-			names = append(names, name)
+			found = append(found, name)
 		}
 	}
-	slices.Sort(names)
+	slices.Sort(found)
 	items := []object{}
-	for _, name := range names[:min(len(names), maxPage)] {
+	for _, name := range found[:min(len(found), maxPage)] {
 		items = append(items, s.objects[kind][name])
 	}
-	return map[string]any{"items": items, "has_more": len(names) > maxPage, "at_rev": s.revision}
+	return map[string]any{"items": items, names.More: len(found) > maxPage, names.At: s.revision}
 }
 
 // watch returns the changes of a kind after a revision as soon as there are any.
@@ -185,7 +181,7 @@
 	if err != nil {
 		return http.StatusBadRequest, nil
 	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(names.Wait))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -199,12 +195,12 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			return http.StatusOK, map[string]any{"events": events, "at_rev": revision}
+			return http.StatusOK, map[string]any{"events": events, names.At: revision}
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return http.StatusOK, map[string]any{"events": events, "at_rev": revision}
+			return http.StatusOK, map[string]any{"events": events, names.At: revision}
 		case <-r.Context().Done():
 			return http.StatusOK, nil
 		}
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,13 +18,6 @@
 // ackTimeout is how long an upstream waits for the acknowledgement of a report.
 const ackTimeout = time.Second
 
-const (
-	headerID      = "Fescuehoist-Request-Id"
-	headerSeal    = "Fescuehoist-Response-Seal"
-	headerTarget  = "Fescuehoist-Target-Instance"
-	headerService = "Fescuehoist-Caller-Service"
-)
-
 // Arrival is one request that an upstream began to run.
 type Arrival struct {
 	At                            time.Time
@@ -151,10 +143,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.sequence++
-	body, _ := json.Marshal(map[string]any{
-		"address": u.Machine.AppAddress, "born": u.born,
-		"info":   map[string]any{"service": u.Machine.Service, "version": "v1", "zone": u.Machine.Zone, "slots": u.Slots},
-		"status": map[string]any{"state": u.state, "sequence": u.sequence, "cold_left_s": 0},
+	body := message("report.tmpl", reportValues{
+		Address: u.Machine.AppAddress, Service: u.Machine.Service, Zone: u.Machine.Zone, State: u.state,
+		Born: u.born, Slots: u.Slots, Sequence: u.sequence,
 	})
 	return Report{Instance: u.instance, Sequence: u.sequence, State: u.state, body: body}
 }
@@ -170,7 +161,7 @@
 func (u *Upstream) callControl(method, instance string, body []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), ackTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Machine.Control+"/-/instances/"+instance, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Machine.Control+names.InstancesPath+instance, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -236,15 +227,15 @@
 // answer runs one request and writes its answer. It returns false if the connection
 // has ended.
 func (u *Upstream) answer(c net.Conn, r *http.Request, instance string, body int) (int, bool) {
-	id := r.Header.Get(headerID)
-	a := Arrival{At: time.Now(), ID: id, Instance: instance, Machine: u.Machine.Name, Target: r.Header.Get(headerTarget), Body: body}
-	if target := r.Header.Get(headerTarget); target != "" && target != instance {
-		return 421, writeAnswer(c, 421, "Misdirected Request", [][2]string{{headerID, id}, {"Fescuehoist-Instance-Id", instance}}, "")
+	id := r.Header.Get(names.ID)
+	a := Arrival{At: time.Now(), ID: id, Instance: instance, Machine: u.Machine.Name, Target: r.Header.Get(names.Target), Body: body}
+	if target := r.Header.Get(names.Target); target != "" && target != instance {
+		return 421, writeAnswer(c, 421, "Misdirected Request", [][2]string{{names.ID, id}, {names.Instance, instance}}, "")
 	}
 	select {
 	case u.slots <- struct{}{}:
 	default:
-		return 503, writeAnswer(c, 503, "Service Unavailable", [][2]string{{headerID, id}, {"Fescuehoist-Not-Executed", "1"}}, "")
+		return 503, writeAnswer(c, 503, "Service Unavailable", [][2]string{{names.ID, id}, {names.NotRun, "1"}}, "")
 	}
 	defer func() { <-u.slots }()
 	if u.OnRun != nil {
@@ -254,7 +245,7 @@
 		}
 	}
 	time.Sleep(u.Work)
-	return 200, writeAnswer(c, 200, "OK", [][2]string{{headerID, id}, {headerSeal, "seal." + instance + "." + id}}, AnswerBody(instance, id))
+	return 200, writeAnswer(c, 200, "OK", [][2]string{{names.ID, id}, {names.Seal, "seal." + instance + "." + id}}, AnswerBody(instance, id))
 }
 
 // AnswerBody returns the body of an instance's answer to a request.
