Keep withdrawals beyond the life of a daemon (DRAIN)

Cause: a withdrawal was kept in the memory of the process that confirmed it. A restarted daemon has no announcement to compare a report with, and the record of its new start, with a higher incarnation, replaces the one that peers hold.

Change: mesh/advisory holds what must outlive a process. Advisories spread to all daemons by gossip and are written to the discovery entry of the daemon that issued them. A starting daemon announces no server before it has the advisories back, from the entries or from a peer that has them all. If the store failed meanwhile, a server older than the daemon has to report twice. Daemons of earlier releases are not sent advisories: a hello says who takes them.

Why it works: the promise has a copy outside the process before it is given, and a server is used only after that copy could be read.

Related paths: a draining report and a leaving condition in an answer take the same way; a server that drains while its daemon stops is kept, too.

--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -15,7 +15,7 @@
 func encode(m gossip.Message) (*peerpb.Frame, error) {
 	switch m := m.(type) {
 	case *gossip.Hello:
-		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version)}
+		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version), Advisories: m.Advisories}
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: hello}}, nil
 	case *gossip.Heartbeat:
 		heartbeat := &peerpb.Heartbeat{Version: uint64(m.Version), Confirmation: m.Confirmation.Number,
@@ -43,6 +43,9 @@
 		return &peerpb.Frame{Body: &peerpb.Frame_Buckets{Buckets: encodeBuckets(m.Buckets)}}, nil
 	case *gossip.Done:
 		return &peerpb.Frame{Body: &peerpb.Frame_Done{Done: &peerpb.Done{Busy: m.Busy}}}, nil
+	case *gossip.Advisories:
+		advisories := &peerpb.Advisories{Advisories: encodeAdvisories(m.Advisories), Complete: m.Complete}
+		return &peerpb.Frame{Body: &peerpb.Frame_Advisories{Advisories: advisories}}, nil
 	}
 	return nil, fmt.Errorf("cannot encode message of type %T", m)
 }
@@ -74,6 +77,8 @@
 		return decodeBuckets(b.Buckets)
 	case *peerpb.Frame_Done:
 		return &gossip.Done{Busy: b.Done.GetBusy()}, nil
+	case *peerpb.Frame_Advisories:
+		return decodeAdvisories(b.Advisories)
 	}
 	return nil, fmt.Errorf("frame contains no known message")
 }
@@ -95,7 +100,7 @@
 	if len(in.GetMesh()) > target.MaxNameLength {
 		return nil, fmt.Errorf("mesh name is %d bytes long, want at most %d", len(in.GetMesh()), target.MaxNameLength)
 	}
-	return &gossip.Hello{From: member.ServerID(in.GetFrom()), Mesh: in.GetMesh(), Version: manifest.Version(in.GetVersion())}, nil
+	return &gossip.Hello{From: member.ServerID(in.GetFrom()), Mesh: in.GetMesh(), Version: manifest.Version(in.GetVersion()), Advisories: in.GetAdvisories()}, nil
 }
 
 func encodeRecords(records []member.Record) []*peerpb.Record {
--- a/adapters/peergrpc/codec_test.go
+++ b/adapters/peergrpc/codec_test.go
@@ -7,6 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"fescuehoist.example/adapters/peergrpc/peerpb"
+	"fescuehoist.example/mesh/advisory"
+	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/member"
 )
 
@@ -42,6 +44,26 @@
 	}
 }
 
+func TestDecodeAdvisoriesSkipsThoseOfOtherReleases(t *testing.T) {
+	known := &peerpb.Advisory{Kind: uint32(advisory.Crashed), Subject: "s/1", Number: 7}
+	for name, other := range map[string]*peerpb.Advisory{
+		"no kind": {}, "kind beyond a byte": {Kind: 256 + uint32(advisory.Crashed)}, "unknown kind": {Kind: uint32(advisory.Cleared) + 1},
+		"subject too long": {Kind: uint32(advisory.Withdrawn), Subject: strings.Repeat("x", advisory.MaxSubjectLength+1)},
+	} {
+		m, err := decodeAdvisories(&peerpb.Advisories{Advisories: []*peerpb.Advisory{other, known}})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if got := m.(*gossip.Advisories).Advisories; len(got) != 1 || got[0].Number != 7 {
+			t.Errorf("%s: decoded %v, want the known advisory alone", name, got)
+		}
+	}
+	if _, err := decodeAdvisories(&peerpb.Advisories{Advisories: make([]*peerpb.Advisory, advisory.MaxAdvisories+1)}); err == nil {
+		t.Error("decoded more advisories than the limit")
+	}
+}
+
 // FuzzDecode decodes arbitrary bytes. Every decoded message must be encodable.
 func FuzzDecode(f *testing.F) {
 	for _, m := range sampleMessages() {
--- a/adapters/peergrpc/contract_test.go
+++ b/adapters/peergrpc/contract_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/gossip/gossiptest"
 	"fescuehoist.example/mesh/manifest"
@@ -200,12 +201,15 @@
 		Bodies:  []manifest.Body{{Digest: s.Digest(), Service: s}, {Digest: "d", Fault: "missing"}},
 	}
 	return []gossip.Message{
-		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3}, &gossip.Heartbeat{Version: 4},
+		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3, Advisories: true}, &gossip.Heartbeat{Version: 4},
 		&gossip.Heartbeat{Version: 4, Confirmation: gossip.Confirmation{Number: 7, Revision: 19, Age: 300 * time.Millisecond}},
 		&gossip.Records{Records: []member.Record{record}, FromAntiEntropy: true},
 		&gossip.Configuration{Update: update}, &gossip.Have{Versions: versions},
 		&gossip.Pull{Servers: []member.ServerID{"a"}, Configure: true, Version: 2, Graft: true},
 		&gossip.Prune{}, &gossip.Root{Hash: 5, Version: 6}, &gossip.Hashes{Hashes: [member.NumBuckets]uint64{3: 4}},
 		&gossip.Buckets{Buckets: []member.BucketVersions{{Bucket: 9, Versions: versions}}}, &gossip.Done{Busy: true},
+		&gossip.Advisories{Complete: true, Advisories: []advisory.Aged{
+			{Advisory: advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 1 << 63}, Age: 2 * time.Second},
+		}},
 	}
 }
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"fescuehoist.example/adapters/peergrpc"
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/configwatch"
 	"fescuehoist.example/mesh/discover"
@@ -131,6 +132,7 @@
 	transport *transport
 
 	members           *member.Table
+	advisories        *advisory.Book
 	configs           *manifest.Store
 	node              *gossip.Node
 	platformAdapter   platformAdapter
@@ -170,12 +172,13 @@
 	self := member.ServerID(s.Server)
 	d := &Daemon{
 		cfg: cfg, listeners: l, transport: transport, metrics: metrics,
-		members:   member.NewTable(self),
-		configs:   manifest.NewStore(),
-		gate:      cfg.Policy.Gate,
-		backend:   &backendhttp.Client{},
-		forwarder: callhttp.NewForwarder(transport.dialCalls),
-		traffic:   &peergrpc.Traffic{},
+		members:    member.NewTable(self),
+		advisories: advisory.NewBook(),
+		configs:    manifest.NewStore(),
+		gate:       cfg.Policy.Gate,
+		backend:    &backendhttp.Client{},
+		forwarder:  callhttp.NewForwarder(transport.dialCalls),
+		traffic:    &peergrpc.Traffic{},
 	}
 	d.forwarder.Mesh = s.Mesh
 	if s.Limits.MemoryBytes > 0 {
@@ -207,7 +210,8 @@
 		CallAddress: cmp.Or(s.AdvertiseCalls, d.listeners.Calls.Addr().String()),
 		PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String()),
 	}
-	d.announcer = announce.New(own, d.node, d.backend, d.gate, s.AnnounceLifetime)
+	d.advisories.Spread, d.node.Advisories = d.node.SpreadAdvisories, d.advisories
+	d.announcer = announce.New(own, d.node, d.backend, d.gate, d.advisories, s.AnnounceLifetime)
 	d.meter = status.NewMeter()
 	d.stops = stop.NewExecutor(self, s.Domain, d.announcer, d.partLogger("stop"))
 	if s.API == settings.Objects {
@@ -279,6 +283,7 @@
 	joinTimer := time.AfterFunc(joinTimeout, d.configs.SkipQuorum)
 	defer joinTimer.Stop()
 	g.Go(func() error { return d.node.Run(controlCtx) })
+	g.Go(func() error { return d.announcer.Run(controlCtx) })
 	d.platformAdapter.run(controlCtx, g)
 	g.Go(func() error {
 		return (&stateLog{logger: d.partLogger("belief"), configs: d.configs, members: d.members}).run(controlCtx)
--- a/fescuehoistd/daemon/native_platform.go
+++ b/fescuehoistd/daemon/native_platform.go
@@ -11,6 +11,7 @@
 	"fescuehoist.example/adapters/platformhttp"
 	"fescuehoist.example/adapters/statusgrpc"
 	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/reader"
 	"fescuehoist.example/mesh/status"
@@ -28,6 +29,8 @@
 func newNativePlatform(d *Daemon) *nativePlatform {
 	s := d.cfg.Settings
 	self := member.ServerID(s.Server)
+	// This platform keeps no advisories: those of the peers arrive later.
+	d.advisories.SetCompleteness(advisory.Complete)
 	n := &nativePlatform{d: d, client: platformhttp.NewClientWithDial(s.Platform, d.transport.dialPlatform)}
 	if len(s.Seeds) == 0 {
 		d.cfg.Reader.JoinTimeout = 0
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -29,7 +29,8 @@
 	daemon                        *daemon.Daemon
 	backend                       *platformtest.Backend
 	callers, announcements, ready string
-	stop                          context.CancelFunc
+	settings                      *settings.Settings
+	stop                          context.CancelCauseFunc
 	exited                        chan error
 }
 
@@ -48,30 +49,55 @@
 	for _, f := range tune {
 		f(set)
 	}
-	listeners, err := daemon.Listen(set)
+	h.settings = set
+	h.startDaemon(t)
+	t.Cleanup(func() {
+		h.stop(nil)
+		if err := <-h.exited; err != nil {
+			t.Error(err)
+		}
+		h.exited <- nil
+	})
+	h.report(t)
+	return h
+}
+
+// startDaemon starts the daemon of the host, at the addresses of its previous start.
+func (h *host) startDaemon(t *testing.T) {
+	t.Helper()
+	listeners, err := daemon.Listen(h.settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	h.callers, h.announcements = listeners.Callers.Addr().String(), listeners.Announcements.Addr().String()
 	h.ready = listeners.Ready.Addr().String()
-	h.daemon, err = daemon.New(daemon.DefaultConfig(set, logging.New(io.Discard, logrus.InfoLevel)), listeners)
+	h.settings.Callers, h.settings.Announcements, h.settings.Ready = h.callers, h.announcements, h.ready
+	h.settings.Calls, h.settings.Peers = listeners.Calls.Addr().String(), listeners.Peers.Addr().String()
+	h.daemon, err = daemon.New(daemon.DefaultConfig(h.settings, logging.New(io.Discard, logrus.InfoLevel)), listeners)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var ctx context.Context
-	ctx, h.stop = context.WithCancel(context.Background())
-	go func() { h.exited <- h.daemon.Run(ctx) }()
-	t.Cleanup(func() {
-		h.stop()
-		if err := <-h.exited; err != nil {
-			t.Error(err)
-		}
-		h.exited <- nil
-	})
+	ctx, h.stop = context.WithCancelCause(context.Background())
+	running := h.daemon
+	go func() { h.exited <- running.Run(ctx) }()
+}
+
+// kill ends the daemon without draining.
+func (h *host) kill(t *testing.T) {
+	t.Helper()
+	h.stop(daemon.ErrAborted)
+	if err := <-h.exited; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// report sends a status report of the backend server.
+func (h *host) report(t *testing.T) {
+	t.Helper()
 	if status, err := h.backend.SendReport(h.announcements, "ready"); err != nil || status != 200 {
 		t.Fatalf("status report: status %d, error %v; want status 200", status, err)
 	}
-	return h
 }
 
 func configuration(version int, more ...string) any {
@@ -261,7 +287,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	a.stop()
+	a.stop(nil)
 	err := <-a.exited
 	a.exited <- err
 	close(done)
@@ -282,7 +308,7 @@
 	const drain, lateAt = 4 * time.Second, 2800 * time.Millisecond
 	a, b := startPair(t, store, "cairo-b", func(s *settings.Settings) { s.DrainTimeout = drain })
 	start := time.Now()
-	a.stop()
+	a.stop(nil)
 	// The daemon waits for a call that runs at its own backend server.
 	time.Sleep(1400 * time.Millisecond)
 	a.backend.SetServiceTime(1900 * time.Millisecond)
--- /dev/null
+++ b/mesh/advisory/book.go
@@ -0,0 +1,284 @@
+package advisory
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Completeness is what a starting daemon has got back of the advisories that were issued
+// before its start.
+type Completeness uint8
+
+const (
+	// Unrestored means that neither the platform's store nor a peer has answered.
+	Unrestored Completeness = iota
+	// Doubtful means that the store has answered after a failure. Advisories that were
+	// issued during that failure may be missing.
+	Doubtful
+	// Complete means that the store or a peer with complete advisories has answered.
+	Complete
+)
+
+// String returns the level's name, or "unknown".
+func (c Completeness) String() string {
+	switch c {
+	case Unrestored:
+		return "not read yet"
+	case Doubtful:
+		return "doubtful"
+	case Complete:
+		return "complete"
+	}
+	return "unknown"
+}
+
+// Book holds the advisories of one daemon. Spread and Apply are set before its use, and
+// may be nil.
+type Book struct {
+	// Spread sends issued advisories to the peers.
+	Spread func([]Aged)
+	// Apply is called for each advisory that came from a peer or the store.
+	Apply func(Aged)
+
+	mu         sync.Mutex
+	advisories map[Advisory]*record
+	complete   Completeness
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// record is how an advisory came here.
+type record struct {
+	issuedAt time.Time
+	// own means that this daemon issued the advisory, stored that its discovery entry
+	// holds it.
+	own, stored bool
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{advisories: map[Advisory]*record{}, changed: make(chan struct{})}
+}
+
+// Issue adds an advisory of this daemon, spreads it and has it stored. A repeated one
+// changes nothing.
+func (b *Book) Issue(n Advisory) {
+	b.mu.Lock()
+	added := b.add(n, &record{issuedAt: time.Now(), own: true})
+	b.mu.Unlock()
+	if added && b.Spread != nil {
+		b.Spread([]Aged{{Advisory: n}})
+	}
+}
+
+// Merge adds advisories of a peer or of other daemons' discovery entries and returns the
+// new ones, which have been applied.
+func (b *Book) Merge(advisories []Aged) []Aged { return b.merge(advisories, record{}) }
+
+// Restore adds the advisories that this daemon stored before it was restarted.
+func (b *Book) Restore(advisories []Aged) []Aged {
+	return b.merge(advisories, record{own: true, stored: true})
+}
+
+func (b *Book) merge(advisories []Aged, origin record) []Aged {
+	added := b.addAll(advisories, origin)
+	if b.Apply != nil {
+		for _, n := range added {
+			b.Apply(n)
+		}
+	}
+	return added
+}
+
+func (b *Book) addAll(advisories []Aged, origin record) []Aged {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var added []Aged
+	for _, n := range advisories {
+		r := origin
+		r.issuedAt = time.Now().Add(-n.Age)
+		if b.add(n.Advisory, &r) {
+			added = append(added, n)
+		}
+	}
+	return added
+}
+
+// add adds an advisory unless it is known, expired, or about a request that was cleared.
+func (b *Book) add(n Advisory, r *record) bool {
+	if b.advisories[n] != nil || time.Since(r.issuedAt) >= Lifetime {
+		return false
+	}
+	if n.Kind == Crashed && b.advisories[Advisory{Kind: Cleared, Number: n.Number}] != nil {
+		return false
+	}
+	if len(b.advisories) >= MaxAdvisories {
+		b.evict()
+	}
+	if n.Kind == Cleared {
+		b.dropCrashes(n.Number)
+	}
+	b.advisories[n] = r
+	b.notify()
+	return true
+}
+
+// evict removes expired advisories. If there is none it removes the oldest one, of
+// withdrawals only if there is nothing else.
+func (b *Book) evict() {
+	b.removeExpired()
+	if len(b.advisories) < MaxAdvisories {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.advisories)), func(x, y Advisory) int {
+		if (x.Kind == Withdrawn) != (y.Kind == Withdrawn) {
+			return cmp.Compare(y.Kind, x.Kind)
+		}
+		return b.advisories[x].issuedAt.Compare(b.advisories[y].issuedAt)
+	})
+	delete(b.advisories, oldest)
+}
+
+func (b *Book) removeExpired() {
+	for n, r := range b.advisories {
+		if time.Since(r.issuedAt) >= Lifetime {
+			delete(b.advisories, n)
+		}
+	}
+}
+
+// dropCrashes removes the crashes of a request that was cleared.
+func (b *Book) dropCrashes(fingerprint uint64) {
+	for n := range b.advisories {
+		if n.Kind == Crashed && n.Number == fingerprint {
+			delete(b.advisories, n)
+		}
+	}
+}
+
+// Live returns all advisories that have not expired.
+func (b *Book) Live() []Aged {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list(func(*record) bool { return true })
+}
+
+func (b *Book) list(wanted func(*record) bool) []Aged {
+	b.removeExpired()
+	var live []Aged
+	for n, r := range b.advisories {
+		if wanted(r) {
+			live = append(live, Aged{Advisory: n, Age: time.Since(r.issuedAt)})
+		}
+	}
+	return live
+}
+
+// HasWithdrawn reports whether the instance has withdrawn at or after a start.
+func (b *Book) HasWithdrawn(instance string, started uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, r := range b.advisories {
+		if n.Kind == Withdrawn && n.Subject == instance && n.Number >= started && time.Since(r.issuedAt) < Lifetime {
+			return true
+		}
+	}
+	return false
+}
+
+// SetCompleteness records what was got back. A lower level than before changes
+// nothing.
+func (b *Book) SetCompleteness(c Completeness) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c <= b.complete {
+		return
+	}
+	b.complete = c
+	b.notify()
+}
+
+// Completeness returns what was got back so far.
+func (b *Book) Completeness() Completeness {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete
+}
+
+// Changed returns a channel that is closed at the next change.
+func (b *Book) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *Book) notify() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// StoreDue returns when the next issued advisory has to be stored, and whether there is
+// one that is not.
+func (b *Book) StoreDue() (due time.Time, found bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, r := range b.advisories {
+		if !r.own || r.stored {
+			continue
+		}
+		if at := r.issuedAt.Add(storeDelays[n.Kind]); !found || at.Before(due) {
+			due, found = at, true
+		}
+	}
+	return due, found
+}
+
+// Issued returns the advisories that this daemon issued.
+func (b *Book) Issued() []Aged {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list(func(r *record) bool { return r.own })
+}
+
+// MarkStored records that the discovery entry of this daemon holds advisories.
+func (b *Book) MarkStored(advisories []Aged) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range advisories {
+		if r := b.advisories[n.Advisory]; r != nil {
+			r.stored = true
+		}
+	}
+	b.notify()
+}
+
+// AwaitStored waits until all advisories of a kind that this daemon issued are stored,
+// and returns an error if ctx ends first.
+func (b *Book) AwaitStored(ctx context.Context, kind Kind) error {
+	for {
+		stored, changed := b.isStored(kind)
+		if stored {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (b *Book) isStored(kind Kind) (bool, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, r := range b.advisories {
+		if n.Kind == kind && r.own && !r.stored {
+			return false, b.changed
+		}
+	}
+	return true, b.changed
+}
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/wait"
 )
@@ -36,7 +38,11 @@
 }
 
 // Publisher broadcasts the daemon's own record.
-type Publisher interface{ Announce(record member.Record) }
+type Publisher interface {
+	Announce(record member.Record)
+	// PeerCount returns the number of connected peers.
+	PeerCount() int
+}
 
 // Gate admits calls to the backend server.
 type Gate interface {
@@ -60,42 +66,46 @@
 // still not have answered an earlier start of the daemon.
 const startTolerance = 500 * time.Millisecond
 
-// lateAnnouncementPeriod is how long an announcement may be on its way.
-const lateAnnouncementPeriod = 30 * time.Second
+// storeTimeout is how long a confirmation waits for the platform's store.
+const storeTimeout = 500 * time.Millisecond
+
+// minDoubtfulReports is the number of announcements after which an instance is taken
+// to be announcing itself still while advisories of its withdrawal may be missing.
+const minDoubtfulReports = 2
 
 // Announcer keeps the record up to date with the backend server. An announcement
 // expires unless the backend server repeats it within the lifetime.
 type Announcer struct {
-	publisher Publisher
-	backend   AddressSetter
-	gate      Gate
-	lifetime  time.Duration
+	publisher  Publisher
+	backend    AddressSetter
+	gate       Gate
+	advisories *advisory.Book
+	lifetime   time.Duration
 	// startedAt is the start of this daemon in Unix milliseconds.
 	startedAt uint64
 
 	mu     sync.Mutex
 	record member.Record
 	expiry *time.Timer
-	// last is the newest announcement.
+	// last is the newest announcement, received at lastAt, and reports the number of
+	// those of its start.
 	last    Backend
+	lastAt  time.Time
+	reports int
 	leaving bool
 	// suspended means that a planned stop is in progress.
 	suspended bool
 	// retired means that this start of the backend server is leaving or has left.
 	retired bool
-	// unknownWithdrawn is an instance that withdrew before this daemon had an
-	// announcement of it, at unknownWithdrawnAt.
-	unknownWithdrawn   string
-	unknownWithdrawnAt time.Time
 }
 
 // New returns an announcer for a record that holds the daemon's name, failure
-// domain and addresses, and publishes it as starting.
-func New(record member.Record, publisher Publisher, backend AddressSetter, gate Gate, lifetime time.Duration) *Announcer {
+// domain and addresses, and publishes it as starting. It keeps withdrawals in advisories.
+func New(record member.Record, publisher Publisher, backend AddressSetter, gate Gate, advisories *advisory.Book, lifetime time.Duration) *Announcer {
 	record.State = member.Starting
 	record.Incarnation = uint64(time.Now().UnixMilli())
 	a := &Announcer{
-		publisher: publisher, backend: backend, gate: gate, lifetime: lifetime, record: record, startedAt: record.Incarnation,
+		publisher: publisher, backend: backend, gate: gate, advisories: advisories, lifetime: lifetime, record: record, startedAt: record.Incarnation,
 	}
 	publisher.Announce(record)
 	return a
@@ -110,38 +120,91 @@
 	if !b.newerThan(&a.last) {
 		return false
 	}
-	if a.isWithdrawn(&b) {
-		b.Draining = true
-	}
 	restarted := b.Started > a.last.Started
-	a.last = b
-	if a.leaving {
-		return true
+	if restarted || b.Instance != a.last.Instance {
+		a.reports = 0
 	}
-	a.extendLifetime()
-	a.backend.SetAddress(b.Address)
-	switch {
-	case b.Draining:
+	a.last, a.lastAt = b, time.Now()
+	a.reports++
+	if !a.leaving {
+		a.extendLifetime()
+		a.backend.SetAddress(b.Address)
+	}
+	if b.Draining || a.isWithdrawn() {
 		a.retire()
 		return true
-	case a.suspended:
-		return true
-	case a.retired && restarted:
-		a.retired = false
-		a.gate.Open()
-	case a.retired:
-		return true
 	}
+	if a.retired && restarted {
+		a.unretire()
+	}
+	a.makeReady()
+	return true
+}
+
+// makeReady announces the backend server as ready unless it is or must not be.
+func (a *Announcer) makeReady() {
+	if a.leaving || a.suspended || a.retired || !a.isTrusted() {
+		return
+	}
+	b := &a.last
 	if a.record.State == member.Ready && a.record.Service == b.Service && a.record.Slots == b.Slots && a.record.Instance == b.Instance {
-		return true
+		return
 	}
 	a.gate.SetSlots(b.Slots)
-	if b.Started+uint64(startTolerance.Milliseconds()) > a.startedAt {
+	if a.isNewerThanDaemon() {
 		a.gate.OpenFully()
 	}
 	a.record.State, a.record.Service, a.record.Slots, a.record.Instance = member.Ready, b.Service, b.Slots, b.Instance
 	a.publisher.Announce(a.record)
-	return true
+}
+
+// isTrusted reports whether the last announcement cannot be a late one of an instance
+// whose withdrawal an earlier start of this daemon confirmed.
+func (a *Announcer) isTrusted() bool {
+	switch a.advisories.Completeness() {
+	case advisory.Complete:
+		return true
+	case advisory.Doubtful:
+		return a.reports >= minDoubtfulReports || a.isNewerThanDaemon()
+	}
+	return false
+}
+
+// isNewerThanDaemon reports whether the backend server cannot have answered an earlier
+// start of the daemon.
+func (a *Announcer) isNewerThanDaemon() bool {
+	return a.last.Started+uint64(startTolerance.Milliseconds()) > a.startedAt
+}
+
+func (a *Announcer) isWithdrawn() bool {
+	return a.last.Instance != "" && a.advisories.HasWithdrawn(a.last.Instance, a.last.Started)
+}
+
+// Run applies the last announcement again whenever the advisories change: it waits until
+// those from before the start of this daemon are known, and an advisory may withdraw the
+// instance. It returns when ctx ends.
+func (a *Announcer) Run(ctx context.Context) error {
+	for {
+		changed := a.advisories.Changed()
+		a.applyAdvisories()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *Announcer) applyAdvisories() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.leaving || a.last.Service == "":
+	case a.isWithdrawn():
+		a.retire()
+	case a.record.State == member.Starting && a.record.Instance != a.last.Instance && time.Since(a.lastAt) < a.lifetime:
+		a.makeReady()
+	}
 }
 
 // Withdraw removes the backend server from the routes permanently: only a later
@@ -150,24 +213,32 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.last.Instance != instance {
-		a.unknownWithdrawn, a.unknownWithdrawnAt = instance, time.Now()
+		a.advisories.Issue(advisory.Advisory{Kind: advisory.Withdrawn, Subject: instance, Number: uint64(time.Now().UnixMilli())})
 		return false
 	}
 	a.retire()
 	return true
 }
 
-// isWithdrawn reports whether an announcement is a late one of an instance that
-// withdrew before this daemon had any of it, as after the daemon's restart.
-func (a *Announcer) isWithdrawn(b *Backend) bool {
-	return b.Instance != "" && b.Instance == a.unknownWithdrawn &&
-		time.Since(a.unknownWithdrawnAt) < lateAnnouncementPeriod &&
-		b.Started <= uint64(a.unknownWithdrawnAt.UnixMilli())
+// Confirm returns once the withdrawals of the backend server are kept outside this
+// process: by the platform's store or, if that does not answer within storeTimeout, by
+// the peers. It returns an error if neither keeps them.
+func (a *Announcer) Confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := a.advisories.AwaitStored(ctx, advisory.Withdrawn)
+	if err != nil && a.publisher.PeerCount() == 0 {
+		return fmt.Errorf("withdrawal is kept by neither the platform's store nor a peer: %w", err)
+	}
+	return nil
 }
 
 // retire removes the backend server from the routes, and refuses calls after
-// NoticePeriod.
+// NoticePeriod. The withdrawal outlives this process.
 func (a *Announcer) retire() {
+	if a.last.Instance != "" {
+		a.advisories.Issue(advisory.Advisory{Kind: advisory.Withdrawn, Subject: a.last.Instance, Number: a.last.Started})
+	}
 	if a.retired || a.leaving {
 		return
 	}
@@ -177,6 +248,17 @@
 	time.AfterFunc(NoticePeriod, a.closeIfWithdrawn)
 }
 
+// unretire accepts calls for a later start of the backend server.
+func (a *Announcer) unretire() {
+	if a.leaving {
+		return
+	}
+	a.retired = false
+	if !a.suspended {
+		a.gate.Open()
+	}
+}
+
 func (a *Announcer) extendLifetime() {
 	if a.expiry != nil {
 		a.expiry.Reset(a.lifetime)
--- a/mesh/announce/announcer_test.go
+++ b/mesh/announce/announcer_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/member"
 )
@@ -18,6 +19,7 @@
 	closed bool
 	// openedFully counts the calls of OpenFully.
 	openedFully int
+	peers       int
 }
 
 func (p *fakeDeps) Announce(own member.Record) { p.update(func() { p.state = own.State }) }
@@ -29,6 +31,15 @@
 func (*fakeDeps) SetSlots(int)                {}
 func (*fakeDeps) Drain(context.Context) error { return nil }
 
+func (p *fakeDeps) PeerCount() int { return p.peers }
+
+// completeBook returns a book of a daemon that got back all advisories.
+func completeBook() *advisory.Book {
+	b := advisory.NewBook()
+	b.SetCompleteness(advisory.Complete)
+	return b
+}
+
 func (p *fakeDeps) update(f func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -50,7 +61,7 @@
 func TestAnnounceOpensFullyForServerStartedAfterDaemon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeDeps{}
-		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, time.Hour)
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, completeBook(), time.Hour)
 		now := uint64(time.Now().UnixMilli())
 		for _, step := range []struct {
 			name string
@@ -72,7 +83,7 @@
 func TestAnnounceIgnoresOutdatedAnnouncement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeDeps{}
-		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, time.Hour)
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, completeBook(), time.Hour)
 		leaving := newBackend("i-1", 10, 3)
 		leaving.Draining = true
 		for _, step := range []struct {
@@ -115,7 +126,7 @@
 func TestLateAnnouncementOfWithdrawnInstanceIsNotReadyAfterDaemonRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &fakeDeps{}
-		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, time.Hour)
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, completeBook(), time.Hour)
 		started := uint64(time.Now().Add(-time.Minute).UnixMilli())
 		a.Withdraw("i-1")
 		time.Sleep(3 * time.Second)
@@ -130,3 +141,105 @@
 		}
 	})
 }
+
+// After a start of the daemon, an announcement may be a late one of an instance whose
+// withdrawal an earlier start confirmed.
+func TestAnnouncementIsHeldUntilAdvisoriesAreKnown(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		completeness advisory.Completeness
+		withdrawn    bool
+		// reports is the number of announcements of an instance that started before the
+		// daemon, or 0 for one of an instance that did not; want is the state after them.
+		reports int
+		want    member.State
+	}{
+		{"not known yet", advisory.Unrestored, false, 3, member.Starting},
+		{"complete", advisory.Complete, false, 1, member.Ready},
+		{"complete with a withdrawal", advisory.Complete, true, 1, member.Draining},
+		{"doubtful, one announcement", advisory.Doubtful, false, 1, member.Starting},
+		{"doubtful, repeated", advisory.Doubtful, false, 2, member.Ready},
+		{"doubtful, started after the daemon", advisory.Doubtful, false, 0, member.Ready},
+		{"doubtful with a withdrawal", advisory.Doubtful, true, 2, member.Draining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, book := &fakeDeps{}, advisory.NewBook()
+				a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, book, time.Hour)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = a.Run(ctx) }()
+				if c.reports == 0 {
+					a.Announce(newBackend("i-1", uint64(time.Now().UnixMilli()), 1))
+				}
+				for i := range c.reports {
+					a.Announce(newBackend("i-1", 20, uint64(i+1)))
+				}
+				if c.withdrawn {
+					book.Merge([]advisory.Aged{{Advisory: advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}}})
+				}
+				book.SetCompleteness(c.completeness)
+				synctest.Wait()
+				if state := a.State(); state != c.want {
+					t.Errorf("state %s, want %s", state, c.want)
+				}
+			})
+		})
+	}
+}
+
+// An advisory of a withdrawal may come from a peer after the announcement.
+func TestReadyInstanceIsRemovedByAdvisoryOfItsWithdrawal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, book := &fakeDeps{}, completeBook()
+		a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, book, time.Hour)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = a.Run(ctx) }()
+		a.Announce(newBackend("i-1", 20, 1))
+		book.Merge([]advisory.Aged{{Advisory: advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}}})
+		synctest.Wait()
+		if state := a.State(); state != member.Draining {
+			t.Errorf("state %s, want draining", state)
+		}
+	})
+}
+
+// A backend server that says that it drains while its daemon stops must stay withdrawn
+// when the daemon runs again.
+func TestDrainingWhileDaemonLeavesIsKept(t *testing.T) {
+	p, book := &fakeDeps{}, completeBook()
+	a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, book, time.Hour)
+	a.Announce(newBackend("i-1", 20, 1))
+	a.Leave()
+	leaving := newBackend("i-1", 20, 2)
+	leaving.Draining = true
+	a.Announce(leaving)
+	if !book.HasWithdrawn("i-1", 20) {
+		t.Error("the withdrawal is not kept")
+	}
+}
+
+func TestConfirmNeedsStoreOrPeer(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		stored    bool
+		peers     int
+		confirmed bool
+	}{{"stored", true, 0, true}, {"store away, with a peer", false, 1, true}, {"store away, alone", false, 0, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, book := &fakeDeps{peers: c.peers}, completeBook()
+				a := announce.New(member.Record{Server: "lookup-1"}, p, p, p, book, time.Hour)
+				a.Announce(newBackend("i-1", 20, 1))
+				a.Withdraw("i-1")
+				if c.stored {
+					book.MarkStored(book.Issued())
+				}
+				if err := a.Confirm(t.Context()); (err == nil) != c.confirmed {
+					t.Errorf("error %v, want confirmed: %t", err, c.confirmed)
+				}
+			})
+		})
+	}
+}
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -1,6 +1,7 @@
 // Package discover finds the other daemons of an installation without configured
 // seeds: each daemon registers one small entry in the platform, and a starting
-// daemon reads the entries once. After that, peers gossip all changes.
+// daemon reads the entries once. After that, peers gossip all changes. An entry also
+// holds the advisories that its daemon issued, for daemons that start later.
 package discover
 
 import (
@@ -9,7 +10,9 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/wait"
 )
@@ -20,12 +23,17 @@
 	Domain string
 	// PeerAddress accepts the gossip streams of other daemons.
 	PeerAddress string
+	// Advisories are those that the daemon issued.
+	Advisories []advisory.Aged
 }
 
 // Registry stores entries in the platform.
 type Registry interface {
-	// Register creates a daemon's entry, or replaces an existing one.
-	Register(ctx context.Context, e Entry) error
+	// Register creates a daemon's entry. An existing one is replaced, but for its
+	// advisories, which are kept and returned.
+	Register(ctx context.Context, e Entry) ([]advisory.Aged, error)
+	// Replace replaces a daemon's entry, or creates it if there is none.
+	Replace(ctx context.Context, e Entry) error
 	// List returns the entries, without those that cannot be decoded.
 	List(ctx context.Context) ([]Entry, error)
 	// Remove deletes the entry of a daemon; a missing one is not an error.
@@ -82,12 +90,13 @@
 
 // Finder registers this daemon and finds other daemons.
 type Finder struct {
-	cfg      Config
-	self     Entry
-	registry Registry
-	peers    Peers
-	members  Members
-	logger   Logger
+	cfg        Config
+	self       Entry
+	registry   Registry
+	peers      Peers
+	members    Members
+	advisories *advisory.Book
+	logger     Logger
 
 	// goneAtLastSweep holds the daemons that were gone at the last sweep.
 	goneAtLastSweep map[member.ServerID]bool
@@ -99,9 +108,9 @@
 }
 
 // New returns a finder; Run starts it.
-func New(cfg Config, self Entry, registry Registry, peers Peers, members Members, logger Logger) *Finder {
+func New(cfg Config, self Entry, registry Registry, peers Peers, members Members, advisories *advisory.Book, logger Logger) *Finder {
 	return &Finder{
-		cfg: cfg, self: self, registry: registry, peers: peers, members: members, logger: logger, listed: make(chan struct{}),
+		cfg: cfg, self: self, registry: registry, peers: peers, members: members, advisories: advisories, logger: logger, listed: make(chan struct{}),
 	}
 }
 
@@ -121,8 +130,38 @@
 // before the others are read, so that of two daemons that start at the same time
 // at least one finds the other.
 func (f *Finder) Run(ctx context.Context) error {
-	f.retry(ctx, "register this daemon", func(ctx context.Context) error { return f.registry.Register(ctx, f.self) })
-	f.retry(ctx, "list the registered daemons", f.addContacts)
+	failed := f.retry(ctx, "register this daemon", f.register)
+	failed = f.retry(ctx, "list the registered daemons", f.addContacts) || failed
+	if ctx.Err() != nil {
+		return nil
+	}
+	f.setCompleteness(failed)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return f.maintainContacts(ctx) })
+	g.Go(func() error { return f.storeAdvisories(ctx) })
+	return g.Wait()
+}
+
+func (f *Finder) register(ctx context.Context) error {
+	advisories, err := f.registry.Register(ctx, f.self)
+	if err == nil {
+		f.advisories.Restore(advisories)
+	}
+	return err
+}
+
+// setCompleteness records that the advisories in all entries have been read. While the
+// registry failed, other daemons could not store theirs either.
+func (f *Finder) setCompleteness(failed bool) {
+	c := advisory.Complete
+	if failed {
+		c = advisory.Doubtful
+	}
+	f.advisories.SetCompleteness(c)
+	f.logger.Infof("holding %d advisories from before the start, which are %s", len(f.advisories.Live()), c)
+}
+
+func (f *Finder) maintainContacts(ctx context.Context) error {
 	sweepAt := time.Now().Add(f.cfg.Retention)
 	for wait.For(ctx, wait.Jitter(f.cfg.IsolationCheckInterval)) == nil {
 		if f.peers.PeerCount() == 0 {
@@ -174,20 +213,22 @@
 	return nil
 }
 
-// retry repeats a call until it succeeds or ctx ends.
-func (f *Finder) retry(ctx context.Context, action string, call func(context.Context) error) {
+// retry repeats a call until it succeeds or ctx ends, and reports whether it failed
+// before.
+func (f *Finder) retry(ctx context.Context, action string, call func(context.Context) error) (failed bool) {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = f.cfg.RetryBase, f.cfg.RetryMax
-	for failed := false; ctx.Err() == nil; failed = true {
+	for ; ctx.Err() == nil; failed = true {
 		err := f.withTimeout(ctx, call)
 		if err == nil {
-			return
+			return failed
 		}
 		if !failed && ctx.Err() == nil {
 			f.logger.Warnf("cannot %s, will retry: %v", action, err)
 		}
 		_ = wait.For(ctx, delay.NextBackOff())
 	}
+	return failed
 }
 
 func (f *Finder) withTimeout(ctx context.Context, call func(context.Context) error) error {
@@ -205,6 +246,7 @@
 	var addresses []string
 	neighbors := 0
 	for _, e := range entries {
+		f.advisories.Merge(e.Advisories)
 		if e.Server == f.self.Server || e.PeerAddress == f.self.PeerAddress {
 			continue
 		}
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/member"
 )
@@ -33,7 +34,11 @@
 	return nil
 }
 
-func (w *fakeDeps) Register(_ context.Context, e discover.Entry) error {
+func (w *fakeDeps) Register(ctx context.Context, e discover.Entry) ([]advisory.Aged, error) {
+	return nil, w.Replace(ctx, e)
+}
+
+func (w *fakeDeps) Replace(_ context.Context, e discover.Entry) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.nextError(); err != nil {
@@ -101,7 +106,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
-			_ = discover.New(cfg, own, w, w, w, nopLogger{}).Run(ctx)
+			_ = discover.New(cfg, own, w, w, w, advisory.NewBook(), nopLogger{}).Run(ctx)
 			close(done)
 		}()
 		test(cfg)
--- a/mesh/gossip/fleet_test.go
+++ b/mesh/gossip/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/gossip/gossiptest"
 	"fescuehoist.example/mesh/manifest"
@@ -23,13 +24,14 @@
 
 // daemon is one daemon's node with its stores, in a synctest bubble.
 type daemon struct {
-	id      member.ServerID
-	domain  string
-	table   *member.Table
-	configs *manifest.Store
-	node    *gossip.Node
-	stop    context.CancelFunc
-	tasks   sync.WaitGroup
+	id         member.ServerID
+	domain     string
+	table      *member.Table
+	configs    *manifest.Store
+	node       *gossip.Node
+	advisories *advisory.Book
+	stop       context.CancelFunc
+	tasks      sync.WaitGroup
 }
 
 // fleet is a set of daemons on one in-memory network.
@@ -65,8 +67,9 @@
 
 // startAt starts a daemon at an address without adding it to the fleet.
 func (f *fleet) startAt(address string, id member.ServerID, domain string, incarnation uint64) *daemon {
-	d := &daemon{id: id, domain: domain, table: member.NewTable(id), configs: manifest.NewStore()}
+	d := &daemon{id: id, domain: domain, table: member.NewTable(id), configs: manifest.NewStore(), advisories: advisory.NewBook()}
 	d.node = gossip.NewNode(f.cfg, id, d.domain, f.seeds, f.net.Dialer(address), d.table, d.configs, nopLogger{})
+	d.node.Advisories, d.advisories.Spread = d.advisories, d.node.SpreadAdvisories
 	d.node.Announce(member.Record{
 		Server: id, Incarnation: incarnation, State: member.Ready,
 		Service: "lookup", Domain: d.domain, PeerAddress: address,
--- a/mesh/gossip/message.go
+++ b/mesh/gossip/message.go
@@ -12,6 +12,7 @@
 	"context"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 )
@@ -25,6 +26,16 @@
 	// Mesh names the mesh that the sender belongs to.
 	Mesh    string
 	Version manifest.Version
+	// Advisories means that the sender accepts advisories.
+	Advisories bool
+}
+
+// Advisories carries advisories that the receiver may be missing. The first one of a stream
+// holds all of the sender's.
+type Advisories struct {
+	Advisories []advisory.Aged
+	// Complete means that the sender has all advisories that were issued.
+	Complete bool
 }
 
 // Heartbeat tells the receiver that the sender is alive and which version it
@@ -103,6 +114,7 @@
 func (*Hashes) message()        {}
 func (*Buckets) message()       {}
 func (*Done) message()          {}
+func (*Advisories) message()    {}
 
 // Link is an open stream to one peer. Send and Recv may be called from
 // different goroutines; both fail once the link is closed.
--- a/mesh/gossip/node.go
+++ b/mesh/gossip/node.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 )
@@ -21,6 +22,9 @@
 // the configuration store and the set of peers; all other state belongs to one
 // task.
 type Node struct {
+	// Advisories are exchanged with the peers; nil means that the daemon takes no part.
+	Advisories *advisory.Book
+
 	cfg     Config
 	self    member.ServerID
 	domain  string
--- a/mesh/gossip/peer.go
+++ b/mesh/gossip/peer.go
@@ -18,6 +18,8 @@
 type peer struct {
 	id   member.ServerID
 	link Link
+	// acceptsAdvisories is false for a daemon of an earlier release.
+	acceptsAdvisories bool
 
 	mu sync.Mutex
 	// lazy means that the peer is sent only the versions of updates.
--- a/mesh/gossip/stream.go
+++ b/mesh/gossip/stream.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	n.addPeer(p)
+	n.sendAllAdvisories(p)
 	defer n.releaseSlots(p)
 	defer n.removePeer(p)
 	g, ctx := errgroup.WithContext(ctx)
@@ -58,7 +59,7 @@
 }
 
 func (n *Node) handshake(p *peer) error {
-	if err := p.link.Send(&Hello{From: n.self, Mesh: n.cfg.Mesh, Version: n.configs.KnownVersion()}); err != nil {
+	if err := p.link.Send(&Hello{From: n.self, Mesh: n.cfg.Mesh, Version: n.configs.KnownVersion(), Advisories: n.Advisories != nil}); err != nil {
 		return fmt.Errorf("handshake: %w", err)
 	}
 	m, err := p.link.Recv()
@@ -75,7 +76,7 @@
 	if hello.From == n.self {
 		return errSelf
 	}
-	p.id, p.knownVersion = hello.From, hello.Version
+	p.id, p.knownVersion, p.acceptsAdvisories = hello.From, hello.Version, hello.Advisories
 	n.configs.ObserveVersion(string(hello.From), hello.Version)
 	return nil
 }
@@ -117,6 +118,8 @@
 		n.answerBuckets(p, m)
 	case *Done:
 		n.endAntiEntropy(p, m.Busy)
+	case *Advisories:
+		n.receiveAdvisories(p, m)
 	default:
 		return fmt.Errorf("unexpected message %T after the handshake", m)
 	}
