--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -229,7 +229,8 @@
 	d.ledger = idempotency.NewLedger(d.cfg.Idempotency, d.replicas)
 	d.idempotency = idempotency.NewRunner(d.cfg.Idempotency, self, d.replicas, d.ledger, d.forwarder)
 	d.quarantineTracker = quarantine.NewTracker(d.cfg.Quarantine, self, d.backend,
-		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.handleBackendCrash)
+		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.advisories, d.handleBackendCrash)
+	d.advisories.Apply = d.quarantineTracker.ApplyAdvisory
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
 	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -83,15 +83,6 @@
 	go func() { h.exited <- running.Run(ctx) }()
 }
 
-// kill ends the daemon without draining.
-func (h *host) kill(t *testing.T) {
-	t.Helper()
-	h.stop(daemon.ErrAborted)
-	if err := <-h.exited; err != nil {
-		t.Fatal(err)
-	}
-}
-
 // report sends a status report of the backend server.
 func (h *host) report(t *testing.T) {
 	t.Helper()
--- a/fescuehoistd/daemon/restart_test.go
+++ b/fescuehoistd/daemon/restart_test.go
@@ -3,10 +3,29 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/platform/platformtest"
 )
 
+// restart ends the daemons of hosts, for a cause or as planned if that is nil, and then
+// starts them again.
+func restart(t *testing.T, cause error, hosts ...*host) {
+	t.Helper()
+	for _, h := range hosts {
+		h.stop(cause)
+	}
+	for _, h := range hosts {
+		if err := <-h.exited; err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, h := range hosts {
+		h.startDaemon(t)
+	}
+}
+
 // Guards against routing to a backend server that withdrew before its daemon, or every
 // daemon, was killed, when a status report from before the withdrawal arrives late.
 func TestLateReportAfterDaemonRestartDoesNotRouteToWithdrawnServer(t *testing.T) {
@@ -31,15 +50,10 @@
 			if status, err := a.backend.Withdraw(a.announcements); err != nil || status != 200 {
 				t.Fatalf("withdrawal: status %d, error %v; want status 200", status, err)
 			}
-			killed := []*host{a}
 			if c.allKilled {
-				killed = append(killed, b)
-			}
-			for _, h := range killed {
-				h.kill(t)
-			}
-			for _, h := range killed {
-				h.startDaemon(t)
+				restart(t, daemon.ErrAborted, a, b)
+			} else {
+				restart(t, daemon.ErrAborted, a)
 			}
 			if c.allKilled {
 				await(t, "calls of the store", func() bool { return a.daemon.State().PlatformCalls > 3 })
@@ -64,3 +78,79 @@
 		})
 	}
 }
+
+// crashPath is the path of a request that crashes each backend server that runs it.
+const crashPath = "/search/crash"
+
+// restartBackend starts a later instance of the host's backend server.
+func (h *host) restartBackend(t *testing.T) {
+	t.Helper()
+	await(t, "the address of the crashed server", func() bool {
+		next, err := h.backend.Restart(h.backend.Instance + "+")
+		if err != nil {
+			return false
+		}
+		next.SetCrashPath(crashPath)
+		h.backend = next
+		t.Cleanup(next.Close)
+		return true
+	})
+	h.report(t)
+}
+
+// Guards against running a request that crashes backend servers once more at a daemon
+// that was stopped or killed and started again, or at all daemons after that.
+func TestCrashingRequestStaysQuarantinedAfterDaemonRestart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// store is a fault of the store from before the first crash until the daemons
+		// run again.
+		store platformtest.Fault
+		cause error
+		all   bool
+	}{
+		{"daemon stopped as planned", platformtest.NoFault, nil, false},
+		{"daemon killed while the store is away", platformtest.Unresponsive, daemon.ErrAborted, false},
+		{"all daemons killed", platformtest.NoFault, daemon.ErrAborted, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := platformtest.NewStore()
+			defer store.Close()
+			a, b := startPair(t, store, "cairo-b")
+			store.SetFault(c.store)
+			defer store.SetFault(platformtest.NoFault)
+			a.backend.SetCrashPath(crashPath)
+			b.backend.SetCrashPath(crashPath)
+			if got := sendRequest(t, b, "GET", crashPath, "first"); got.status == 200 {
+				t.Fatalf("crashing request: got %+v, want a failure", got)
+			}
+			if n := a.backend.Executions("first") + b.backend.Executions("first"); n != 2 {
+				t.Fatalf("crashing request ran at %d servers, want 2", n)
+			}
+			a.restartBackend(t)
+			b.restartBackend(t)
+			// Suspects are stored a second after the crash.
+			time.Sleep(1500 * time.Millisecond)
+			if c.all {
+				restart(t, c.cause, a, b)
+			} else {
+				restart(t, c.cause, a)
+			}
+			for _, h := range []*host{a, b} {
+				await(t, "calls at both servers", func() bool {
+					a.report(t)
+					b.report(t)
+					before := h.backend.TotalExecutions()
+					return respondsWith(t, h, "/search/x", 200)() && h.backend.TotalExecutions() > before
+				})
+			}
+			for n := range 8 {
+				h, id := []*host{a, b}[n%2], fmt.Sprint("copy-", n)
+				got := sendRequest(t, h, "GET", crashPath, id)
+				if runs := a.backend.Executions(id) + b.backend.Executions(id); runs != 0 || got.status != 503 {
+					t.Errorf("copy %d: got %+v and %d runs, want status 503 and none", n, got, runs)
+				}
+			}
+		})
+	}
+}
--- a/mesh/quarantine/tracker.go
+++ b/mesh/quarantine/tracker.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
 )
@@ -83,6 +84,11 @@
 	Notify(ctx context.Context, service string, r *Report)
 }
 
+// Advisories keeps what other daemons, and later starts of this one, must know.
+type Advisories interface {
+	Issue(a advisory.Advisory)
+}
+
 // Tracker tracks requests and crashes for one daemon.
 type Tracker struct {
 	cfg  Config
@@ -92,6 +98,8 @@
 	start  string
 	prober Prober
 	peers  Peers
+	// advisories keep the suspects beyond the life of this process.
+	advisories Advisories
 	// onCrash is called when the backend server has crashed.
 	onCrash func()
 	// suspectSlot is held by the one suspect that may run.
@@ -115,9 +123,9 @@
 
 // NewTracker returns an empty tracker. It calls onCrash when the backend server
 // has crashed.
-func NewTracker(cfg Config, self member.ServerID, prober Prober, peers Peers, onCrash func()) *Tracker {
+func NewTracker(cfg Config, self member.ServerID, prober Prober, peers Peers, advisories Advisories, onCrash func()) *Tracker {
 	return &Tracker{
-		cfg: cfg, self: self, start: rand.Text()[:startLength], prober: prober, peers: peers, onCrash: onCrash, suspectSlot: make(chan struct{}, 1),
+		cfg: cfg, self: self, start: rand.Text()[:startLength], prober: prober, peers: peers, advisories: advisories, onCrash: onCrash, suspectSlot: make(chan struct{}, 1),
 		suspects: map[Fingerprint]*suspect{}, cleared: map[Fingerprint]struct{}{},
 	}
 }
@@ -212,6 +220,7 @@
 	if !wasSuspect {
 		return
 	}
+	t.advisories.Issue(advisory.Advisory{Kind: advisory.Cleared, Number: uint64(ticket.fingerprint)})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.cfg.NotifyTimeout)
 	defer cancel()
 	t.peers.Notify(ctx, ticket.service, &Report{Cleared: []Fingerprint{ticket.fingerprint}})
@@ -232,11 +241,29 @@
 	number := ticket.crashesAtEntry + 1
 	t.crashes = max(t.crashes, number)
 	r := &Report{Crash: fmt.Sprintf("%s/%s/%d", t.self, t.start, number), Suspects: []Fingerprint{ticket.fingerprint}}
+	harmless := t.isCleared(ticket.fingerprint)
 	t.mu.Unlock()
 	t.Apply(r)
+	if !harmless {
+		t.advisories.Issue(advisory.Advisory{Kind: advisory.Crashed, Subject: r.Crash, Number: uint64(ticket.fingerprint)})
+	}
 	return r
 }
 
+// ApplyAdvisory applies a crash or clearance that another daemon, or an earlier start
+// of this one, has issued.
+func (t *Tracker) ApplyAdvisory(a advisory.Aged) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fingerprint := Fingerprint(a.Number)
+	switch {
+	case a.Kind == advisory.Cleared:
+		t.markCleared(fingerprint)
+	case a.Kind == advisory.Crashed && !t.isCleared(fingerprint):
+		t.addSuspect(fingerprint, a.Subject, a.Age)
+	}
+}
+
 // Apply applies a report. Requests that ended well here do not become suspects.
 func (t *Tracker) Apply(r *Report) {
 	t.mu.Lock()
@@ -246,7 +273,7 @@
 	}
 	for _, fingerprint := range r.Suspects {
 		if !t.isCleared(fingerprint) {
-			t.addSuspect(fingerprint, r.Crash)
+			t.addSuspect(fingerprint, r.Crash, 0)
 		}
 	}
 }
@@ -259,7 +286,8 @@
 	return ok
 }
 
-func (t *Tracker) addSuspect(fingerprint Fingerprint, crash string) {
+// addSuspect records a crash that happened a time ago.
+func (t *Tracker) addSuspect(fingerprint Fingerprint, crash string, age time.Duration) {
 	now := time.Now()
 	s := t.suspects[fingerprint]
 	if s == nil {
@@ -276,9 +304,12 @@
 		}
 	}
 	s.crashes = append(s.crashes, crash)
-	s.until = now.Add(t.cfg.SuspectTime)
+	period := t.cfg.SuspectTime
 	if len(s.crashes) >= crashesToQuarantine {
-		s.until = now.Add(t.cfg.QuarantineTime)
+		period = t.cfg.QuarantineTime
+	}
+	if until := now.Add(period - age); until.After(s.until) {
+		s.until = until
 	}
 }
 
--- a/mesh/quarantine/tracker_test.go
+++ b/mesh/quarantine/tracker_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
 )
@@ -20,7 +21,7 @@
 func newGroup(size int) *group {
 	g := &group{}
 	for i := range size {
-		g.trackers = append(g.trackers, NewTracker(DefaultConfig(), member.ServerID(fmt.Sprint("s", i)), g, g, func() {}))
+		g.trackers = append(g.trackers, NewTracker(DefaultConfig(), member.ServerID(fmt.Sprint("s", i)), g, g, advisory.NewBook(), func() {}))
 	}
 	return g
 }
@@ -88,6 +89,66 @@
 	wantReason(t, err, call.Quarantined)
 }
 
+// restored returns a tracker that has only what the advisories of the others say.
+func (g *group) restored(book *advisory.Book) *Tracker {
+	tracker := newGroup(1).trackers[0]
+	for _, a := range book.Live() {
+		tracker.ApplyAdvisory(a)
+	}
+	return tracker
+}
+
+func TestRestartedDaemonKnowsQuarantinedSuspectedAndClearedRequests(t *testing.T) {
+	g, book := newGroup(2), advisory.NewBook()
+	for _, tracker := range g.trackers {
+		tracker.advisories = book
+		_ = enter(t, tracker, "/crashing").End(context.Background(), errCut)
+	}
+	_ = enter(t, g.trackers[0], "/bystander").End(context.Background(), errCut)
+	_ = enter(t, g.trackers[0], "/suspect").End(context.Background(), errCut)
+	if err := enter(t, g.trackers[1], "/bystander").End(context.Background(), nil); err != nil {
+		t.Fatal(err)
+	}
+	restarted := g.restored(book)
+	_, err := restarted.Enter(context.Background(), get("/crashing"))
+	wantReason(t, err, call.Quarantined)
+	for uri, want := range map[string]bool{"/suspect": true, "/bystander": false} {
+		ticket := enter(t, restarted, uri)
+		if ticket.suspect != want {
+			t.Errorf("%s is a suspect: %t, want %t", uri, ticket.suspect, want)
+		}
+		ticket.Release()
+	}
+}
+
+// A request that many callers make runs during many crashes. After a restart it must
+// not be taken for their cause.
+func TestRestartedDaemonTakesNoClearedRequestForSuspect(t *testing.T) {
+	g, book := newGroup(2), advisory.NewBook()
+	for _, tracker := range g.trackers {
+		tracker.advisories = book
+		if err := enter(t, tracker, "/often").End(context.Background(), nil); err != nil {
+			t.Fatal(err)
+		}
+		_ = enter(t, tracker, "/often").End(context.Background(), errCut)
+	}
+	ticket := enter(t, g.restored(book), "/often")
+	if ticket.suspect {
+		t.Error("a request that had ended well is a suspect after a restart")
+	}
+}
+
+func TestRestoredQuarantineEndsWithItsTime(t *testing.T) {
+	tracker := newGroup(1).trackers[0]
+	fingerprint := uint64(FingerprintOf(get("/crashing")))
+	for _, crash := range []string{"s1/a/1", "s2/a/1"} {
+		age := tracker.cfg.QuarantineTime - time.Millisecond
+		tracker.ApplyAdvisory(advisory.Aged{Advisory: advisory.Advisory{Kind: advisory.Crashed, Subject: crash, Number: fingerprint}, Age: age})
+	}
+	time.Sleep(2 * time.Millisecond)
+	enter(t, tracker, "/crashing").Release()
+}
+
 func TestSuspectsRunOneAtATimeUntilCleared(t *testing.T) {
 	g := newGroup(2)
 	a, b := enter(t, g.trackers[0], "/a"), enter(t, g.trackers[0], "/b")
