--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	if err := resp.Header.ReadTrailer(c.r); err != nil {
-		return fmt.Errorf("answer trailer truncated: %w", err)
+		return fmt.Errorf("answer trailer truncated: %w", headError(err, c.r))
 	}
 	return nil
 }
@@ -106,7 +106,7 @@
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterimAnswers {
 		if err := resp.Header.Read(r); err != nil {
-			return err
+			return headError(err, r)
 		}
 		switch status := resp.StatusCode(); {
 		case status == fasthttp.StatusSwitchingProtocols:
@@ -118,6 +118,15 @@
 	return errTooManyInterim
 }
 
+// headError returns an error that names the limit if a head or trailer exceeds the buffer. That of the library quotes what was received.
+func headError(err error, r *bufio.Reader) error {
+	var bufferErr *fasthttp.ErrSmallBuffer
+	if errors.As(err, &bufferErr) {
+		return fmt.Errorf("head or trailer of an answer is longer than %d bytes", r.Size())
+	}
+	return err
+}
+
 func hasNoBody(req *fasthttp.Request, resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
 	return req.Header.IsHead() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -82,7 +82,7 @@
 
 // Limits are the resource limits of the daemon's process; 0 means none.
 type Limits struct {
-	// MemoryBytes is the maximum memory, in bytes.
+	// MemoryBytes is the maximum memory, in bytes; 0 means DefaultMemoryBytes.
 	MemoryBytes int64
 	// Descriptors is the maximum number of open files and sockets.
 	Descriptors int
@@ -102,10 +102,12 @@
 	DefaultRetryShare       = 0.08
 	maxRetryBurst           = 100_000
 	minMemoryMB             = 32
-	minDescriptors          = 64
-	maxLinkMbps             = 1_000_000
-	minDuration             = 100 * time.Millisecond
-	maxDuration             = time.Hour
+	// DefaultMemoryBytes is the memory that the process may take without a setting.
+	DefaultMemoryBytes int64 = 1 << 30
+	minDescriptors           = 64
+	maxLinkMbps              = 1_000_000
+	minDuration              = 100 * time.Millisecond
+	maxDuration              = time.Hour
 )
 
 type fileTOML struct {
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -181,10 +181,8 @@
 		traffic:    &peergrpc.Traffic{},
 	}
 	d.forwarder.Mesh = s.Mesh
-	if s.Limits.MemoryBytes > 0 {
-		budget := httpconn.NewBudget(s.Limits.MemoryBytes / answerMemoryDivisor)
-		d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
-	}
+	budget := httpconn.NewBudget(cmp.Or(s.Limits.MemoryBytes, settings.DefaultMemoryBytes) / answerMemoryDivisor)
+	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.retry.Store(&s.Retry)
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
@@ -395,7 +393,7 @@
 )
 
 // The answers that are read at the same time may have one part in
-// answerMemoryDivisor of the memory allowed by the settings. While one is read, its
+// answerMemoryDivisor of the memory that the process may take. While one is read, its
 // buffer grows by doubling, and a read one is copied.
 const answerMemoryDivisor = 8
 
--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -78,19 +79,19 @@
 // logFlushTimeout bounds the wait for a blocked log output at exit.
 const logFlushTimeout = 200 * time.Millisecond
 
-// Garbage collector settings: garbage may grow to gcPercent of the live heap, and
-// memory above softLimitShare of the memory limit is collected and returned sooner.
+// Garbage collector settings: memory above softLimitShare of the memory limit is
+// collected and returned sooner, and garbage may grow to gcPercent of the live heap if
+// the settings name a limit.
 const (
 	gcPercent      = 25
 	softLimitShare = 0.75
 )
 
 func limitMemory(bytes int64) {
-	if bytes == 0 {
-		return
+	if bytes > 0 {
+		debug.SetGCPercent(gcPercent)
 	}
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(softLimitShare * float64(bytes)))
+	debug.SetMemoryLimit(int64(softLimitShare * float64(cmp.Or(bytes, settings.DefaultMemoryBytes))))
 }
 
 func run(file string, hangups <-chan os.Signal) error {
