Restore advisories from the one listing at the start

A restarted daemon made a second write and a read of its own entry before it could announce its server, so that a store which refuses writes while many daemons start would have held their servers back. Now the listing, which is read anyway, returns the advisories of the earlier start with those of the other daemons; a failed create doesn't hold it up, and makes them doubtful. An entry that is as it should be is not written again, which saves one write for each restart.

An advisory that is known from a peer and issued again is stored as well: its first issuer may have been killed before it had stored it. Beyond the limit the advisories of other daemons go first.

Tests: TestFinderRestoresAndStoresAdvisories, TestFinderTakesAdvisoriesForDoubtful- AfterFailure, TestFinderLeavesCurrentEntryAsItIs, TestBookStoresKnownAdvisoryThatIs- IssuedAgain.

--- a/mesh/advisory/book.go
+++ b/mesh/advisory/book.go
@@ -64,17 +64,26 @@
 	return &Book{advisories: map[Advisory]*record{}, changed: make(chan struct{})}
 }
 
-// Issue adds an advisory of this daemon, spreads it and has it stored. A repeated one
-// changes nothing.
+// Issue adds an advisory of this daemon, spreads it and has it stored. One that is known
+// from a peer is stored, too, since the daemon that issued it may be gone.
 func (b *Book) Issue(n Advisory) {
-	b.mu.Lock()
-	added := b.add(n, &record{issuedAt: time.Now(), own: true})
-	b.mu.Unlock()
-	if added && b.Spread != nil {
+	if b.issue(n) && b.Spread != nil {
 		b.Spread([]Aged{{Advisory: n}})
 	}
 }
 
+// issue reports whether the advisory was not known.
+func (b *Book) issue(n Advisory) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.advisories[n]; r != nil && !r.own {
+		r.own = true
+		b.notify()
+		return false
+	}
+	return b.add(n, &record{issuedAt: time.Now(), own: true})
+}
+
 // Merge adds advisories of a peer or of other daemons' discovery entries and returns the
 // new ones, which have been applied.
 func (b *Book) Merge(advisories []Aged) []Aged { return b.merge(advisories, record{}) }
@@ -127,22 +136,31 @@
 	return true
 }
 
-// evict removes expired advisories. If there is none it removes the oldest one, of
-// withdrawals only if there is nothing else.
+// evict removes expired advisories, or the oldest one if there is none. Those of other
+// daemons go first, and withdrawals last.
 func (b *Book) evict() {
 	b.removeExpired()
 	if len(b.advisories) < MaxAdvisories {
 		return
 	}
 	oldest := slices.MinFunc(slices.Collect(maps.Keys(b.advisories)), func(x, y Advisory) int {
-		if (x.Kind == Withdrawn) != (y.Kind == Withdrawn) {
-			return cmp.Compare(y.Kind, x.Kind)
-		}
-		return b.advisories[x].issuedAt.Compare(b.advisories[y].issuedAt)
+		rx, ry := b.advisories[x], b.advisories[y]
+		return cmp.Or(compareBool(rx.own, ry.own), compareBool(x.Kind == Withdrawn, y.Kind == Withdrawn), rx.issuedAt.Compare(ry.issuedAt))
 	})
 	delete(b.advisories, oldest)
 }
 
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 func (b *Book) removeExpired() {
 	for n, r := range b.advisories {
 		if time.Since(r.issuedAt) >= Lifetime {
--- a/mesh/advisory/book_test.go
+++ b/mesh/advisory/book_test.go
@@ -109,6 +109,19 @@
 	})
 }
 
+// The daemon that issued an advisory may be killed before it has stored it.
+func TestBookStoresKnownAdvisoryThatIsIssuedAgain(t *testing.T) {
+	b := advisory.NewBook()
+	b.Merge([]advisory.Aged{{Advisory: withdrawn}})
+	if _, found := b.StoreDue(); found {
+		t.Error("an advisory of another daemon is due to be stored")
+	}
+	b.Issue(withdrawn)
+	if _, found := b.StoreDue(); !found {
+		t.Error("an advisory that is issued again is not due to be stored")
+	}
+}
+
 // A request that is cleared soon after the crash needs no write to the store.
 func TestBookCrashIsStoredAfterWithdrawal(t *testing.T) {
 	b := advisory.NewBook()
--- a/mesh/discover/advisories.go
+++ b/mesh/discover/advisories.go
@@ -5,11 +5,10 @@
 	"time"
 )
 
-// minStoreInterval is the time between two writes of the advisories.
+// minStoreInterval is the time between two writes of the daemon's entry.
 const minStoreInterval = 250 * time.Millisecond
 
-// storeAdvisories writes the advisories that this daemon issued to its entry whenever there
-// are new ones, until ctx ends.
+// storeAdvisories writes the daemon's entry whenever it issued advisories, until ctx ends.
 func (f *Finder) storeAdvisories(ctx context.Context) error {
 	for ctx.Err() == nil {
 		changed := f.advisories.Changed()
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -29,9 +29,8 @@
 
 // Registry stores entries in the platform.
 type Registry interface {
-	// Register creates a daemon's entry. An existing one is replaced, but for its
-	// advisories, which are kept and returned.
-	Register(ctx context.Context, e Entry) ([]advisory.Aged, error)
+	// Create creates a daemon's entry. One that exists is left as it is.
+	Create(ctx context.Context, e Entry) error
 	// Replace replaces a daemon's entry, or creates it if there is none.
 	Replace(ctx context.Context, e Entry) error
 	// List returns the entries, without those that cannot be decoded.
@@ -101,6 +100,10 @@
 	// goneAtLastSweep holds the daemons that were gone at the last sweep.
 	goneAtLastSweep map[member.ServerID]bool
 
+	// outdated means that the entry of this daemon, as it was last listed, is missing or
+	// names another address.
+	outdated bool
+
 	// listed is closed after the first listing, which found neighbors entries of the
 	// own failure domain.
 	listed    chan struct{}
@@ -130,29 +133,31 @@
 // before the others are read, so that of two daemons that start at the same time
 // at least one finds the other.
 func (f *Finder) Run(ctx context.Context) error {
-	failed := f.retry(ctx, "register this daemon", f.register)
-	failed = f.retry(ctx, "list the registered daemons", f.addContacts) || failed
-	if ctx.Err() != nil {
-		return nil
+	create := func(ctx context.Context) error { return f.registry.Create(ctx, f.self) }
+	if f.withTimeout(ctx, create) == nil {
+		failed := f.retry(ctx, "list the registered daemons", f.addContacts)
+		f.setCompleteness(ctx, failed)
+	} else {
+		f.retry(ctx, "read the advisories of the registered daemons", f.readAdvisories)
+		f.setCompleteness(ctx, true)
+		f.retry(ctx, "register this daemon", create)
+		f.retry(ctx, "list the registered daemons", f.addContacts)
+	}
+	if f.outdated {
+		f.retry(ctx, "replace the entry of this daemon", f.replaceEntry)
 	}
-	f.setCompleteness(failed)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.maintainContacts(ctx) })
 	g.Go(func() error { return f.storeAdvisories(ctx) })
 	return g.Wait()
 }
 
-func (f *Finder) register(ctx context.Context) error {
-	advisories, err := f.registry.Register(ctx, f.self)
-	if err == nil {
-		f.advisories.Restore(advisories)
-	}
-	return err
-}
-
 // setCompleteness records that the advisories in all entries have been read. While the
 // registry failed, other daemons could not store theirs either.
-func (f *Finder) setCompleteness(failed bool) {
+func (f *Finder) setCompleteness(ctx context.Context, failed bool) {
+	if ctx.Err() != nil {
+		return
+	}
 	c := advisory.Complete
 	if failed {
 		c = advisory.Doubtful
@@ -239,14 +244,13 @@
 
 // addContacts adds up to MaxContacts random registered daemons as contacts.
 func (f *Finder) addContacts(ctx context.Context) error {
-	entries, err := f.registry.List(ctx)
+	entries, err := f.list(ctx)
 	if err != nil {
 		return err
 	}
 	var addresses []string
 	neighbors := 0
 	for _, e := range entries {
-		f.advisories.Merge(e.Advisories)
 		if e.Server == f.self.Server || e.PeerAddress == f.self.PeerAddress {
 			continue
 		}
@@ -266,3 +270,26 @@
 	f.peers.AddContacts(addresses[:min(len(addresses), f.cfg.MaxContacts)])
 	return nil
 }
+
+func (f *Finder) readAdvisories(ctx context.Context) error {
+	_, err := f.list(ctx)
+	return err
+}
+
+// list returns the entries after it has added their advisories.
+func (f *Finder) list(ctx context.Context) ([]Entry, error) {
+	entries, err := f.registry.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f.outdated = true
+	for _, e := range entries {
+		if e.Server == f.self.Server {
+			f.advisories.Restore(e.Advisories)
+			f.outdated = e.PeerAddress != f.self.PeerAddress || e.Domain != f.self.Domain
+			continue
+		}
+		f.advisories.Merge(e.Advisories)
+	}
+	return entries, nil
+}
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -23,6 +23,8 @@
 	streams  int
 	calls    int
 	gone     map[member.ServerID]bool
+	// book holds the advisories of the finder that runs.
+	book *advisory.Book
 }
 
 func (w *fakeDeps) nextError() error {
@@ -34,16 +36,25 @@
 	return nil
 }
 
-func (w *fakeDeps) Register(ctx context.Context, e discover.Entry) ([]advisory.Aged, error) {
-	return nil, w.Replace(ctx, e)
+func (w *fakeDeps) Create(_ context.Context, e discover.Entry) error {
+	return w.write(func(int) {}, e)
 }
 
 func (w *fakeDeps) Replace(_ context.Context, e discover.Entry) error {
+	return w.write(func(i int) { w.entries[i] = e }, e)
+}
+
+// write adds an entry, or calls onExisting with the index of the one that there is.
+func (w *fakeDeps) write(onExisting func(i int), e discover.Entry) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.nextError(); err != nil {
 		return err
 	}
+	if i := slices.IndexFunc(w.entries, func(o discover.Entry) bool { return o.Server == e.Server }); i >= 0 {
+		onExisting(i)
+		return nil
+	}
 	w.entries = append(w.entries, e)
 	return nil
 }
@@ -87,6 +98,14 @@
 	return slices.ContainsFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
 }
 
+// entry returns the entry of a server.
+func (w *fakeDeps) entry(server member.ServerID) discover.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := slices.IndexFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
+	return w.entries[i]
+}
+
 // observed returns the contacts added and the number of calls.
 func (w *fakeDeps) observed() ([]string, int) {
 	w.mu.Lock()
@@ -101,12 +120,13 @@
 
 func runFinder(t *testing.T, w *fakeDeps, test func(discover.Config)) {
 	synctest.Test(t, func(*testing.T) {
+		w.book = advisory.NewBook()
 		cfg := discover.DefaultConfig()
 		own := discover.Entry{Server: "self", Domain: "cairo-a", PeerAddress: "10.0.0.1:1"}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
-			_ = discover.New(cfg, own, w, w, w, advisory.NewBook(), nopLogger{}).Run(ctx)
+			_ = discover.New(cfg, own, w, w, w, w.book, nopLogger{}).Run(ctx)
 			close(done)
 		}()
 		test(cfg)
@@ -165,3 +185,50 @@
 		}
 	})
 }
+
+// A daemon that starts again takes back the advisories of its earlier start, keeps them
+// in its entry, and adds those that it issues.
+func TestFinderRestoresAndStoresAdvisories(t *testing.T) {
+	withdrawn := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}
+	crashed := advisory.Advisory{Kind: advisory.Crashed, Subject: "s/1", Number: 7}
+	issued := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-2", Number: 30}
+	own, other := newEntry("self", "10.0.0.9:1"), newEntry("other", "10.0.0.2:1")
+	own.Advisories, other.Advisories = []advisory.Aged{{Advisory: withdrawn}}, []advisory.Aged{{Advisory: crashed}}
+	w := &fakeDeps{streams: 1, entries: []discover.Entry{own, other}}
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(time.Second)
+		if c := w.book.Completeness(); c != advisory.Complete || len(w.book.Live()) != 2 {
+			t.Errorf("holds %v, which are %s, want both advisories, complete", w.book.Live(), c)
+		}
+		w.book.Issue(issued)
+		time.Sleep(time.Second)
+		stored := w.entry("self")
+		if stored.PeerAddress != "10.0.0.1:1" || len(stored.Advisories) != 2 {
+			t.Errorf("stored %+v, want the new address and the advisories of both starts", stored)
+		}
+	})
+}
+
+// Advisories that other daemons issued while the registry failed may be missing in it.
+func TestFinderTakesAdvisoriesForDoubtfulAfterFailure(t *testing.T) {
+	w := &fakeDeps{failures: 1, streams: 1}
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(10 * time.Second)
+		if c := w.book.Completeness(); c != advisory.Doubtful {
+			t.Errorf("advisories are %s, want doubtful", c)
+		}
+	})
+}
+
+// An unchanged entry is not written at each start.
+func TestFinderLeavesCurrentEntryAsItIs(t *testing.T) {
+	own := newEntry("self", "10.0.0.1:1")
+	own.Domain = "cairo-a"
+	w := &fakeDeps{streams: 1, entries: []discover.Entry{own}}
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(time.Second)
+		if _, calls := w.observed(); calls != 2 {
+			t.Errorf("%d calls of the registry, want a create and a list", calls)
+		}
+	})
+}
