--- a/adapters/peergrpc/codec_advisories.go
+++ b/adapters/peergrpc/codec_advisories.go
@@ -11,8 +11,8 @@
 
 func encodeAdvisories(advisories []advisory.Aged) []*peerpb.Advisory {
 	out := make([]*peerpb.Advisory, len(advisories))
-	for i, n := range advisories {
-		out[i] = &peerpb.Advisory{Kind: uint32(n.Kind), Subject: n.Subject, Number: n.Number, AgeMs: uint64(max(n.Age.Milliseconds(), 0))}
+	for i, a := range advisories {
+		out[i] = &peerpb.Advisory{Kind: uint32(a.Kind), Subject: a.Subject, Number: a.Number, AgeMs: uint64(max(a.Age.Milliseconds(), 0))}
 	}
 	return out
 }
@@ -23,10 +23,10 @@
 		return nil, err
 	}
 	m := &gossip.Advisories{Complete: in.GetComplete()}
-	for _, n := range in.GetAdvisories() {
-		kind := advisory.Kind(min(n.GetKind(), math.MaxUint8))
-		age := time.Duration(min(n.GetAgeMs(), uint64(advisory.Lifetime.Milliseconds()))) * time.Millisecond
-		received := advisory.Aged{Advisory: advisory.Advisory{Kind: kind, Subject: n.GetSubject(), Number: n.GetNumber()}, Age: age}
+	for _, a := range in.GetAdvisories() {
+		kind := advisory.Kind(min(a.GetKind(), math.MaxUint8))
+		age := time.Duration(min(a.GetAgeMs(), uint64(advisory.Lifetime.Milliseconds()))) * time.Millisecond
+		received := advisory.Aged{Advisory: advisory.Advisory{Kind: kind, Subject: a.GetSubject(), Number: a.GetNumber()}, Age: age}
 		if received.Valid() {
 			m.Advisories = append(m.Advisories, received)
 		}
--- a/mesh/advisory/advisory.go
+++ b/mesh/advisory/advisory.go
@@ -43,8 +43,8 @@
 }
 
 // Valid reports whether a received advisory is of a known kind and within the limits.
-func (n Advisory) Valid() bool {
-	return n.Kind >= Withdrawn && n.Kind <= Cleared && len(n.Subject) <= MaxSubjectLength
+func (a Advisory) Valid() bool {
+	return a.Kind >= Withdrawn && a.Kind <= Cleared && len(a.Subject) <= MaxSubjectLength
 }
 
 // Aged is an advisory with the time since it was issued. It is sent with its age since
--- a/mesh/advisory/book.go
+++ b/mesh/advisory/book.go
@@ -66,22 +66,22 @@
 
 // Issue adds an advisory of this daemon, spreads it and has it stored. One that is known
 // from a peer is stored, too, since the daemon that issued it may be gone.
-func (b *Book) Issue(n Advisory) {
-	if b.issue(n) && b.Spread != nil {
-		b.Spread([]Aged{{Advisory: n}})
+func (b *Book) Issue(a Advisory) {
+	if b.issue(a) && b.Spread != nil {
+		b.Spread([]Aged{{Advisory: a}})
 	}
 }
 
 // issue reports whether the advisory was not known.
-func (b *Book) issue(n Advisory) bool {
+func (b *Book) issue(a Advisory) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.advisories[n]; r != nil && !r.own {
+	if r := b.advisories[a]; r != nil && !r.own {
 		r.own = true
 		b.notify()
 		return false
 	}
-	return b.add(n, &record{issuedAt: time.Now(), own: true})
+	return b.add(a, &record{issuedAt: time.Now(), own: true})
 }
 
 // Merge adds advisories of a peer or of other daemons' discovery entries and returns the
@@ -96,8 +96,8 @@
 func (b *Book) merge(advisories []Aged, origin record) []Aged {
 	added := b.addAll(advisories, origin)
 	if b.Apply != nil {
-		for _, n := range added {
-			b.Apply(n)
+		for _, a := range added {
+			b.Apply(a)
 		}
 	}
 	return added
@@ -107,31 +107,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var added []Aged
-	for _, n := range advisories {
+	for _, a := range advisories {
 		r := origin
-		r.issuedAt = time.Now().Add(-n.Age)
-		if b.add(n.Advisory, &r) {
-			added = append(added, n)
+		r.issuedAt = time.Now().Add(-a.Age)
+		if b.add(a.Advisory, &r) {
+			added = append(added, a)
 		}
 	}
 	return added
 }
 
 // add adds an advisory unless it is known, expired, or about a request that was cleared.
-func (b *Book) add(n Advisory, r *record) bool {
-	if b.advisories[n] != nil || time.Since(r.issuedAt) >= Lifetime {
+func (b *Book) add(a Advisory, r *record) bool {
+	if b.advisories[a] != nil || time.Since(r.issuedAt) >= Lifetime {
 		return false
 	}
-	if n.Kind == Crashed && b.advisories[Advisory{Kind: Cleared, Number: n.Number}] != nil {
+	if a.Kind == Crashed && b.advisories[Advisory{Kind: Cleared, Number: a.Number}] != nil {
 		return false
 	}
 	if len(b.advisories) >= MaxAdvisories {
 		b.evict()
 	}
-	if n.Kind == Cleared {
-		b.dropCrashes(n.Number)
+	if a.Kind == Cleared {
+		b.dropCrashes(a.Number)
 	}
-	b.advisories[n] = r
+	b.advisories[a] = r
 	b.notify()
 	return true
 }
@@ -162,18 +162,18 @@
 }
 
 func (b *Book) removeExpired() {
-	for n, r := range b.advisories {
+	for a, r := range b.advisories {
 		if time.Since(r.issuedAt) >= Lifetime {
-			delete(b.advisories, n)
+			delete(b.advisories, a)
 		}
 	}
 }
 
 // dropCrashes removes the crashes of a request that was cleared.
 func (b *Book) dropCrashes(fingerprint uint64) {
-	for n := range b.advisories {
-		if n.Kind == Crashed && n.Number == fingerprint {
-			delete(b.advisories, n)
+	for a := range b.advisories {
+		if a.Kind == Crashed && a.Number == fingerprint {
+			delete(b.advisories, a)
 		}
 	}
 }
@@ -188,9 +188,9 @@
 func (b *Book) list(wanted func(*record) bool) []Aged {
 	b.removeExpired()
 	var live []Aged
-	for n, r := range b.advisories {
+	for a, r := range b.advisories {
 		if wanted(r) {
-			live = append(live, Aged{Advisory: n, Age: time.Since(r.issuedAt)})
+			live = append(live, Aged{Advisory: a, Age: time.Since(r.issuedAt)})
 		}
 	}
 	return live
@@ -200,8 +200,8 @@
 func (b *Book) HasWithdrawn(instance string, started uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for n, r := range b.advisories {
-		if n.Kind == Withdrawn && n.Subject == instance && n.Number >= started && time.Since(r.issuedAt) < Lifetime {
+	for a, r := range b.advisories {
+		if a.Kind == Withdrawn && a.Subject == instance && a.Number >= started && time.Since(r.issuedAt) < Lifetime {
 			return true
 		}
 	}
@@ -244,11 +244,11 @@
 func (b *Book) StoreDue() (due time.Time, found bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for n, r := range b.advisories {
+	for a, r := range b.advisories {
 		if !r.own || r.stored {
 			continue
 		}
-		if at := r.issuedAt.Add(storeDelays[n.Kind]); !found || at.Before(due) {
+		if at := r.issuedAt.Add(storeDelays[a.Kind]); !found || at.Before(due) {
 			due, found = at, true
 		}
 	}
@@ -266,8 +266,8 @@
 func (b *Book) MarkStored(advisories []Aged) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, n := range advisories {
-		if r := b.advisories[n.Advisory]; r != nil {
+	for _, a := range advisories {
+		if r := b.advisories[a.Advisory]; r != nil {
 			r.stored = true
 		}
 	}
@@ -293,8 +293,8 @@
 func (b *Book) isStored(kind Kind) (bool, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for n, r := range b.advisories {
-		if n.Kind == kind && r.own && !r.stored {
+	for a, r := range b.advisories {
+		if a.Kind == kind && r.own && !r.stored {
 			return false, b.changed
 		}
 	}
