Pass on that advisories are complete

Cause: a daemon told a peer only at the start of a stream that it has all advisories. Where many daemons start while the store is away, one without a stream to a survivor got the configuration over another restarted daemon, but had to wait for the store before it announced its server.

Change: a daemon that becomes complete sends all advisories on all streams. The test TestCompleteAdvisoriesReachDaemonsOverOthersThatMissThem plays 24 daemons of which one is complete.

--- a/mesh/advisory/book.go
+++ b/mesh/advisory/book.go
@@ -36,11 +36,13 @@
 	return "unknown"
 }
 
-// Book holds the advisories of one daemon. Spread and Apply are set before its use, and
-// may be nil.
+// Book holds the advisories of one daemon. Its functions are set before its use, and may
+// be nil.
 type Book struct {
 	// Spread sends issued advisories to the peers.
 	Spread func([]Aged)
+	// Completed is called once the advisories are complete.
+	Completed func()
 	// Apply is called for each advisory that came from a peer or the store.
 	Apply func(Aged)
 
@@ -211,13 +213,21 @@
 // SetCompleteness records what was got back. A lower level than before changes
 // nothing.
 func (b *Book) SetCompleteness(c Completeness) {
+	if b.raise(c) && c == Complete && b.Completed != nil {
+		b.Completed()
+	}
+}
+
+// raise reports whether the level was lower before.
+func (b *Book) raise(c Completeness) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c <= b.complete {
-		return
+		return false
 	}
 	b.complete = c
 	b.notify()
+	return true
 }
 
 // Completeness returns what was got back so far.
--- a/mesh/gossip/advisories.go
+++ b/mesh/gossip/advisories.go
@@ -19,6 +19,16 @@
 	}
 }
 
+// SendAllAdvisories queues all advisories on every stream. Peers that still miss some
+// need not wait for the platform's store once this daemon has them all.
+func (n *Node) SendAllAdvisories() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.peers {
+		n.sendAllAdvisories(p)
+	}
+}
+
 // sendAllAdvisories queues all advisories for a new peer. Advisories that are issued from now on
 // are spread to it.
 func (n *Node) sendAllAdvisories(p *peer) {
--- a/mesh/gossip/advisories_test.go
+++ b/mesh/gossip/advisories_test.go
@@ -41,3 +41,21 @@
 		}
 	})
 }
+
+// Of many daemons that start while the platform's store is away, only some have a stream
+// to one with complete advisories.
+func TestCompleteAdvisoriesReachDaemonsOverOthersThatMissThem(t *testing.T) {
+	withdrawal := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}
+	runInBubble(t, 24, 3, func(f *fleet) {
+		f.daemons[5].advisories.Merge([]advisory.Aged{{Advisory: withdrawal}})
+		f.daemons[5].advisories.SetCompleteness(advisory.Complete)
+		f.eventually("complete advisories at all daemons", func() bool {
+			for _, d := range f.daemons {
+				if d.advisories.Completeness() != advisory.Complete || !d.advisories.HasWithdrawn("i-1", 20) {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/mesh/gossip/message.go
+++ b/mesh/gossip/message.go
@@ -30,8 +30,8 @@
 	Advisories bool
 }
 
-// Advisories carries advisories that the receiver may be missing. The first one of a stream
-// holds all of the sender's.
+// Advisories carries advisories that the receiver may be missing. The first one of a stream,
+// and one in which they are complete, hold all of the sender's.
 type Advisories struct {
 	Advisories []advisory.Aged
 	// Complete means that the sender has all advisories that were issued.
