--- a/fescuehoistd/daemon/restart_test.go
+++ b/fescuehoistd/daemon/restart_test.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// affected returns all hosts or the first one.
+func affected(all bool, hosts ...*host) []*host {
+	if all {
+		return hosts
+	}
+	return hosts[:1]
+}
+
 // Guards against routing to a backend server that withdrew before its daemon, or every
 // daemon, was killed, when a status report from before the withdrawal arrives late.
 func TestLateReportAfterDaemonRestartDoesNotRouteToWithdrawnServer(t *testing.T) {
@@ -50,11 +58,7 @@
 			if status, err := a.backend.Withdraw(a.announcements); err != nil || status != 200 {
 				t.Fatalf("withdrawal: status %d, error %v; want status 200", status, err)
 			}
-			if c.allKilled {
-				restart(t, daemon.ErrAborted, a, b)
-			} else {
-				restart(t, daemon.ErrAborted, a)
-			}
+			restart(t, daemon.ErrAborted, affected(c.allKilled, a, b)...)
 			if c.allKilled {
 				await(t, "calls of the store", func() bool { return a.daemon.State().PlatformCalls > 3 })
 				store.SetFault(platformtest.NoFault)
@@ -131,11 +135,7 @@
 			b.restartBackend(t)
 			// Suspects are stored a second after the crash.
 			time.Sleep(1500 * time.Millisecond)
-			if c.all {
-				restart(t, c.cause, a, b)
-			} else {
-				restart(t, c.cause, a)
-			}
+			restart(t, c.cause, affected(c.all, a, b)...)
 			for _, h := range []*host{a, b} {
 				await(t, "calls at both servers", func() bool {
 					a.report(t)
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -166,6 +166,8 @@
 	f.logger.Infof("holding %d advisories from before the start, which are %s", len(f.advisories.Live()), c)
 }
 
+// maintainContacts adds contacts while the daemon has no open stream, and sweeps, until
+// ctx ends.
 func (f *Finder) maintainContacts(ctx context.Context) error {
 	sweepAt := time.Now().Add(f.cfg.Retention)
 	for wait.For(ctx, wait.Jitter(f.cfg.IsolationCheckInterval)) == nil {
