--- a/fescuehoistd/daemon/restart_test.go
+++ b/fescuehoistd/daemon/restart_test.go
@@ -132,6 +132,26 @@
 	}
 }
 
+// Guards against a confirmed withdrawal that is overwritten in the store by an earlier
+// write of its daemon, which got no response and is carried out late.
+func TestConfirmedWithdrawalOutlivesDelayedWriteOfItsDaemon(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	a, b := startPair(t, store, "cairo-b")
+	store.SetFault(platformtest.Delayed)
+	defer store.SetFault(platformtest.NoFault)
+	earlier := &platformtest.Backend{Instance: "i-earlier"}
+	if _, err := earlier.Withdraw(a.announcements); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "a delayed write", func() bool { return store.DelayedWrites() > 0 })
+	store.SetFault(platformtest.NoFault)
+	await(t, "the confirmation", func() bool { return a.withdraw(t) == 200 })
+	store.ExecuteDelayed()
+	restart(t, daemon.ErrAborted, a, b)
+	checkLateReports(t, a, b, 1)
+}
+
 // crashPath is the path of a request that crashes each backend server that runs it.
 const crashPath = "/search/crash"
 
--- a/mesh/discover/advisories.go
+++ b/mesh/discover/advisories.go
@@ -30,12 +30,33 @@
 	return nil
 }
 
+// replaceEntry writes the entry of this daemon with the advisories that it issued.
 func (f *Finder) replaceEntry(ctx context.Context) error {
+	if f.revision == 0 {
+		if err := f.readOwn(ctx); err != nil {
+			return err
+		}
+	}
 	e := f.self
-	e.Advisories = f.advisories.Issued()
-	if err := f.registry.Replace(ctx, e); err != nil {
+	e.Advisories, e.Revision = f.advisories.Issued(), f.revision
+	// A failed write may be carried out later, so the entry is read before the next one.
+	f.revision = 0
+	revision, err := f.registry.Write(ctx, e)
+	if err != nil {
 		return err
 	}
+	f.revision = revision
 	f.advisories.MarkStored(e.Advisories)
 	return nil
 }
+
+// readOwn reads the entry of this daemon, which may hold advisories of an earlier write.
+func (f *Finder) readOwn(ctx context.Context) error {
+	e, err := f.registry.Get(ctx, f.self.Server)
+	if err != nil {
+		return err
+	}
+	f.advisories.Restore(e.Advisories)
+	f.revision = e.Revision
+	return nil
+}
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -25,18 +26,27 @@
 	PeerAddress string
 	// Advisories are those that the daemon issued.
 	Advisories []advisory.Aged
+	// Revision is that of the entry's last change, or 0 if there is no entry.
+	Revision uint64
 }
 
-// Registry stores entries in the platform.
+// ErrChanged means that a registry made no change since the entry has another revision
+// than the call names.
+var ErrChanged = errors.New("the registry has another revision of the entry")
+
+// Registry stores entries in the platform. Writes name the revision that they change,
+// since one that got no response may be carried out later.
 type Registry interface {
-	// Create creates a daemon's entry. One that exists is left as it is.
-	Create(ctx context.Context, e Entry) error
-	// Replace replaces a daemon's entry, or creates it if there is none.
-	Replace(ctx context.Context, e Entry) error
+	// Write creates a daemon's entry if its revision is 0, and otherwise replaces it.
+	// It returns the new revision, or ErrChanged.
+	Write(ctx context.Context, e Entry) (revision uint64, err error)
+	// Get returns a daemon's entry, which is empty if there is none.
+	Get(ctx context.Context, server member.ServerID) (Entry, error)
 	// List returns the entries, without those that cannot be decoded.
 	List(ctx context.Context) ([]Entry, error)
-	// Remove deletes the entry of a daemon; a missing one is not an error.
-	Remove(ctx context.Context, server member.ServerID) error
+	// Remove deletes a daemon's entry, or returns ErrChanged; a missing one is not an
+	// error.
+	Remove(ctx context.Context, e Entry) error
 }
 
 // Peers manages the gossip streams to other daemons.
@@ -100,9 +110,11 @@
 	// goneAtLastSweep holds the daemons that were gone at the last sweep.
 	goneAtLastSweep map[member.ServerID]bool
 
-	// outdated means that the entry of this daemon, as it was last listed, is missing or
-	// names another address.
+	// outdated means that the entry of this daemon, as it was listed at the start, is
+	// missing or names another address.
 	outdated bool
+	// revision is that of this daemon's entry, or 0 if it is not known.
+	revision uint64
 
 	// listed is closed after the first listing, which found neighbors entries of the
 	// own failure domain.
@@ -133,15 +145,14 @@
 // before the others are read, so that of two daemons that start at the same time
 // at least one finds the other.
 func (f *Finder) Run(ctx context.Context) error {
-	create := func(ctx context.Context) error { return f.registry.Create(ctx, f.self) }
-	if f.withTimeout(ctx, create) == nil {
-		failed := f.retry(ctx, "list the registered daemons", f.addContacts)
+	if f.withTimeout(ctx, f.create) == nil {
+		failed := f.retry(ctx, "list the registered daemons", f.readEntries)
 		f.setCompleteness(ctx, failed)
 	} else {
 		f.retry(ctx, "read the advisories of the registered daemons", f.readAdvisories)
 		f.setCompleteness(ctx, true)
-		f.retry(ctx, "register this daemon", create)
-		f.retry(ctx, "list the registered daemons", f.addContacts)
+		f.retry(ctx, "register this daemon", f.create)
+		f.retry(ctx, "list the registered daemons", f.readEntries)
 	}
 	if f.outdated {
 		f.retry(ctx, "replace the entry of this daemon", f.replaceEntry)
@@ -152,6 +163,15 @@
 	return g.Wait()
 }
 
+// create creates the entry of this daemon. One that exists is left as it is.
+func (f *Finder) create(ctx context.Context) error {
+	_, err := f.registry.Write(ctx, f.self)
+	if errors.Is(err, ErrChanged) {
+		return nil
+	}
+	return err
+}
+
 // setCompleteness records that the advisories in all entries have been read. While the
 // registry failed, other daemons could not store theirs either.
 func (f *Finder) setCompleteness(ctx context.Context, failed bool) {
@@ -172,7 +192,7 @@
 	sweepAt := time.Now().Add(f.cfg.Retention)
 	for wait.For(ctx, wait.Jitter(f.cfg.IsolationCheckInterval)) == nil {
 		if f.peers.PeerCount() == 0 {
-			f.retry(ctx, "list the registered daemons", f.addContacts)
+			f.retry(ctx, "list the registered daemons", f.findContacts)
 			continue
 		}
 		if time.Now().After(sweepAt) {
@@ -211,7 +231,10 @@
 			gone[e.Server] = true
 			continue
 		}
-		if err := f.registry.Remove(ctx, e.Server); err != nil {
+		if err := f.registry.Remove(ctx, e); err != nil {
+			if errors.Is(err, ErrChanged) {
+				continue
+			}
 			return err
 		}
 		f.logger.Infof("removed the registry entry of gone server %q", e.Server)
@@ -244,14 +267,42 @@
 	return call(ctx)
 }
 
-// addContacts adds up to MaxContacts random registered daemons as contacts.
-func (f *Finder) addContacts(ctx context.Context) error {
+// readEntries reads the entries at the start of the daemon.
+func (f *Finder) readEntries(ctx context.Context) error {
 	entries, err := f.list(ctx)
 	if err != nil {
 		return err
 	}
+	f.recordOwn(entries)
+	f.neighbors = f.addContacts(entries)
+	close(f.listed)
+	return nil
+}
+
+// recordOwn records the state of this daemon's own entry.
+func (f *Finder) recordOwn(entries []Entry) {
+	f.outdated = true
+	for _, e := range entries {
+		if e.Server == f.self.Server {
+			f.revision = e.Revision
+			f.outdated = e.PeerAddress != f.self.PeerAddress || e.Domain != f.self.Domain
+		}
+	}
+}
+
+// findContacts reads the entries again and adds contacts.
+func (f *Finder) findContacts(ctx context.Context) error {
+	entries, err := f.list(ctx)
+	if err == nil {
+		f.addContacts(entries)
+	}
+	return err
+}
+
+// addContacts adds up to MaxContacts random registered daemons as contacts. It returns
+// the number of other daemons in the own failure domain.
+func (f *Finder) addContacts(entries []Entry) (neighbors int) {
 	var addresses []string
-	neighbors := 0
 	for _, e := range entries {
 		if e.Server == f.self.Server || e.PeerAddress == f.self.PeerAddress {
 			continue
@@ -261,16 +312,10 @@
 			neighbors++
 		}
 	}
-	select {
-	case <-f.listed:
-	default:
-		f.neighbors = neighbors
-		close(f.listed)
-	}
 	f.logger.Infof("found %d other registered daemons", len(addresses))
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	f.peers.AddContacts(addresses[:min(len(addresses), f.cfg.MaxContacts)])
-	return nil
+	return neighbors
 }
 
 func (f *Finder) readAdvisories(ctx context.Context) error {
@@ -284,11 +329,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f.outdated = true
 	for _, e := range entries {
 		if e.Server == f.self.Server {
 			f.advisories.Restore(e.Advisories)
-			f.outdated = e.PeerAddress != f.self.PeerAddress || e.Domain != f.self.Domain
 			continue
 		}
 		f.advisories.Merge(e.Advisories)
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -18,6 +18,7 @@
 type fakeDeps struct {
 	mu       sync.Mutex
 	entries  []discover.Entry
+	revision uint64
 	failures int
 	contacts []string
 	streams  int
@@ -36,27 +37,45 @@
 	return nil
 }
 
-func (w *fakeDeps) Create(_ context.Context, e discover.Entry) error {
-	return w.write(func(int) {}, e)
+func (w *fakeDeps) index(server member.ServerID) int {
+	return slices.IndexFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
 }
 
-func (w *fakeDeps) Replace(_ context.Context, e discover.Entry) error {
-	return w.write(func(i int) { w.entries[i] = e }, e)
-}
-
-// write adds an entry, or calls onExisting with the index of the one that there is.
-func (w *fakeDeps) write(onExisting func(i int), e discover.Entry) error {
+func (w *fakeDeps) Write(_ context.Context, e discover.Entry) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.nextError(); err != nil {
-		return err
+		return 0, err
+	}
+	i, stored := w.index(e.Server), discover.Entry{}
+	if i >= 0 {
+		stored = w.entries[i]
 	}
-	if i := slices.IndexFunc(w.entries, func(o discover.Entry) bool { return o.Server == e.Server }); i >= 0 {
-		onExisting(i)
-		return nil
+	if stored.Revision != e.Revision {
+		return 0, discover.ErrChanged
+	}
+	w.put(e)
+	return w.revision, nil
+}
+
+// put adds or replaces an entry.
+func (w *fakeDeps) put(e discover.Entry) {
+	w.revision = max(w.revision, e.Revision) + 1
+	e.Revision = w.revision
+	if i := w.index(e.Server); i >= 0 {
+		w.entries[i] = e
+		return
 	}
 	w.entries = append(w.entries, e)
-	return nil
+}
+
+func (w *fakeDeps) Get(_ context.Context, server member.ServerID) (discover.Entry, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if i := w.index(server); i >= 0 {
+		return w.entries[i], w.nextError()
+	}
+	return discover.Entry{}, w.nextError()
 }
 
 func (w *fakeDeps) List(context.Context) ([]discover.Entry, error) {
@@ -65,10 +84,10 @@
 	return slices.Clone(w.entries), w.nextError()
 }
 
-func (w *fakeDeps) Remove(_ context.Context, server member.ServerID) error {
+func (w *fakeDeps) Remove(_ context.Context, e discover.Entry) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.entries = slices.DeleteFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
+	w.entries = slices.DeleteFunc(w.entries, func(o discover.Entry) bool { return o.Server == e.Server && o.Revision == e.Revision })
 	return w.nextError()
 }
 
@@ -95,15 +114,14 @@
 func (w *fakeDeps) registered(server member.ServerID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.ContainsFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
+	return w.index(server) >= 0
 }
 
 // entry returns the entry of a server.
 func (w *fakeDeps) entry(server member.ServerID) discover.Entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i := slices.IndexFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
-	return w.entries[i]
+	return w.entries[w.index(server)]
 }
 
 // observed returns the contacts added and the number of calls.
@@ -136,7 +154,7 @@
 }
 
 func newEntry(server, address string) discover.Entry {
-	return discover.Entry{Server: member.ServerID(server), PeerAddress: address}
+	return discover.Entry{Server: member.ServerID(server), PeerAddress: address, Revision: 1}
 }
 
 func TestFinderRegistersAndAddsContactsAfterOutage(t *testing.T) {
@@ -232,3 +250,43 @@
 		}
 	})
 }
+
+// A write that an earlier start of the daemon made may be carried out after the daemon
+// has read its entry.
+func TestFinderKeepsAdvisoriesOfLateWrite(t *testing.T) {
+	late := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}
+	issued := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-2", Number: 30}
+	w := &fakeDeps{streams: 1}
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(time.Second)
+		e := w.entry("self")
+		e.Advisories = []advisory.Aged{{Advisory: late}}
+		w.mu.Lock()
+		w.put(e)
+		w.mu.Unlock()
+		w.book.Issue(issued)
+		time.Sleep(time.Second)
+		if stored := w.entry("self").Advisories; len(stored) != 2 {
+			t.Errorf("stored %+v, want the advisory of the late write and the issued one", stored)
+		}
+		if err := w.book.AwaitStored(t.Context(), advisory.Withdrawn); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A write whose outcome is unknown must not be overwritten, nor hold up the next one.
+func TestFinderStoresAdvisoriesAfterFailedWrite(t *testing.T) {
+	w := &fakeDeps{streams: 1}
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.failures = 3
+		w.mu.Unlock()
+		w.book.Issue(advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20})
+		time.Sleep(10 * time.Second)
+		if stored := w.entry("self").Advisories; len(stored) != 1 {
+			t.Errorf("stored %+v, want the issued advisory", stored)
+		}
+	})
+}
