--- a/mesh/advisory/advisory.go
+++ b/mesh/advisory/advisory.go
@@ -32,7 +32,8 @@
 )
 
 // storeDelays are the times after which an issued advisory is stored. A request that
-// was running during a crash is mostly cleared by a repeat before that.
+// was running during one crash is mostly cleared by a repeat before that; the second
+// crash, after which it is refused, is stored at once.
 var storeDelays = map[Kind]time.Duration{Crashed: time.Second}
 
 // Advisory is one fact. Equal advisories are the same fact.
--- a/mesh/advisory/book.go
+++ b/mesh/advisory/book.go
@@ -258,13 +258,31 @@
 		if !r.own || r.stored {
 			continue
 		}
-		if at := r.issuedAt.Add(storeDelays[a.Kind]); !found || at.Before(due) {
+		if at := r.issuedAt.Add(b.storeDelay(a)); !found || at.Before(due) {
 			due, found = at, true
 		}
 	}
 	return due, found
 }
 
+// storeDelay returns how long after its issue an advisory is stored.
+func (b *Book) storeDelay(a Advisory) time.Duration {
+	if a.Kind == Crashed && b.crashedBefore(a) {
+		return 0
+	}
+	return storeDelays[a.Kind]
+}
+
+// crashedBefore reports whether the request of a crash was running in another crash.
+func (b *Book) crashedBefore(crash Advisory) bool {
+	for a := range b.advisories {
+		if a.Kind == Crashed && a.Number == crash.Number && a.Subject != crash.Subject {
+			return true
+		}
+	}
+	return false
+}
+
 // Issued returns the advisories that this daemon issued.
 func (b *Book) Issued() []Aged {
 	b.mu.Lock()
--- a/mesh/advisory/book_test.go
+++ b/mesh/advisory/book_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// Guards against forgetting a request that crashed two servers, and is refused since
+// then, when all daemons are killed in the second after that.
+func TestBookSecondCrashOfRequestIsStoredAtOnce(t *testing.T) {
+	other := advisory.Advisory{Kind: advisory.Crashed, Subject: "server-2/b/1", Number: crashed.Number}
+	for name, add := range map[string]func(*advisory.Book){
+		"issued here":    func(b *advisory.Book) { b.Issue(other) },
+		"issued by peer": func(b *advisory.Book) { b.Merge([]advisory.Aged{{Advisory: other}}) },
+	} {
+		b := advisory.NewBook()
+		b.Issue(crashed)
+		add(b)
+		if due, found := b.StoreDue(); !found || due.After(time.Now()) {
+			t.Errorf("second crash %s: due in %s (found %t), want now", name, time.Until(due), found)
+		}
+	}
+}
+
 // A request that is cleared soon after the crash needs no write to the store.
 func TestBookCrashIsStoredAfterWithdrawal(t *testing.T) {
 	b := advisory.NewBook()
