--- a/fescuehoistd/endless_test.go
+++ b/fescuehoistd/endless_test.go
@@ -72,7 +72,7 @@
 		"body to close":  {Start: head + "\r\n", Repeated: block},
 		"body in chunks": {Start: head + "Transfer-Encoding: chunked\r\n\r\n", Repeated: "10000\r\n" + block + "\r\n"},
 	} {
-		for limits, memoryMB := range map[string]int{"[limits]\nmemory_mb = 284\n": 284, "": int(settings.DefaultMemoryBytes >> 20)} {
+		for limits, memoryMB := range map[string]int{"[limits]\nmemory_mb = 184\n": 184, "[limits]\nmemory_mb = 284\n": 284, "": int(settings.DefaultMemoryBytes >> 20)} {
 			t.Run(fmt.Sprintf("%s, %d MB", name, memoryMB), func(t *testing.T) { playEndlessAnswers(t, program, answer, limits, memoryMB) })
 		}
 	}
