Find the class of a call in logarithmic time

Cause: each call was compared with every class of its host.

Change: target.Index keeps the classes sorted by path, and looks for each prefix of the call's path that ends with a segment. It is built once for each content.

--- a/mesh/manifest/content.go
+++ b/mesh/manifest/content.go
@@ -19,11 +19,13 @@
 	Fault   string
 }
 
-// content is a body with the validation problems of its service, which are
-// computed once.
+// content is a body with the validation problems of its service and the index of its
+// classes, which are computed once.
 type content struct {
 	body     Body
 	problems []target.Problem
+	// index is nil if there are problems.
+	index *target.Index
 }
 
 // resolvePatch returns a body with its patch applied to the content that the
@@ -53,7 +55,11 @@
 	if b.Service == nil || b.Service.Digest() != b.Digest {
 		return nil, fmt.Errorf("%w: the content of body %s is missing or has another digest", ErrIncomplete, b.Digest)
 	}
-	return &content{body: *b, problems: b.Service.Validate()}, nil
+	c := &content{body: *b, problems: b.Service.Validate()}
+	if len(c.problems) == 0 {
+		c.index = target.NewIndex(b.Service)
+	}
+	return c, nil
 }
 
 // problemsFor returns the problems that prevent the content from being the
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -46,7 +46,7 @@
 
 // NewStore returns a store at version 0.
 func NewStore() *Store {
-	empty := &Snapshot{services: map[string]*target.Service{}}
+	empty := &Snapshot{services: map[string]*content{}}
 	store := &Store{known: &Table{}, contents: map[target.Digest]*content{}, newestValid: empty,
 		changed: make(chan struct{}), confirmed: make(chan struct{})}
 	store.inForce.Store(empty)
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -97,7 +97,7 @@
 	if s == nil || s.Config == nil {
 		return call.Refuse(call.NoRoute, errNoService)
 	}
-	r.Class = s.Config.Classify(r.Method, r.URI)
+	r.Class = s.Index.Classify(r.Method, r.URI)
 	if r.Class == nil {
 		return call.Refuse(call.NoRoute, errNoClass)
 	}
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -20,6 +20,8 @@
 	// Config is nil for a service that occurs only as a part of other services'
 	// classes.
 	Config *target.Service
+	// Index finds the class of a call; it is nil if Config is.
+	Index *target.Index
 	// Servers lists the backend servers that accept new calls.
 	Servers []*member.Record
 	// records are the records of the view from which Servers was selected.
@@ -31,13 +33,13 @@
 func (t *Table) next(snapshot *manifest.Snapshot, view *member.View) *Table {
 	table := &Table{version: snapshot.Version(), services: make(map[string]*Service, snapshot.Len())}
 	snapshot.Each(func(config *target.Service) {
-		table.services[config.Name] = t.reuse(config.Name, config, view)
+		table.services[config.Name] = t.reuse(config.Name, snapshot, view)
 	})
 	snapshot.Each(func(config *target.Service) {
 		for i := range config.Classes {
 			for _, part := range config.Classes[i].Parts {
 				if table.services[part.Service] == nil {
-					table.services[part.Service] = t.reuse(part.Service, nil, view)
+					table.services[part.Service] = t.reuse(part.Service, snapshot, view)
 				}
 			}
 		}
@@ -47,17 +49,17 @@
 
 // reuse returns the route of a service: that of t if configuration and records
 // are unchanged, else a new one.
-func (t *Table) reuse(name string, config *target.Service, view *member.View) *Service {
-	records := view.Service(name)
+func (t *Table) reuse(name string, snapshot *manifest.Snapshot, view *member.View) *Service {
+	config, records := snapshot.Service(name), view.Service(name)
 	s := t.services[name]
 	if s == nil || s.Config != config || !sameSlice(s.records, records) {
-		return newService(config, records)
+		return newService(config, snapshot.Index(name), records)
 	}
 	return s
 }
 
-func newService(config *target.Service, records []*member.Record) *Service {
-	s := &Service{Config: config, records: records}
+func newService(config *target.Service, index *target.Index, records []*member.Record) *Service {
+	s := &Service{Config: config, Index: index, records: records}
 	for _, r := range records {
 		if r.Routable() {
 			s.Servers = append(s.Servers, r)
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -101,19 +101,3 @@
 	// applies.
 	Classes []Class
 }
-
-// Classify returns the class that a call belongs to, or nil. Of classes with
-// the same path, one with a method takes precedence over one without.
-func (s *Service) Classify(method, path string) *Class {
-	var best *Class
-	for i := range s.Classes {
-		c := &s.Classes[i]
-		if !c.Matches(method, path) {
-			continue
-		}
-		if best == nil || len(c.Path) > len(best.Path) || (len(c.Path) == len(best.Path) && best.Method == "") {
-			best = c
-		}
-	}
-	return best
-}
