Apply configurations beyond the limits on what operators may declare (CONFIG)

Cause: daemons check a version with the limits that are meant for operators' edits. A platform that accepts versions itself knows nothing of them, and a version that is refused stays the newest known one.

Evidence: TestConfigurationBeyondLimitsOfOperatorsIsInForce, run on the commit before, timed out waiting for a route of the large version.

Change: a problem says whether it binds operators only. check and apply report all problems as before, daemons leave those out.

Why it works: daemons refuse only what they can't apply.

--- a/bench/configbench/configbench.go
+++ b/bench/configbench/configbench.go
@@ -233,6 +233,8 @@
 
 // heapBytes returns the number of bytes of live heap objects.
 func heapBytes() uint64 {
+	// Pools are emptied by the second collection.
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -15,6 +15,7 @@
 	"fescuehoist.example/adapters/logging"
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/fescuehoistd/daemon"
+	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/platform/platformtest"
 )
 
@@ -216,6 +217,40 @@
 	}
 }
 
+// largeConfiguration returns a version with more routes on one host than operators may
+// declare; the last one has the given prefix.
+func largeConfiguration(version int, last string) any {
+	routes := []platformtest.Route{{Name: "last", Prefix: last, Service: "lookup", Idempotent: true, Attempts: 2}}
+	for i := range target.MaxClasses {
+		routes = append(routes, platformtest.Route{
+			Name: fmt.Sprint("r-", i), Prefix: fmt.Sprintf("/many/%d/", i), Service: "lookup", Idempotent: true, Attempts: 2,
+		})
+	}
+	return platformtest.Configuration(version, "site.example", routes)
+}
+
+// Guards against daemons that keep an old configuration for good, or have none after a
+// restart, since a host has more routes than operators may declare.
+func TestConfigurationBeyondLimitsOfOperatorsIsInForce(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	a, b := startPair(t, store, "cairo-b")
+	store.Put("config", "main", largeConfiguration(9, "/first/"))
+	for _, h := range []*host{a, b} {
+		await(t, "a route of the large version", respondsWith(t, h, "/first/y", 200))
+		await(t, "the removal of a route", respondsWith(t, h, "/search/y", 404))
+	}
+	store.Put("config", "main", largeConfiguration(12, "/second/"))
+	for _, h := range []*host{a, b} {
+		await(t, "a route of the next version", respondsWith(t, h, "/second/y", 200))
+	}
+	restart(t, daemon.ErrAborted, a, b)
+	for _, h := range []*host{a, b} {
+		h.report(t)
+		await(t, "a route after the restart", respondsWith(t, h, "/many/17/y", 200))
+	}
+}
+
 func TestDrainingReportTakesEffectWithUnresponsiveStore(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
--- a/mesh/manifest/content.go
+++ b/mesh/manifest/content.go
@@ -55,7 +55,7 @@
 	if b.Service == nil || b.Service.Digest() != b.Digest {
 		return nil, fmt.Errorf("%w: the content of body %s is missing or has another digest", ErrIncomplete, b.Digest)
 	}
-	c := &content{body: *b, problems: b.Service.Validate()}
+	c := &content{body: *b, problems: target.WithoutOperatorOnly(b.Service.Validate())}
 	if len(c.problems) == 0 {
 		c.index = target.NewIndex(b.Service)
 	}
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -46,11 +46,11 @@
 // the parts; draw is a random number in [0, 1). It returns the declaring
 // service if the class has no parts.
 func (c *Class) Destination(service string, draw float64) string {
-	total := 0
+	total := 0.0
 	for _, p := range c.Parts {
-		total += p.Weight
+		total += float64(p.Weight)
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
 	for _, p := range c.Parts {
 		if remaining -= float64(p.Weight); remaining < 0 {
 			return p.Service
--- a/mesh/target/target_test.go
+++ b/mesh/target/target_test.go
@@ -1,8 +1,10 @@
 package target_test
 
 import (
+	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +80,7 @@
 		{"latency", "from 1ms to 1h0m0s", 1, func(_ *target.Service, c *target.Class) { c.Latency = 0 }},
 		{"timeout", "from the latency, 1s, to", 1, func(_ *target.Service, c *target.Class) { c.Timeout = time.Millisecond }},
 		{"notice", "from 0 to", 1, func(_ *target.Service, c *target.Class) { c.Notice = -1 }},
+		{"attempts", "write 1 to 16", 1, func(_ *target.Service, c *target.Class) { c.Attempts = -1 }},
 	} {
 		s := validService()
 		c.mutate(s, &s.Classes[0])
@@ -87,3 +90,37 @@
 		}
 	}
 }
+
+// Guards against daemons that refuse what a platform has accepted because it is larger
+// than operators may declare.
+func TestValidateLeavesSizesToOperators(t *testing.T) {
+	for name, mutate := range map[string]func(s *target.Service, c *target.Class){
+		"no class":      func(s *target.Service, _ *target.Class) { s.Classes = nil },
+		"long path":     func(_ *target.Service, c *target.Class) { c.Path = "/" + strings.Repeat("a", target.MaxPathLength) },
+		"long timeout":  func(_ *target.Service, c *target.Class) { c.Timeout = target.MaxTimeout + 1 },
+		"many attempts": func(_ *target.Service, c *target.Class) { c.Attempts = target.MaxAttempts + 1 },
+		"large weight": func(_ *target.Service, c *target.Class) {
+			c.Parts = []target.Part{{Service: "archive", Weight: target.MaxWeight + 1}}
+		},
+		"many parts": func(_ *target.Service, c *target.Class) {
+			c.Parts = slices.Repeat([]target.Part{{Service: "archive", Weight: 1}}, target.MaxParts+1)
+		},
+		"many classes": func(s *target.Service, c *target.Class) {
+			for i := range target.MaxClasses {
+				added := *c
+				added.Name, added.Path, added.GuaranteedShare = fmt.Sprint("more-", i), fmt.Sprint("/more/", i), 0
+				s.Classes = append(s.Classes, added)
+			}
+		},
+	} {
+		s := validService()
+		mutate(s, &s.Classes[0])
+		problems := s.Validate()
+		if len(problems) != 1 || !problems[0].OperatorOnly {
+			t.Errorf("%s: got %+v, want one problem that binds operators only", name, problems)
+		}
+		if left := target.WithoutOperatorOnly(problems); len(left) > 0 {
+			t.Errorf("%s: daemons are bound by %v, want none", name, left)
+		}
+	}
+}
--- a/mesh/target/validate.go
+++ b/mesh/target/validate.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
 
-// Limits on declared values.
+// Limits on declared values. Those on sizes bind operators, not daemons.
 const (
 	MaxNameLength     = 63
 	MaxClasses        = 4096
@@ -35,6 +36,14 @@
 	Field string
 	// Text says what is wrong and what to write instead.
 	Text string
+	// OperatorOnly means that operators may not declare the value, but daemons can apply
+	// it if another system has accepted it.
+	OperatorOnly bool
+}
+
+// WithoutOperatorOnly returns the problems that keep a daemon from applying a service.
+func WithoutOperatorOnly(problems []Problem) []Problem {
+	return slices.DeleteFunc(problems, func(p Problem) bool { return p.OperatorOnly })
 }
 
 // Error returns the problem as one line.
@@ -54,7 +63,7 @@
 
 func quote(s string) string { return fmt.Sprintf("%q", s) }
 
-// Validate returns all problems of the service; it may be applied if there are
+// Validate returns all problems of the service; operators may declare it if there are
 // none.
 func (s *Service) Validate() []Problem {
 	v := validator{service: s.Name}
@@ -62,10 +71,10 @@
 		v.checkName("", "name", s.Name)
 	}
 	if len(s.Classes) == 0 {
-		v.add("", "class", "declare at least one class")
+		v.addOperatorOnly("", "class", "declare at least one class")
 	}
 	if len(s.Classes) > MaxClasses {
-		v.add("", "class", fmt.Sprintf("%d classes; declare at most %d", len(s.Classes), MaxClasses))
+		v.addOperatorOnly("", "class", fmt.Sprintf("%d classes; declare at most %d", len(s.Classes), MaxClasses))
 	}
 	v.checkDuplicates(s.Classes)
 	shareSum := 0.0
@@ -93,10 +102,26 @@
 	v.problems = append(v.problems, Problem{Service: v.service, Class: class, Position: v.position, Field: field, Text: text})
 }
 
+// addOperatorOnly adds a problem that does not keep a daemon from applying the service.
+func (v *validator) addOperatorOnly(class, field, text string) {
+	v.add(class, field, text)
+	v.problems[len(v.problems)-1].OperatorOnly = true
+}
+
+// addRange adds a problem of a value beyond its range. Daemons can apply values that are
+// only too large.
+func (v *validator) addRange(tooLarge bool, class, field, text string) {
+	if tooLarge {
+		v.addOperatorOnly(class, field, text)
+		return
+	}
+	v.add(class, field, text)
+}
+
 func (v *validator) checkClass(c *Class) {
 	v.checkName(c.Name, "name", c.Name)
-	if !validPath(c.Path) {
-		v.add(c.Name, "path", fmt.Sprintf("%.80q; write a path that starts with /, has at most %d bytes, and no space, ? or #", c.Path, MaxPathLength))
+	if valid := validPath(c.Path); !valid || len(c.Path) > MaxPathLength {
+		v.addRange(valid, c.Name, "path", fmt.Sprintf("%.80q; write a path that starts with /, has at most %d bytes, and no space, ? or #", c.Path, MaxPathLength))
 	}
 	if !validMethod(c.Method) {
 		v.add(c.Name, "method", fmt.Sprintf("%.80q; write an HTTP method in capitals, such as GET, or leave it out to match any", c.Method))
@@ -105,10 +130,10 @@
 		v.add(c.Name, "rank", fmt.Sprintf("%d; write 1 (most urgent) to %d", c.Rank, MaxRank))
 	}
 	if c.Latency < MinLatency || c.Latency > MaxTimeout {
-		v.add(c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
+		v.addRange(c.Latency > MaxTimeout, c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
 	}
 	if c.Timeout < max(c.Latency, MinLatency) || c.Timeout > MaxTimeout {
-		v.add(c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, max(c.Latency, MinLatency), MaxTimeout))
+		v.addRange(c.Timeout > MaxTimeout && c.Timeout >= c.Latency, c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, max(c.Latency, MinLatency), MaxTimeout))
 	}
 	if !(c.Success > 0 && c.Success < 1) {
 		v.add(c.Name, "success", fmt.Sprintf("%v; write a share above 0 and below 1", c.Success))
@@ -125,18 +150,18 @@
 // checkSplit validates the attempts and parts of a class.
 func (v *validator) checkSplit(c *Class) {
 	if c.Attempts < 0 || c.Attempts > MaxAttempts {
-		v.add(c.Name, "attempts", fmt.Sprintf("%d; write 1 to %d, or leave it out", c.Attempts, MaxAttempts))
+		v.addRange(c.Attempts > MaxAttempts, c.Name, "attempts", fmt.Sprintf("%d; write 1 to %d, or leave it out", c.Attempts, MaxAttempts))
 	}
 	if len(c.Parts) > MaxParts {
-		v.add(c.Name, "parts", fmt.Sprintf("%d parts; declare at most %d", len(c.Parts), MaxParts))
+		v.addOperatorOnly(c.Name, "parts", fmt.Sprintf("%d parts; declare at most %d", len(c.Parts), MaxParts))
 	}
-	total := 0
+	total := 0.0
 	for _, p := range c.Parts {
 		v.checkName(c.Name, "parts", p.Service)
 		if p.Weight < 0 || p.Weight > MaxWeight {
-			v.add(c.Name, "parts", fmt.Sprintf("weight %d; write 0 to %d", p.Weight, MaxWeight))
+			v.addRange(p.Weight > MaxWeight, c.Name, "parts", fmt.Sprintf("weight %d; write 0 to %d", p.Weight, MaxWeight))
 		}
-		total += p.Weight
+		total += float64(p.Weight)
 	}
 	if len(c.Parts) > 0 && total <= 0 {
 		v.add(c.Name, "parts", "no part has a weight above 0")
@@ -171,7 +196,7 @@
 }
 
 func validPath(path string) bool {
-	if !strings.HasPrefix(path, "/") || len(path) > MaxPathLength {
+	if !strings.HasPrefix(path, "/") {
 		return false
 	}
 	for i := 0; i < len(path); i++ {
