Apply versions by service on a platform that accepts them itself (CONFIG)

What callers saw: one host of a version had a route that daemons can't apply; the version and all later ones with that host were refused as a whole, for all hosts, and a daemon that started served nothing.

Cause: the store of configurations puts a version in force whole or not at all. That suits the product's own platform, where apply has checked each version before it was written. The users' platform has accepted a version before any daemon sees it.

Change: on such a platform a host with problems keeps its last valid content and the rest of the version is in force; a host that has none is answered as unconfigured (not run, come back). The refusal says "in part", its text names at most 20 problems, and fescuehoist.services.refused has the number of hosts with the version. Hosts whose name is no name, or that are declared twice, are left out of the table, which peers check. The product's own platform is unchanged.

Why it works: tables and contents still spread as the source has them, so all daemons agree on the version; only what each puts in force depends on what it had.

--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 
 	"fescuehoist.example/adapters/telemetry"
@@ -50,6 +51,8 @@
 				}
 				return telemetry.SinglePoint(0)
 			}},
+		{Name: "fescuehoist.services.refused", Description: "Services of the version in force that keep earlier content since their own is refused; no point if there are none.", Label: "version",
+			Read: d.refusedServices},
 		{Name: "fescuehoist.members", Description: "Backend servers by state.", Label: "state", Read: d.memberCounts},
 		{Name: "fescuehoist.peers", Description: "Open streams to other daemons.",
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.node.PeerCount())) }},
@@ -62,6 +65,16 @@
 	}
 }
 
+// refusedServices returns the number of services that are refused in a version whose
+// other services are in force.
+func (d *Daemon) refusedServices() []telemetry.Point {
+	r := d.configs.Refusal()
+	if r == nil || !r.InPart {
+		return nil
+	}
+	return []telemetry.Point{{Label: strconv.FormatUint(uint64(r.Version), 10), Value: uint64(r.ServiceCount())}}
+}
+
 // memberCounts returns the number of backend servers by state. A server whose
 // daemon is not alive is counted under the daemon's health instead.
 func (d *Daemon) memberCounts() []telemetry.Point {
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -251,6 +251,36 @@
 	}
 }
 
+// Guards against daemons that keep an old configuration for good, or have none after a
+// restart, since one host has a route that they cannot apply.
+func TestHostThatCannotBeAppliedKeepsNoOtherHostBack(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	a, b := startPair(t, store, "cairo-b")
+	bad := platformtest.Host{Name: "other.example", Routes: []platformtest.Route{
+		{Name: "r-bad", Prefix: "/", Service: "lookup", Idempotent: true, Priority: target.MaxRank, Attempts: 1},
+	}}
+	for i, prefix := range []string{"/first/", "/second/"} {
+		sound := platformtest.Host{Name: "site.example", Routes: []platformtest.Route{
+			{Name: "r", Prefix: prefix, Service: "lookup", Idempotent: true, Attempts: 2},
+		}}
+		store.Put("config", "main", platformtest.ConfigurationOf(9+3*i, bad, sound))
+		for _, h := range []*host{a, b} {
+			await(t, "a route of the version", respondsWith(t, h, prefix+"y", 200))
+		}
+	}
+	for _, h := range []*host{a, b} {
+		if s := h.daemon.State(); s.InForce != 12 || !strings.Contains(s.Refused, "version 12 refused in part: service \"other.example\"") {
+			t.Errorf("version %d in force, refused: %q; want version 12, in part", s.InForce, s.Refused)
+		}
+	}
+	restart(t, daemon.ErrAborted, a, b)
+	for _, h := range []*host{a, b} {
+		h.report(t)
+		await(t, "a route after the restart", respondsWith(t, h, "/second/y", 200))
+	}
+}
+
 func TestDrainingReportTakesEffectWithUnresponsiveStore(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
--- a/mesh/manifest/errors.go
+++ b/mesh/manifest/errors.go
@@ -40,19 +40,42 @@
 	Version  Version
 	EditID   string
 	Problems []target.Problem
+	// InPart means that only the services with problems keep what was in force before.
+	InPart bool
 }
 
+// maxNamedProblems bounds the problems in the text of a refusal.
+const maxNamedProblems = 20
+
 // Error returns the problems, separated by semicolons.
 func (r *Refusal) Error() string {
-	lines := make([]string, len(r.Problems))
-	for i, p := range r.Problems {
-		lines[i] = p.Error()
+	var lines []string
+	for _, p := range r.Problems[:min(len(r.Problems), maxNamedProblems)] {
+		lines = append(lines, p.Error())
 	}
-	subject := fmt.Sprintf("version %d", r.Version)
+	if more := len(r.Problems) - len(lines); more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more problems", more))
+	}
+	subject, verb := fmt.Sprintf("version %d", r.Version), "refused"
 	if r.Version == 0 {
 		subject = "the newest version"
 	}
-	return fmt.Sprintf("%s refused: %s", subject, strings.Join(lines, "; "))
+	if r.InPart {
+		verb = "refused in part"
+	}
+	return fmt.Sprintf("%s %s: %s", subject, verb, strings.Join(lines, "; "))
+}
+
+// ServiceCount returns the number of services with problems. The problems of a service
+// follow each other.
+func (r *Refusal) ServiceCount() int {
+	n, last := 0, ""
+	for _, p := range r.Problems {
+		if p.Service != last {
+			n, last = n+1, p.Service
+		}
+	}
+	return n
 }
 
 // NewRefusal returns a refusal with one problem that concerns the version as a
--- a/mesh/manifest/full.go
+++ b/mesh/manifest/full.go
@@ -10,8 +10,38 @@
 
 // ApplyFull applies a complete configuration whose version number was assigned
 // by another system, as a change from the known version. It reports whether the
-// version is above the known one.
+// version is above the known one. Services that no daemon can name are left out, and
+// recorded as a rejection.
 func (s *Store) ApplyFull(v Version, services []target.Service) (bool, error) {
+	services, problems := namedServices(services)
+	changed, err := s.applyFull(v, services)
+	if changed && err == nil && len(problems) > 0 {
+		s.SetRejection(&Refusal{Version: v, Problems: problems, InPart: true})
+	}
+	return changed, err
+}
+
+// namedServices returns the services with a valid name, each name once, and the problems
+// of the others.
+func namedServices(services []target.Service) ([]target.Service, []target.Problem) {
+	var problems []target.Problem
+	named := make([]target.Service, 0, len(services))
+	seen := make(map[string]bool, len(services))
+	for i := range services {
+		switch name := services[i].Name; {
+		case !target.ValidHost(name):
+			problems = append(problems, target.Problem{Service: fmt.Sprintf("%.80s", name), Field: "name", Text: "not a name of a host or service"})
+		case seen[name]:
+			problems = append(problems, target.Problem{Service: name, Field: "name", Text: "declared twice; the first declaration counts"})
+		default:
+			seen[name] = true
+			named = append(named, services[i])
+		}
+	}
+	return named, problems
+}
+
+func (s *Store) applyFull(v Version, services []target.Service) (bool, error) {
 	bodies := make([]Body, len(services))
 	next := &Table{Version: v, Refs: make([]Ref, len(services))}
 	for i := range services {
--- a/mesh/manifest/full_test.go
+++ b/mesh/manifest/full_test.go
@@ -1,6 +1,7 @@
 package manifest_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,66 @@
 		t.Errorf("version %d in force, want 5", v)
 	}
 }
+
+// Guards against a service with problems that keeps all others from being applied.
+func TestStoreByServiceKeepsOnlyServicesWithProblems(t *testing.T) {
+	bad := newHost("b.example", 2)
+	bad.Classes[0].Rank = 99
+	added := bad
+	added.Name = "c.example"
+	store := manifest.NewStore()
+	store.ApplyByService()
+	for _, step := range []struct {
+		version manifest.Version
+		hosts   []target.Service
+		// b is the timeout of b.example in force, in seconds; problem is a part of the
+		// refusal's text.
+		b       int
+		problem string
+	}{
+		{1, []target.Service{newHost("a.example", 1), newHost("b.example", 1)}, 1, ""},
+		{4, []target.Service{newHost("a.example", 4), bad, added}, 1, `version 4 refused in part: service "b.example", class "search", rank: 99`},
+		{5, []target.Service{newHost("a.example", 5), bad, newHost("Not A Name", 1)}, 1, `service "Not A Name", name: not a name`},
+		{6, []target.Service{newHost("a.example", 6), newHost("b.example", 6), newHost("b.example", 7)}, 6, `service "b.example", name: declared twice`},
+		{9, []target.Service{newHost("a.example", 9), newHost("b.example", 9)}, 9, ""},
+	} {
+		if _, err := store.ApplyFull(step.version, step.hosts); err != nil {
+			t.Fatal(err)
+		}
+		snapshot, refusal := store.Snapshot(), store.Refusal()
+		if v, a := snapshot.Version(), snapshot.Service("a.example").Classes[0].Timeout; v != step.version || a != time.Duration(step.version)*time.Second {
+			t.Errorf("version %d in force with timeout %s of the sound host, want version %d", v, a, step.version)
+		}
+		if b := snapshot.Service("b.example").Classes[0].Timeout; b != time.Duration(step.b)*time.Second {
+			t.Errorf("version %d: timeout %s of the host with problems, want %ds", step.version, b, step.b)
+		}
+		if refused := snapshot.Refused("c.example"); refused != (step.version == 4) {
+			t.Errorf("version %d: the host that never had a valid content is refused: %t", step.version, refused)
+		}
+		if (refusal == nil) != (step.problem == "") || (refusal != nil && (!refusal.InPart || !strings.Contains(refusal.Error(), step.problem))) {
+			t.Errorf("version %d: refusal %v, want one in part with %q", step.version, refusal, step.problem)
+		}
+	}
+}
+
+// A daemon that starts has no earlier content, but the other hosts of the version.
+func TestStoreByServiceAppliesFirstVersionWithProblems(t *testing.T) {
+	bad := newHost("b.example", 2)
+	bad.Classes[0].Rank = 99
+	reader, peer := manifest.NewStore(), manifest.NewStore()
+	for _, s := range []*manifest.Store{reader, peer} {
+		s.ApplyByService()
+	}
+	if _, err := reader.ApplyFull(4, []target.Service{newHost("a.example", 4), bad}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := peer.ApplyUpdate(reader.UpdateSince(0)); err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]*manifest.Store{"reader": reader, "peer": peer} {
+		snapshot := s.Snapshot()
+		if snapshot.Version() != 4 || snapshot.Service("a.example") == nil || !snapshot.Refused("b.example") || s.Refusal().ServiceCount() != 1 {
+			t.Errorf("%s: version %d, refusal %v; want version 4 with a.example and without b.example", name, snapshot.Version(), s.Refusal())
+		}
+	}
+}
--- a/mesh/manifest/snapshot.go
+++ b/mesh/manifest/snapshot.go
@@ -6,6 +6,8 @@
 type Snapshot struct {
 	version  Version
 	services map[string]*content
+	// refused holds the services of the version that have no valid content.
+	refused map[string]bool
 }
 
 // Version returns the version of the snapshot.
@@ -37,22 +39,40 @@
 	}
 }
 
-// buildSnapshot returns the snapshot of a table, or the refusal with all
-// problems of its contents.
-func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content) (*Snapshot, *Refusal) {
-	s := &Snapshot{version: table.Version, services: make(map[string]*content, len(table.Refs))}
+// Refused reports whether the version has a service for which there is no valid content.
+func (s *Snapshot) Refused(service string) bool { return s.refused[service] }
+
+// buildSnapshot returns the snapshot of a table and the refusal with all problems of its
+// contents, or nil if there are none. Services with problems keep their content in the
+// snapshot kept; if that is nil, there is no snapshot of a version with problems.
+func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content, kept *Snapshot) (*Snapshot, *Refusal) {
+	s := &Snapshot{version: table.Version, services: make(map[string]*content, len(table.Refs)), refused: map[string]bool{}}
 	var problems []target.Problem
 	for i := range table.Refs {
 		ref := &table.Refs[i]
 		c := contents[ref.Digest]
 		if ps := c.problemsFor(ref.Service); len(ps) > 0 {
 			problems = append(problems, ps...)
+			s.keep(ref.Service, kept)
 			continue
 		}
 		s.services[ref.Service] = c
 	}
-	if len(problems) > 0 {
-		return nil, &Refusal{Version: table.Version, EditID: editID, Problems: problems}
+	if len(problems) == 0 {
+		return s, nil
+	}
+	refusal := &Refusal{Version: table.Version, EditID: editID, Problems: problems, InPart: kept != nil}
+	if kept == nil {
+		s = nil
+	}
+	return s, refusal
+}
+
+// keep takes over the content of a service from an earlier snapshot, if that has one.
+func (s *Snapshot) keep(service string, earlier *Snapshot) {
+	if earlier != nil && earlier.services[service] != nil {
+		s.services[service] = earlier.services[service]
+		return
 	}
-	return s, nil
+	s.refused[service] = true
 }
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -34,8 +34,10 @@
 	// refusal says why the known version failed validation; rejection says why a
 	// later version was not applied at all.
 	refusal, rejection *Refusal
-	quorum             *sourceQuorum
-	changed            chan struct{}
+	// byService means that only services with problems are refused.
+	byService bool
+	quorum    *sourceQuorum
+	changed   chan struct{}
 	// confirmation is the latest confirmation by the source; confirmed is closed
 	// and replaced at the next one.
 	confirmation Confirmation
@@ -53,6 +55,12 @@
 	return store
 }
 
+// ApplyByService makes the store put a version in force even if services of it have
+// problems; these keep their last valid content. It is meant for sources whose versions
+// are accepted without validation by this project. It must be called before the first
+// update.
+func (s *Store) ApplyByService() { s.byService = true }
+
 // Snapshot returns the configuration in force.
 func (s *Store) Snapshot() *Snapshot { return s.inForce.Load() }
 
@@ -71,8 +79,8 @@
 	return s.known
 }
 
-// Refusal returns why the newest version that the daemon has seen is not in
-// force, or nil.
+// Refusal returns why the newest version that the daemon has seen, or a part of it, is
+// not in force, or nil.
 func (s *Store) Refusal() *Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -260,9 +268,13 @@
 	if n := len(s.changes); n > 0 {
 		editID = s.changes[n-1].EditID
 	}
-	snapshot, refusal := buildSnapshot(s.known, editID, s.contents)
+	var kept *Snapshot
+	if s.byService {
+		kept = s.newestValid
+	}
+	snapshot, refusal := buildSnapshot(s.known, editID, s.contents, kept)
 	s.refusal = refusal
-	if refusal == nil {
+	if snapshot != nil {
 		s.newestValid = snapshot
 		s.activate()
 	}
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -14,6 +14,7 @@
 var (
 	errNoConfiguration = errors.New("this daemon has no configuration in force yet")
 	errNoService       = errors.New("the configuration in force has no such service")
+	errServiceRefused  = errors.New("the service's part of the configuration is not valid")
 	errNoClass         = errors.New("method and path match no class of the service")
 	errOutdated        = errors.New("no such route in a configuration that may be outdated")
 	errThrottled       = errors.New("throttled: the servers refuse most calls of this class and client")
@@ -95,6 +96,9 @@
 	}
 	s := t.Service(r.Service)
 	if s == nil || s.Config == nil {
+		if t.Refused(r.Service) {
+			return call.Refuse(call.Unconfigured, errServiceRefused)
+		}
 		return call.Refuse(call.NoRoute, errNoService)
 	}
 	r.Class = s.Index.Classify(r.Method, r.URI)
--- a/mesh/proxy/inbound_test.go
+++ b/mesh/proxy/inbound_test.go
@@ -54,3 +54,19 @@
 		})
 	}
 }
+
+// "No route" would be final for the caller, while the service may have one.
+func TestInboundRefusedServiceIsUnconfigured(t *testing.T) {
+	configs := manifest.NewStore()
+	configs.ApplyByService()
+	refused := target.Service{Name: "site.example", Classes: []target.Class{{Name: "search"}}}
+	if _, err := configs.ApplyFull(4, []target.Service{refused}); err != nil {
+		t.Fatal(err)
+	}
+	inbound := &proxy.Inbound{Host: fixedHost{"lookup-1", "site.example"}, Routes: route.NewRouter(configs, member.NewTable("lookup-1"))}
+	_, err := inbound.Call(context.Background(), &call.Request{Server: "lookup-1", Service: "site.example", Method: "GET", URI: "/search"})
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Unconfigured {
+		t.Errorf("got %v, want not-run and unconfigured", err)
+	}
+}
--- a/mesh/route/router.go
+++ b/mesh/route/router.go
@@ -19,7 +19,7 @@
 // NewRouter returns a router; Run keeps its table up to date.
 func NewRouter(configs *manifest.Store, members *member.Table) *Router {
 	r := &Router{configs: configs, members: members}
-	r.table.Store(&Table{})
+	r.table.Store(&Table{snapshot: configs.Snapshot()})
 	r.rebuild()
 	return r
 }
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -11,7 +11,7 @@
 // Table is an immutable set of routes. It refers only to services of its
 // configuration version and to backend servers of its view.
 type Table struct {
-	version  manifest.Version
+	snapshot *manifest.Snapshot
 	services map[string]*Service
 }
 
@@ -31,7 +31,7 @@
 // next returns the routing table for a snapshot and a view. Services whose
 // configuration and records are unchanged are shared with t.
 func (t *Table) next(snapshot *manifest.Snapshot, view *member.View) *Table {
-	table := &Table{version: snapshot.Version(), services: make(map[string]*Service, snapshot.Len())}
+	table := &Table{snapshot: snapshot, services: make(map[string]*Service, snapshot.Len())}
 	snapshot.Each(func(config *target.Service) {
 		table.services[config.Name] = t.reuse(config.Name, snapshot, view)
 	})
@@ -74,7 +74,11 @@
 }
 
 // Version returns the configuration version of the routes.
-func (t *Table) Version() manifest.Version { return t.version }
+func (t *Table) Version() manifest.Version { return t.snapshot.Version() }
+
+// Refused reports whether the configuration version has a service of this name whose
+// content is not valid, so that its classes are unknown.
+func (t *Table) Refused(service string) bool { return t.snapshot.Refused(service) }
 
 // Service returns the route of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
