--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -16,8 +16,6 @@
 	Refuse(r *call.Request, cause error) *call.Failure
 }
 
-var errCrowded = errors.New("too many open connections")
-
 // CallerHandler handles requests from callers.
 type CallerHandler struct {
 	Handler call.Handler
@@ -49,14 +47,14 @@
 }
 
 // Refuse answers a request for which there was no room.
-func (h *CallerHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response) {
+func (h *CallerHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response, cause error) {
 	d := defaultDialect(h.Dialect)
 	r := ReadRequest(req)
 	if _, err := d.ReadCall(req, r); err != nil {
 		d.WriteFailure(r, call.Refuse(call.BadRequest, err), resp)
 		return
 	}
-	d.WriteFailure(r, h.Refuser.Refuse(r, errCrowded), resp)
+	d.WriteFailure(r, h.Refuser.Refuse(r, cause), resp)
 }
 
 // RejectMalformed marks the response to a malformed request.
@@ -115,9 +113,9 @@
 }
 
 // Refuse answers a request for which there was no room.
-func (h *DaemonHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response) {
+func (h *DaemonHandler) Refuse(req *fasthttp.Request, resp *fasthttp.Response, cause error) {
 	resp.Header.SetBytesV(headerCall, req.Header.Peek(headerCall))
-	writeFailure(call.Refuse(call.Overloaded, errCrowded), resp)
+	writeFailure(call.Refuse(call.Overloaded, cause), resp)
 }
 
 // RejectMalformed marks the response to a malformed request.
--- a/adapters/httpconn/request.go
+++ b/adapters/httpconn/request.go
@@ -20,14 +20,20 @@
 	errUnsupportedCoding = errors.New("request has a transfer coding other than chunked")
 )
 
-// readRequest reads one complete request. The body is not parsed.
-func readRequest(r *bufio.Reader, w *bufio.Writer, req *fasthttp.Request) error {
+// readRequest reads one complete request. The body is not parsed. awaitRoom is called
+// with the length of the body before that is read; it is negative if it is unknown.
+func readRequest(r *bufio.Reader, w *bufio.Writer, req *fasthttp.Request, awaitRoom func(length int) error) error {
 	if err := req.Header.Read(r); err != nil {
 		return err
 	}
 	if err := checkFraming(&req.Header); err != nil {
 		return err
 	}
+	if length := req.Header.ContentLength(); length <= MaxRequestSize {
+		if err := awaitRoom(length); err != nil {
+			return err
+		}
+	}
 	if req.MayContinue() {
 		if err := sendContinue(w, req); err != nil {
 			return err
--- a/adapters/httpconn/room.go
+++ b/adapters/httpconn/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	reportInterval = time.Second
 )
 
+var errCrowded = errors.New("too many open connections")
+
 // Crowding counts what happened to connections because too many were open.
 type Crowding struct {
 	// ClosedIdle counts idle connections that were closed to make room, Refused those
--- a/adapters/httpconn/room_test.go
+++ b/adapters/httpconn/room_test.go
@@ -12,13 +12,19 @@
 
 // startLimitedServer starts a server with a limit of open connections.
 func startLimitedServer(t *testing.T, h Handler, limit int, minIdleAge time.Duration) (*Server, string) {
+	t.Helper()
+	return startTunedServer(t, h, func(s *Server) { s.SetMaxConnections(limit, minIdleAge) })
+}
+
+// startTunedServer starts a server after tune has been called.
+func startTunedServer(t *testing.T, h Handler, tune func(*Server)) (*Server, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := NewServer(h, 0)
-	s.SetMaxConnections(limit, minIdleAge)
+	tune(s)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx, ln) }()
--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -37,9 +37,9 @@
 // disconnects.
 type Handler interface {
 	Handle(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response)
-	// Refuse writes the answer to a request that is not handled because too many
-	// connections are open.
-	Refuse(req *fasthttp.Request, resp *fasthttp.Response)
+	// Refuse writes the answer to a request that is not handled since there is no room
+	// for it. The body may be missing.
+	Refuse(req *fasthttp.Request, resp *fasthttp.Response, cause error)
 	// RejectMalformed may add to the error response to a request that could not
 	// be read and is not passed to Handle.
 	RejectMalformed(resp *fasthttp.Response)
@@ -55,6 +55,8 @@
 	draining         atomic.Bool
 	// onAcceptError is called for each failed Accept; it may be nil.
 	onAcceptError func(error)
+	// bodies is nil if the bodies of requests have no bound.
+	bodies *bodyBudget
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -80,6 +82,11 @@
 	s.room.limit, s.room.minIdleAge = n, minIdleAge
 }
 
+// SetBodyBudget bounds the bytes of the request bodies that are held at the same time. A
+// body that has no room waits for a moment; then its request is refused unread. Short
+// bodies need no budget. It must be called before Run.
+func (s *Server) SetBodyBudget(bytes int64) { s.bodies = newBodyBudget(bytes) }
+
 // OnCrowded sets a function that is called, once a second at most, when the limit of
 // open connections is reached. It must be called before Run and must not block.
 func (s *Server) OnCrowded(report func(limit int, total Crowding)) { s.room.report = report }
--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -24,7 +24,7 @@
 	resp.SetBody(req.Body())
 }
 
-func (echoHandler) Refuse(_ *fasthttp.Request, resp *fasthttp.Response) {
+func (echoHandler) Refuse(_ *fasthttp.Request, resp *fasthttp.Response, _ error) {
 	resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	resp.SetBodyString("crowded")
 }
@@ -147,7 +147,7 @@
 		req := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(req)
 		r := bufio.NewReaderSize(strings.NewReader(string(in)), MaxHeaderSize)
-		if readRequest(r, bufio.NewWriter(io.Discard), req) == nil && len(req.Body()) > len(in) {
+		if readRequest(r, bufio.NewWriter(io.Discard), req, func(int) error { return nil }) == nil && len(req.Body()) > len(in) {
 			t.Errorf("got a body of %d bytes from an input of %d bytes", len(req.Body()), len(in))
 		}
 	})
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -25,6 +25,12 @@
 	// refusing is true if no request of the connection is handled.
 	refusing bool
 
+	// body is the account of the request that is being read, if the length of its body
+	// is unknown, or nil.
+	body *bodyAccount
+	// unread is true if the rest of a request was left unread.
+	unread bool
+
 	mu sync.Mutex
 	// idleSince is when the last request ended, or when the connection was opened.
 	idleSince time.Time
@@ -39,27 +45,42 @@
 type exchange struct {
 	req  *fasthttp.Request
 	resp *fasthttp.Response
+	body bodyAccount
 	// complete is true once the answer is complete, last if it ends the
 	// connection.
 	complete, last bool
 }
 
-func newExchange() *exchange {
-	x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse()}
+func newExchange(budget *bodyBudget) *exchange {
+	x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), body: bodyAccount{budget: budget}}
 	x.resp.Header.SetNoDefaultContentType(true)
 	return x
 }
 
 func (x *exchange) release() {
+	x.body.release()
 	fasthttp.ReleaseRequest(x.req)
 	fasthttp.ReleaseResponse(x.resp)
 }
 
 func newSession(s *Server, c net.Conn) *session {
-	return &session{
+	n := &session{
 		Conn: c, server: s, idleSince: time.Now(), slots: make(chan struct{}, maxPipelined),
-		r: bufio.NewReaderSize(c, requestBufferSize), w: bufio.NewWriterSize(c, requestBufferSize),
+		w: bufio.NewWriterSize(c, requestBufferSize),
+	}
+	n.r = bufio.NewReaderSize(n, requestBufferSize)
+	return n
+}
+
+// Read reads from the connection, and counts the bytes of a body of unknown length.
+func (n *session) Read(b []byte) (int, error) {
+	count, err := n.Conn.Read(b)
+	if n.body != nil {
+		if roomErr := n.body.receive(int64(count)); roomErr != nil {
+			return 0, roomErr
+		}
 	}
+	return count, err
 }
 
 // run serves the connection until it ends. When the caller disconnects, the
@@ -93,10 +114,10 @@
 		if !n.awaitRequest() {
 			return callerDisconnected
 		}
-		x := newExchange()
+		x := newExchange(n.server.bodies)
 		_ = n.SetReadDeadline(time.Now().Add(ReadTimeout))
-		if err := n.read(x.req); err != nil {
-			n.rejectMalformed(x, err)
+		if err := n.read(x); err != nil {
+			n.reject(x, err)
 			return lastRequest
 		}
 		x.last = x.req.Header.ConnectionClose() || n.refusing
@@ -118,15 +139,29 @@
 
 // read reads one complete request. If the header exceeds the buffer, the buffer
 // grows to MaxHeaderSize.
-func (n *session) read(req *fasthttp.Request) error {
-	err := readRequest(n.r, n.w, req)
+func (n *session) read(x *exchange) error {
+	defer func() { n.body = nil }()
+	var head *fasthttp.RequestHeader
+	awaitRoom := func(length int) error {
+		if length < 0 && x.body.budget != nil {
+			head = &fasthttp.RequestHeader{}
+			x.req.Header.CopyTo(head)
+			n.body = &x.body
+		}
+		return x.body.await(int64(length))
+	}
+	err := readRequest(n.r, n.w, x.req, awaitRoom)
 	var bufferErr *fasthttp.ErrSmallBuffer
+	if errors.Is(err, ErrNoBodyRoom) && head != nil {
+		// The library has reset the request, whose head decides how it is refused.
+		head.CopyTo(&x.req.Header)
+	}
 	if !errors.As(err, &bufferErr) || n.r.Size() >= MaxHeaderSize {
 		return err
 	}
 	n.r = bufio.NewReaderSize(n.r, MaxHeaderSize)
-	req.Reset()
-	return readRequest(n.r, n.w, req)
+	x.req.Reset()
+	return readRequest(n.r, n.w, x.req, awaitRoom)
 }
 
 // awaitDisconnect waits, while the last request runs, until the caller disconnects
@@ -197,23 +232,29 @@
 	return true
 }
 
-// rejectMalformed answers a request that could not be read, after the answers to
-// earlier requests, and ends the connection.
-func (n *session) rejectMalformed(x *exchange, err error) {
+// reject answers a request that could not be read, or for which there was no memory,
+// after the answers to earlier requests, and ends the connection.
+func (n *session) reject(x *exchange, err error) {
 	x.last = true
+	x.body.release()
 	if !n.enqueue(x) {
 		x.release()
 		return
 	}
-	x.resp.SetStatusCode(malformedStatus(err))
-	x.resp.SetBodyString("malformed request\n")
-	n.server.handler.RejectMalformed(x.resp)
+	if errors.Is(err, ErrNoBodyRoom) {
+		n.unread = true
+		n.server.handler.Refuse(x.req, x.resp, ErrNoBodyRoom)
+	} else {
+		x.resp.SetStatusCode(malformedStatus(err))
+		x.resp.SetBodyString("malformed request\n")
+		n.server.handler.RejectMalformed(x.resp)
+	}
 	n.deliver(x)
 }
 
 func (n *session) handle(ctx context.Context, x *exchange) {
 	if n.refusing {
-		n.server.handler.Refuse(x.req, x.resp)
+		n.server.handler.Refuse(x.req, x.resp, errCrowded)
 	} else {
 		stopProgress := n.startProgress(x)
 		n.server.handler.Handle(ctx, x.req, x.resp)
@@ -270,7 +311,7 @@
 // could lose the last answer.
 func (n *session) linger() {
 	c, ok := n.Conn.(interface{ CloseWrite() error })
-	if !ok || n.r.Buffered() == 0 || c.CloseWrite() != nil {
+	if !ok || (n.r.Buffered() == 0 && !n.unread) || c.CloseWrite() != nil {
 		return
 	}
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
--- a/adapters/httpconn/session_test.go
+++ b/adapters/httpconn/session_test.go
@@ -40,7 +40,7 @@
 	resp.SetBodyString(path)
 }
 
-func (g *gatedHandler) Refuse(_ *fasthttp.Request, resp *fasthttp.Response) {
+func (g *gatedHandler) Refuse(_ *fasthttp.Request, resp *fasthttp.Response, _ error) {
 	resp.SetBodyString("crowded")
 }
 
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"time"
@@ -90,6 +91,9 @@
 	LinkMbps int
 }
 
+// Memory returns the memory that the process may take, in bytes.
+func (l *Limits) Memory() int64 { return cmp.Or(l.MemoryBytes, DefaultMemoryBytes) }
+
 // MaxSeeds is the maximum number of seeds.
 const MaxSeeds = 64
 
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -181,7 +181,7 @@
 		traffic:    &peergrpc.Traffic{},
 	}
 	d.forwarder.Mesh = s.Mesh
-	budget := httpconn.NewBudget(cmp.Or(s.Limits.MemoryBytes, settings.DefaultMemoryBytes) / answerMemoryDivisor)
+	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.retry.Store(&s.Retry)
 	if s.Retry.Burst > 0 {
@@ -398,6 +398,10 @@
 // buffer grows by doubling, and a read one is copied.
 const answerMemoryDivisor = 8
 
+// The request bodies that one of the two servers for calls holds at the same time may
+// have one part in bodyMemoryDivisor of the memory that the process may take.
+const bodyMemoryDivisor = 8
+
 // Connections that have been idle for callerIdleAge or daemonIdleAge may be closed to
 // make room. A daemon sends no request that must not run twice on a connection that
 // was idle for as long, since it could not tell whether it was read.
@@ -411,6 +415,7 @@
 	if n := d.cfg.Settings.Limits.Descriptors; n > 0 {
 		server.SetMaxConnections(max(n/descriptorDivisor, minServerDescriptors), minIdleAge)
 	}
+	server.SetBodyBudget(d.cfg.Settings.Limits.Memory() / bodyMemoryDivisor)
 	logger := d.partLogger(name)
 	server.OnCrowded(func(limit int, total httpconn.Crowding) {
 		logger.WithFields(logrus.Fields{"limit": limit, "closed_idle": total.ClosedIdle, "refused": total.Refused, "dropped": total.Dropped}).
--- a/fescuehoistd/endless_test.go
+++ b/fescuehoistd/endless_test.go
@@ -61,10 +61,7 @@
 func TestEndlessAnswersLeaveDaemonWithinItsMemory(t *testing.T) {
 	block := strings.Repeat("x", 64<<10)
 	head := "HTTP/1.1 200 OK\r\n" + platformtest.HeaderRequestID + ": {id}\r\n" + platformtest.HeaderSeal + ": " + platformtest.Seal + "\r\n"
-	program := filepath.Join(t.TempDir(), "fescuehoistd")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
+	program := buildDaemon(t)
 	for name, answer := range map[string]platformtest.EndlessAnswer{
 		"no answer":      {Repeated: block},
 		"head":           {Start: head + "X: ", Repeated: block},
@@ -78,6 +75,43 @@
 	}
 }
 
+// buildDaemon builds the daemon and returns the path of the program.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "fescuehoistd")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return program
+}
+
+// callAlong makes calls of other callers, which must be answered, until the returned
+// function is called.
+func callAlong(t *testing.T, callers string) (stop func()) {
+	t.Helper()
+	var tasks sync.WaitGroup
+	done := make(chan struct{})
+	for task := range 4 {
+		tasks.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if _, err := callStatus(callers, "/search/x", fmt.Sprintf("sound-%d-%d", task, n)); err != nil {
+					t.Errorf("request of another caller: error %v, want an answer", err)
+					return
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		tasks.Wait()
+	}
+}
+
 // playEndlessAnswers makes calls with answers without end beside others, which must be
 // served, and checks the memory of the daemon.
 func playEndlessAnswers(t *testing.T, program string, answer platformtest.EndlessAnswer, limits string, memoryMB int) {
@@ -95,23 +129,8 @@
 	awaitServed(t, backend, announcements, callers)
 
 	var runs atomic.Int64
-	var faulty, sound sync.WaitGroup
-	done := make(chan struct{})
-	for task := range 4 {
-		sound.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				if _, err := callStatus(callers, "/search/x", fmt.Sprintf("sound-%d-%d", task, n)); err != nil {
-					t.Errorf("request of another caller: error %v, want an answer", err)
-					return
-				}
-			}
-		})
-	}
+	var faulty sync.WaitGroup
+	stopOthers := callAlong(t, callers)
 	for task := range endlessCalls {
 		faulty.Go(func() {
 			for n := range 4 {
@@ -125,8 +144,7 @@
 		})
 	}
 	faulty.Wait()
-	close(done)
-	sound.Wait()
+	stopOthers()
 	peak, err := peakMemoryMB(daemon.Process.Pid)
 	t.Logf("peak of resident memory: %d MB, %d answers without end", peak, runs.Load())
 	if err != nil || peak > memoryMB {
--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -87,11 +86,11 @@
 	softLimitShare = 0.75
 )
 
-func limitMemory(bytes int64) {
-	if bytes > 0 {
+func limitMemory(l *settings.Limits) {
+	if l.MemoryBytes > 0 {
 		debug.SetGCPercent(gcPercent)
 	}
-	debug.SetMemoryLimit(int64(softLimitShare * float64(cmp.Or(bytes, settings.DefaultMemoryBytes))))
+	debug.SetMemoryLimit(int64(softLimitShare * float64(l.Memory())))
 }
 
 func run(file string, hangups <-chan os.Signal) error {
@@ -102,7 +101,7 @@
 	output := logging.NewQueue(os.Stdout)
 	defer output.Close(logFlushTimeout)
 	log := logging.New(output, s.LogLevel)
-	limitMemory(s.Limits.MemoryBytes)
+	limitMemory(&s.Limits)
 	listeners, err := daemon.Listen(s)
 	if err != nil {
 		return err
