--- a/adapters/httpconn/request.go
+++ b/adapters/httpconn/request.go
@@ -10,7 +10,7 @@
 
 const (
 	// MaxRequestSize is the maximum size of the body of a request, in bytes.
-	MaxRequestSize = 8 << 20
+	MaxRequestSize = 64 << 20
 	// MaxHeaderSize is the maximum size of the header of a request, in bytes.
 	MaxHeaderSize = 16 << 10
 )
--- a/fescuehoistd/uploads_test.go
+++ b/fescuehoistd/uploads_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"slices"
 	"sync"
 	"testing"
@@ -31,33 +32,70 @@
 	}
 }
 
-// playUploads sends long bodies at once beside other calls, which must be served, and
-// checks the memory of the daemon and that no refused body ran.
-func playUploads(t *testing.T, program string, memoryMB int, coding string) {
+// A body that the operator's limits allow must not be refused for good.
+func TestBodyOfAnySizeIsServedIfThereIsRoom(t *testing.T) {
+	const memoryMB = 284
+	p := startUploadDaemon(t, buildDaemon(t), memoryMB)
+	for _, c := range []struct {
+		coding            string
+		megabytes, status int
+	}{
+		{"", 9, 200}, {"", 30, 200}, {"", 60, 503}, {"", 70, 413},
+		// The room ends before the length is known.
+		{"chunked", 9, 200}, {"chunked", 30, 200}, {"chunked", 60, 503}, {"chunked", 70, 503},
+	} {
+		id := fmt.Sprint("body-", c.megabytes, c.coding)
+		status, err := upload(p.callers, id, c.coding, c.megabytes<<20)
+		if runs := p.backend.Executions(id); err != nil || status != c.status || (status == 200) != (runs == 1) {
+			t.Errorf("body of %d MiB, coding %q: status %d, error %v, %d runs; want status %d", c.megabytes, c.coding, status, err, runs, c.status)
+		}
+	}
+	if peak, err := peakMemoryMB(p.process.Process.Pid); err != nil || peak > memoryMB {
+		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
+	}
+}
+
+// uploadDaemon is a daemon process with its backend server.
+type uploadDaemon struct {
+	callers string
+	backend *platformtest.Backend
+	process *exec.Cmd
+}
+
+// startUploadDaemon starts a daemon with a limit of memory that serves calls with long
+// bodies.
+func startUploadDaemon(t *testing.T, program string, memoryMB int) *uploadDaemon {
+	t.Helper()
 	store := platformtest.NewStore()
-	defer store.Close()
+	t.Cleanup(store.Close)
 	store.PutConfiguration(platformtest.Configuration(4, "site.example", []platformtest.Route{
 		{Name: "search", Prefix: "/search/", Service: "lookup", Idempotent: true, Attempts: 1},
 		{Name: "submit", Prefix: "/submit/", Service: "lookup", Attempts: 1},
 	}))
-	backend := platformtest.NewBackend("lookup", "i-1")
-	defer backend.Close()
-	backend.Slots = 2 * uploads
-	backend.SetServiceTime(160 * time.Millisecond)
-	callers, announcements := freeAddress(t), freeAddress(t)
+	p := &uploadDaemon{callers: freeAddress(t), backend: platformtest.NewBackend("lookup", "i-1")}
+	t.Cleanup(p.backend.Close)
+	p.backend.Slots = 2 * uploads
+	p.backend.SetServiceTime(160 * time.Millisecond)
+	announcements := freeAddress(t)
 	limits := fmt.Sprintf("[limits]\nmemory_mb = %d\n", memoryMB)
-	daemon := startDaemonProcess(t, program, fmt.Sprintf(endlessSettings, callers, announcements, store.Address(), backend.Address(), limits))
-	awaitServed(t, backend, announcements, callers)
+	p.process = startDaemonProcess(t, program, fmt.Sprintf(endlessSettings, p.callers, announcements, store.Address(), p.backend.Address(), limits))
+	awaitServed(t, p.backend, announcements, p.callers)
+	return p
+}
 
-	stopOthers := callAlong(t, callers)
+// playUploads sends long bodies at once beside other calls, which must be served, and
+// checks the memory of the daemon and that no refused body ran.
+func playUploads(t *testing.T, program string, memoryMB int, coding string) {
+	p := startUploadDaemon(t, program, memoryMB)
+	stopOthers := callAlong(t, p.callers)
 	var mu sync.Mutex
 	counts := map[int]int{}
 	var clients sync.WaitGroup
 	for n := range uploads {
 		clients.Go(func() {
 			id := fmt.Sprint("upload-", n)
-			status, err := upload(callers, id, coding)
-			if runs := backend.Executions(id); err != nil || (status != 200 && status != 503) || (status == 200) != (runs == 1) {
+			status, err := upload(p.callers, id, coding, uploadBytes)
+			if runs := p.backend.Executions(id); err != nil || (status != 200 && status != 503) || (status == 200) != (runs == 1) {
 				t.Errorf("long body: status %d, error %v, %d runs; want 200 and one run, or 503 and none", status, err, runs)
 			}
 			mu.Lock()
@@ -67,7 +105,7 @@
 	}
 	clients.Wait()
 	stopOthers()
-	peak, err := peakMemoryMB(daemon.Process.Pid)
+	peak, err := peakMemoryMB(p.process.Process.Pid)
 	t.Logf("peak of resident memory: %d MB, long bodies by status: %v", peak, counts)
 	if err != nil || peak > memoryMB {
 		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
@@ -79,7 +117,7 @@
 
 // upload sends a long body and returns the status of the answer, which may come before
 // the body has been read.
-func upload(callers, id, coding string) (int, error) {
+func upload(callers, id, coding string, length int) (int, error) {
 	conn, err := net.DialTimeout("tcp", callers, time.Second)
 	if err != nil {
 		return 0, err
@@ -88,13 +126,13 @@
 	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
 		return 0, err
 	}
-	framing := fmt.Sprintf("Content-Length: %d", uploadBytes)
+	framing := fmt.Sprintf("Content-Length: %d", length)
 	if coding != "" {
 		framing = "Transfer-Encoding: " + coding
 	}
 	head := fmt.Sprintf("POST /submit/x HTTP/1.1\r\nHost: site.example\r\n%s: %s\r\n%s: 18000\r\n%s\r\n\r\n",
 		platformtest.HeaderRequestID, id, platformtest.HeaderDeadline, framing)
-	go writeBody(conn, head, coding)
+	go writeBody(conn, head, coding, length)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, err
@@ -103,11 +141,11 @@
 }
 
 // writeBody writes a request until its end or until the connection is closed.
-func writeBody(w io.Writer, head, coding string) {
+func writeBody(w io.Writer, head, coding string, length int) {
 	if _, err := io.WriteString(w, head); err != nil {
 		return
 	}
-	body := make([]byte, uploadBytes)
+	body := make([]byte, length)
 	if coding == "" {
 		_, _ = w.Write(body)
 		return
