Pay for the retries of each class from its own calls (BUDGET)

Cause: a repeated run makes its own calls again. The budget of a service was shared by its classes, so orders, which can't be repeated and make no calls, paid for retries of status checks, which make 1.4 calls each: a fifth of them was repeated, not a tenth.

Change: a retry is taken from the budget of its service and from that of its class.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -191,10 +191,10 @@
 type InstantRetries struct{}
 
 // Deposit does nothing.
-func (InstantRetries) Deposit(string) {}
+func (InstantRetries) Deposit(*call.Request) {}
 
 // Refund does nothing.
-func (InstantRetries) Refund(string) {}
+func (InstantRetries) Refund(*call.Request) {}
 
 // Decide retries every call whose failure and class allow it.
 func (InstantRetries) Decide(r *call.Request, f *call.Failure) retry.Decision {
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -145,7 +145,7 @@
 // with a server error, that answer is returned unless a later attempt
 // succeeds.
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	p.Retries.Deposit(r.Service)
+	p.Retries.Deposit(r)
 	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
 	var last *call.Failure
 	var failedAnswer *call.Answer
@@ -158,7 +158,7 @@
 			server = p.pick(r.Service, query)
 		}
 		if server == nil {
-			return answerOrFailure(failedAnswer, p.noServerLeft(r.Service, last))
+			return answerOrFailure(failedAnswer, p.noServerLeft(r, last))
 		}
 		r.Attempt++
 		answer, err := p.attempt(ctx, server, r)
@@ -288,10 +288,10 @@
 
 // noServerLeft returns the failure of a call for which no untried server is
 // left.
-func (p *Outbound) noServerLeft(service string, last *call.Failure) *call.Failure {
+func (p *Outbound) noServerLeft(r *call.Request, last *call.Failure) *call.Failure {
 	if last != nil {
 		if last.ReachedServer() {
-			p.Retries.Refund(service)
+			p.Retries.Refund(r)
 		}
 		return last
 	}
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -43,12 +43,12 @@
 type Retries interface {
 	// Deposit adds the share for the first attempt of a call to the retry budget
 	// of the service.
-	Deposit(service string)
+	Deposit(r *call.Request)
 	// Decide decides on a retry after the attempts so far failed with f.
 	Decide(r *call.Request, f *call.Failure) retry.Decision
 	// Refund returns to the budget a retry that Decide granted and that was not
 	// made.
-	Refund(service string)
+	Refund(r *call.Request)
 }
 
 // Quarantine keeps requests that crash backend servers from running again.
--- a/mesh/retry/depth_test.go
+++ b/mesh/retry/depth_test.go
@@ -26,7 +26,7 @@
 	if c.carryDepth {
 		r.Depth = depth
 	}
-	c.policies[depth].Deposit(r.Service)
+	c.policies[depth].Deposit(r)
 	for {
 		r.Attempt++
 		f := c.call(depth + 1)
--- a/mesh/retry/retry.go
+++ b/mesh/retry/retry.go
@@ -29,7 +29,7 @@
 	// doubles with each further one. The first retry goes to another server at
 	// once.
 	BaseDelay = 8 * time.Millisecond
-	// maxBudgets bounds the services whose budgets are kept.
+	// maxBudgets bounds the services and classes whose budgets are kept.
 	maxBudgets = 8192
 )
 
@@ -43,28 +43,58 @@
 	NeedCapacity bool
 }
 
-// Policy decides about retries. Each service has its own budget.
+// Policy decides about retries. Each service has its own budget, and so has each class of
+// calls to it: a retry repeats the calls that its run makes to other services, and the
+// first attempts of one class must not pay for the repeated calls of another.
 type Policy struct {
 	limits Limits
 
 	mu      sync.Mutex
-	budgets map[string]*Budget
+	budgets map[budgetKey]*Budget
 }
 
+// budgetKey names the budget of a service, or of one of its classes.
+type budgetKey struct{ service, class string }
+
 // NewPolicy returns a policy with the default limits and full budgets.
 func NewPolicy() *Policy {
 	return NewPolicyWithLimits(DefaultLimits())
 }
 
 // NewPolicyWithLimits returns a policy with the given limits and full budgets.
-func NewPolicyWithLimits(l Limits) *Policy { return &Policy{limits: l, budgets: map[string]*Budget{}} }
+func NewPolicyWithLimits(l Limits) *Policy {
+	return &Policy{limits: l, budgets: map[budgetKey]*Budget{}}
+}
 
-// Deposit adds the share for the first attempt of a call to the budget of the
-// service.
-func (p *Policy) Deposit(service string) { p.budget(service).Deposit() }
+// Deposit adds the share for the first attempt of a call to the budgets of its service
+// and class.
+func (p *Policy) Deposit(r *call.Request) {
+	for _, b := range p.budgetsOf(r) {
+		b.Deposit()
+	}
+}
 
 // Refund returns a retry that Decide granted and that was not made.
-func (p *Policy) Refund(service string) { p.budget(service).Refund() }
+func (p *Policy) Refund(r *call.Request) {
+	for _, b := range p.budgetsOf(r) {
+		b.Refund()
+	}
+}
+
+// withdraw takes a retry from the budgets of a call's service and class, or none.
+func (p *Policy) withdraw(r *call.Request) bool {
+	budgets := p.budgetsOf(r)
+	for i, b := range budgets {
+		if b.Withdraw() {
+			continue
+		}
+		for _, taken := range budgets[:i] {
+			taken.Refund()
+		}
+		return false
+	}
+	return true
+}
 
 // Decide decides whether to retry a call whose attempts so far ended in f.
 func (p *Policy) Decide(r *call.Request, f *call.Failure) Decision {
@@ -76,7 +106,7 @@
 	}
 	// A call that reached no backend server added no load to any, so its retry
 	// is not charged to the budget.
-	if f.ReachedServer() && !p.budget(r.Service).Withdraw() {
+	if f.ReachedServer() && !p.withdraw(r) {
 		return Decision{}
 	}
 	return Decision{Retry: true, Delay: backoff(r.Attempt), NeedCapacity: f.NoCapacity()}
@@ -102,14 +132,19 @@
 	return rand.N(BaseDelay << (attempt - 2))
 }
 
-func (p *Policy) budget(service string) *Budget {
+// budgetsOf returns the budgets of a call's service and class.
+func (p *Policy) budgetsOf(r *call.Request) [2]*Budget {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.budgets[service]
+	return [2]*Budget{p.budget(budgetKey{service: r.Service}), p.budget(budgetKey{r.Service, r.ClassName})}
+}
+
+func (p *Policy) budget(key budgetKey) *Budget {
+	b := p.budgets[key]
 	if b == nil {
 		p.evictFull()
 		b = NewBudget(p.limits)
-		p.budgets[service] = b
+		p.budgets[key] = b
 	}
 	return b
 }
@@ -119,9 +154,9 @@
 	if len(p.budgets) < maxBudgets {
 		return
 	}
-	for service, b := range p.budgets {
+	for key, b := range p.budgets {
 		if b.full() {
-			delete(p.budgets, service)
+			delete(p.budgets, key)
 		}
 	}
 }
--- a/mesh/retry/retry_test.go
+++ b/mesh/retry/retry_test.go
@@ -93,7 +93,7 @@
 		t.Error("budget used up by the retries of another service")
 	}
 	for i := range 2 * maxBudgets {
-		p.Deposit(fmt.Sprint(i))
+		p.Deposit(&call.Request{Service: fmt.Sprint(i)})
 	}
 	if n := len(p.budgets); n > maxBudgets {
 		t.Errorf("%d budgets kept, want at most maxBudgets", n)
