Derive the time of a silent connection from the progress interval

What callers saw: with calls.progress longer than 50 ms, calls that may run again and last over 200 ms ran at up to three servers, and some ended as "may have run".

Cause: the daemon that waits for interim answers expected them in the default interval, whatever the setting. docs/settings.md promises four missed ones of the setting.

The users' deployments run with calls.progress "off" and are not affected.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -21,10 +21,12 @@
 	// ProgressInterval is the time between the interim answers that a daemon
 	// sends while a forwarded call runs.
 	ProgressInterval = 50 * time.Millisecond
-	// DefaultInactivityTimeout is how long a connection may deliver no byte
-	// during a forwarded call that may run twice; then the call is retried over
-	// another connection.
-	DefaultInactivityTimeout = 4 * ProgressInterval
+	// MissedInterimAnswers is the number of interim answers that may be missing during a
+	// forwarded call that may run twice; then the call is retried over another
+	// connection.
+	MissedInterimAnswers = 4
+	// DefaultInactivityTimeout is how long a connection may deliver no byte then.
+	DefaultInactivityTimeout = MissedInterimAnswers * ProgressInterval
 )
 
 // Forwarder sends calls and control messages to other daemons.
--- a/bench/fleet/calls_test.go
+++ b/bench/fleet/calls_test.go
@@ -20,6 +20,7 @@
 	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/standin/backend"
 )
 
@@ -36,6 +37,11 @@
 // startFleet starts a deployment with Nuqta's targets in force and waits until all
 // daemons see each other ready.
 func startFleet(ctx context.Context, t *testing.T, d *fleet.Deployment, o fleet.Options) *fleet.Fleet {
+	return startFleetWith(ctx, t, d, o, func(*target.Class) {})
+}
+
+// startFleetWith does the same with the targets changed by adjust.
+func startFleetWith(ctx context.Context, t *testing.T, d *fleet.Deployment, o fleet.Options, adjust func(*target.Class)) *fleet.Fleet {
 	f, err := fleet.Start(ctx, d, o)
 	if err != nil {
 		t.Fatal(err)
@@ -49,6 +55,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, s := range services {
+		for i := range s.Classes {
+			adjust(&s.Classes[i])
+		}
+	}
 	client := platformhttp.NewClient(f.PlatformAddress)
 	defer client.Close()
 	change, err := manifest.NewEditor(&platformhttp.Repository{Client: client}).Publish(ctx, &manifest.Edit{ID: uuid.NewString(), Update: services})
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -187,9 +187,7 @@
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
 	}
-	if s.ProgressInterval == 0 {
-		d.forwarder.InactivityTimeout = 0
-	}
+	d.forwarder.InactivityTimeout = callhttp.MissedInterimAnswers * s.ProgressInterval
 	d.buildControl(self)
 	d.buildCalls(self)
 	if err := d.registerMetrics(); err != nil {
