Let the stand-in of a test stop reading while the answer is awaited

Cause: the stand-in went on to read the body while the caller read the answer. When all 8 MiB were sent by then, the connection is sound and is kept, which is right. The test meant a body of which a part is unsent. Now the stand-in reads on only after the exchange, and the body is larger than the buffers of both sockets, so that a part is always unsent.

--- a/adapters/httpconn/session_test.go
+++ b/adapters/httpconn/session_test.go
@@ -160,8 +160,9 @@
 }
 
 // startAnsweringServer serves one connection: it reads n bytes of a request, then
-// answers with text. It returns a pool of connections to itself.
-func startAnsweringServer(t *testing.T, n int, text string) *Pool {
+// answers with text, and reads on once resume is closed. It returns a pool of
+// connections to itself.
+func startAnsweringServer(t *testing.T, n int, text string, resume <-chan struct{}) *Pool {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -174,6 +175,7 @@
 		}
 		_, _ = io.CopyN(io.Discard, c, int64(n))
 		_, _ = io.WriteString(c, text)
+		<-resume
 		// Discard the rest of the request until the caller closes the connection.
 		_, _ = io.Copy(io.Discard, c)
 		_ = c.Close()
@@ -184,12 +186,15 @@
 }
 
 func TestPoolAnswerBeforeLongBodyIsReadClosesConnection(t *testing.T) {
-	p := startAnsweringServer(t, 100, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+	resume := make(chan struct{})
+	defer close(resume)
+	p := startAnsweringServer(t, 100, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno", resume)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.SetRequestURI("/")
 	req.Header.SetHost("a")
 	req.Header.SetMethod("POST")
-	req.SetBodyString(strings.Repeat("b", 8<<20))
+	// The body exceeds what the buffers of both sockets hold.
+	req.SetBodyString(strings.Repeat("b", 64<<20))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
 	if err := p.Do(ctx, req, resp); err != nil {
