--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -105,8 +106,8 @@
 // readFinalHeader skips interim answers and reads the header of the final one.
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterimAnswers {
-		if err := resp.Header.Read(r); err != nil {
-			return headError(err, r)
+		if err := readHead(r, resp); err != nil {
+			return err
 		}
 		switch status := resp.StatusCode(); {
 		case status == fasthttp.StatusSwitchingProtocols:
@@ -118,6 +119,19 @@
 	return errTooManyInterim
 }
 
+// readHead reads one head of which every line is checked: the library takes some that
+// are malformed for others, for example status 000 for 200.
+func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := awaitHead(r); err != nil {
+		return err
+	}
+	if err := resp.Header.Read(r); err != nil {
+		// The error of the library quotes the whole head around its cause.
+		return &MalformedError{Part: "length of the body", Expected: "one Content-Length, or the coding chunked alone", Found: cmp.Or(errors.Unwrap(err), err).Error()}
+	}
+	return nil
+}
+
 // headError returns an error that names the limit if a head or trailer exceeds the buffer. That of the library quotes what was received.
 func headError(err error, r *bufio.Reader) error {
 	var bufferErr *fasthttp.ErrSmallBuffer
--- /dev/null
+++ b/adapters/httpconn/head.go
@@ -0,0 +1,144 @@
+package httpconn
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// MalformedError is the error of bytes that are not an answer by the grammar of
+// HTTP/1.1 (RFC 9110, RFC 9112).
+type MalformedError struct {
+	// Part is the part of the answer, for example "status code".
+	Part string
+	// Expected and Found describe what the grammar allows there and what was read.
+	Expected, Found string
+}
+
+// Error returns "malformed answer, PART: expected EXPECTED, found FOUND".
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed answer, %s: expected %s, found %s", e.Part, e.Expected, e.Found)
+}
+
+// maxQuoted is the maximum number of bytes of an answer that an error quotes.
+const maxQuoted = 20
+
+func malformed(part, expected string, found []byte) error {
+	return &MalformedError{Part: part, Expected: expected, Found: fmt.Sprintf("%q", found[:min(len(found), maxQuoted)])}
+}
+
+const (
+	versionStart = "HTTP/1."
+	// Positions in a status line, which is HTTP-version SP status-code SP reason.
+	statusStart = len("HTTP/1.1 ")
+	statusEnd   = len("HTTP/1.1 200")
+	reasonStart = len("HTTP/1.1 200 ")
+)
+
+// awaitHead waits until the head of an answer is in the buffer and checks it. Each line
+// is checked as soon as it has arrived. The head stays in the buffer.
+func awaitHead(r *bufio.Reader) error {
+	if err := awaitVersion(r); err != nil {
+		return err
+	}
+	isStatus := true
+	_, err := awaitLines(r, func(line []byte) error {
+		if !isStatus {
+			return nil
+		}
+		isStatus = false
+		return checkStatusLine(line)
+	})
+	return err
+}
+
+// awaitVersion waits for versionStart, and returns an error at the first other byte: a
+// server that does not speak the protocol may send no line break.
+func awaitVersion(r *bufio.Reader) error {
+	for n := 1; n <= len(versionStart); n++ {
+		start, err := r.Peek(n)
+		if err != nil {
+			return endOfHead(r, err)
+		}
+		if start[n-1] != versionStart[n-1] {
+			return malformed("version", versionStart, start)
+		}
+	}
+	return nil
+}
+
+// awaitLines waits for the lines up to an empty one and passes each to check without
+// its line break. It returns the length of the lines in bytes; they stay in the buffer.
+func awaitLines(r *bufio.Reader, check func(line []byte) error) (int, error) {
+	length := 0
+	for {
+		line, err := awaitLine(r, length)
+		if err != nil {
+			return 0, endOfHead(r, err)
+		}
+		length += len(line)
+		text, isTerminated := bytes.CutSuffix(line, []byte("\r\n"))
+		if !isTerminated {
+			return 0, &MalformedError{Part: "line break", Expected: "CR LF", Found: "LF"}
+		}
+		if len(text) == 0 {
+			return length, nil
+		}
+		if err := check(text); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// awaitLine waits for the line that begins at a position of the buffer and returns it
+// with its line break. It stays in the buffer.
+func awaitLine(r *bufio.Reader, start int) ([]byte, error) {
+	for {
+		buffered, err := r.Peek(r.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if i := bytes.IndexByte(buffered[start:], '\n'); i >= 0 {
+			return buffered[start : start+i+1], nil
+		}
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// endOfHead returns the error of a head or trailer section that ended early.
+func endOfHead(r *bufio.Reader, err error) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return fmt.Errorf("head or trailer of an answer is longer than %d bytes", r.Size())
+	case errors.Is(err, io.EOF) && r.Buffered() > 0:
+		return fmt.Errorf("head or trailer of an answer truncated: %w", io.ErrUnexpectedEOF)
+	}
+	return err
+}
+
+func checkStatusLine(line []byte) error {
+	if len(line) < reasonStart || line[statusStart-1] != ' ' || line[statusEnd] != ' ' || !isDigit(line[len(versionStart)]) {
+		return malformed("status line", `"HTTP/1.x", a status code and a reason, separated by single blanks`, line)
+	}
+	status := line[statusStart:statusEnd]
+	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
+		return malformed("status code", "100 to 599", status)
+	}
+	return checkReason(line[reasonStart:])
+}
+
+func checkReason(text []byte) error {
+	for i, b := range text {
+		if (b >= ' ' && b != 0x7f) || b == '\t' {
+			continue
+		}
+		return malformed("reason", "tabs, blanks and visible characters", text[i:i+1])
+	}
+	return nil
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
