--- a/adapters/httpconn/head.go
+++ b/adapters/httpconn/head.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError is the error of bytes that are not an answer by the grammar of
@@ -43,14 +45,8 @@
 	if err := awaitVersion(r); err != nil {
 		return err
 	}
-	isStatus := true
-	_, err := awaitLines(r, func(line []byte) error {
-		if !isStatus {
-			return nil
-		}
-		isStatus = false
-		return checkStatusLine(line)
-	})
+	var c headChecker
+	_, err := awaitLines(r, c.checkLine)
 	return err
 }
 
@@ -120,6 +116,19 @@
 	return err
 }
 
+// headChecker checks the lines of one head in their order.
+type headChecker struct {
+	statusRead bool
+}
+
+func (c *headChecker) checkLine(line []byte) error {
+	if !c.statusRead {
+		c.statusRead = true
+		return checkStatusLine(line)
+	}
+	return checkField(line)
+}
+
 func checkStatusLine(line []byte) error {
 	if len(line) < reasonStart || line[statusStart-1] != ' ' || line[statusEnd] != ' ' || !isDigit(line[len(versionStart)]) {
 		return malformed("status line", `"HTTP/1.x", a status code and a reason, separated by single blanks`, line)
@@ -128,15 +137,37 @@
 	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return malformed("status code", "100 to 599", status)
 	}
-	return checkReason(line[reasonStart:])
+	return checkText(nil, line[reasonStart:])
+}
+
+func checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon {
+		return malformed("field", "a colon after the name", line)
+	}
+	if len(name) == 0 {
+		return malformed("field name", "a token", name)
+	}
+	for _, b := range name {
+		if !httpguts.IsTokenRune(rune(b)) {
+			return malformed("field name", "a token", name)
+		}
+	}
+	return checkText(name, value)
 }
 
-func checkReason(text []byte) error {
+// checkText checks the reason, or the value of the field that is named. The error quotes
+// only the byte that is not allowed, since a value may be confidential.
+func checkText(name, text []byte) error {
 	for i, b := range text {
 		if (b >= ' ' && b != 0x7f) || b == '\t' {
 			continue
 		}
-		return malformed("reason", "tabs, blanks and visible characters", text[i:i+1])
+		part := "reason"
+		if len(name) > 0 {
+			part = fmt.Sprintf("value of field %.*s", maxQuoted, name)
+		}
+		return malformed(part, "tabs, blanks and visible characters", text[i:i+1])
 	}
 	return nil
 }
