--- a/adapters/httpconn/head.go
+++ b/adapters/httpconn/head.go
@@ -50,6 +50,16 @@
 	return err
 }
 
+// readTrailers reads the trailer fields after the last chunk, checks and drops them.
+func readTrailers(r *bufio.Reader) error {
+	length, err := awaitLines(r, checkField)
+	if err != nil {
+		return err
+	}
+	_, err = r.Discard(length)
+	return err
+}
+
 // awaitVersion waits for versionStart, and returns an error at the first other byte: a
 // server that does not speak the protocol may send no line break.
 func awaitVersion(r *bufio.Reader) error {
