--- a/adapters/httpconn/head.go
+++ b/adapters/httpconn/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -128,15 +129,32 @@
 
 // headChecker checks the lines of one head in their order.
 type headChecker struct {
-	statusRead bool
+	// minor is the minor version of the answer, a digit, or 0 before the status line.
+	minor byte
 }
 
 func (c *headChecker) checkLine(line []byte) error {
-	if !c.statusRead {
-		c.statusRead = true
-		return checkStatusLine(line)
+	if c.minor == 0 {
+		if err := checkStatusLine(line); err != nil {
+			return err
+		}
+		c.minor = line[len(versionStart)]
+		return nil
+	}
+	if err := checkField(line); err != nil {
+		return err
+	}
+	return c.checkCoding(line)
+}
+
+// checkCoding returns an error for a Transfer-Encoding field in an answer of a version
+// other than 1.1: a server of such a version may not have written any chunks.
+func (c *headChecker) checkCoding(line []byte) error {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if c.minor == '1' || !bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+		return nil
 	}
-	return checkField(line)
+	return malformed("version of an answer with Transfer-Encoding", "HTTP/1.1", []byte(versionStart+string(c.minor)))
 }
 
 func checkStatusLine(line []byte) error {
--- a/adapters/httpconn/malformed_answer_test.go
+++ b/adapters/httpconn/malformed_answer_test.go
@@ -109,6 +109,9 @@
 	"two codings":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"unknown coding":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n" + soundEnd,
 	"chunked before another":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, x\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"coding in version 1.0":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"coding in version 1.0 kept": "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\ntransfer-encoding: chunked\r\n" + soundEnd,
+	"coding in version 1.2":      "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"interim status 000":         "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n" + soundEnd,
 	"interim status 042":         "HTTP/1.1 042 \r\n\r\nHTTP/1.1 200 OK\r\n" + soundEnd,
 	"blank in interim name":      "HTTP/1.1 103 Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n" + soundEnd,
@@ -149,3 +152,15 @@
 		})
 	}
 }
+
+// The chunks of an answer whose version has none are not its body.
+func TestPoolChunksOfEarlierVersionAreNoBody(t *testing.T) {
+	address := cutServer(t, func() (string, bool) {
+		return "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false
+	})
+	pool := httpconn.NewPool(address, nil)
+	defer pool.Close()
+	if resp, err := exchange(t, pool, "GET"); err == nil {
+		t.Errorf("got the answer %d with body %q, want an error", resp.StatusCode(), resp.Body())
+	}
+}
