Return answers without Content-Type as they are

What callers saw: an answer without Content-Type, a 204 and a 304 among them, reached them with "Content-Type: text/plain; charset=utf-8".

Cause: fasthttp reports its default as if it were a field of the answer. The side that writes answers turned it off, the side that reads them did not.

Change: it is off while an answer is read.

Evidence: TestPoolSoundAnswerIsUnchanged, which reads answers of each allowed form (empty reason, tabs and high bytes, 204, 304, HEAD, chunks, trailers, interim answers, versions 1.0 and 1.2) and compares their fields, failed before in all 21 cases, in 20 for this field alone; it passes now.

--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -34,6 +34,8 @@
 // which o.Check returns ErrOtherRequest are dropped.
 func readAnswer(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	for range maxStaleAnswers {
+		// An answer without Content-Type has none.
+		resp.Header.SetNoDefaultContentType(true)
 		if err := readFinalHeader(c.r, resp); err != nil {
 			return err
 		}
--- a/adapters/httpconn/malformed_answer_test.go
+++ b/adapters/httpconn/malformed_answer_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"fescuehoist.example/adapters/httpconn"
@@ -153,6 +155,88 @@
 	}
 }
 
+type fields map[string]string
+
+func fieldsOf(resp *fasthttp.Response) fields {
+	got := fields{}
+	for name, value := range resp.Header.All() {
+		got[string(name)] = string(value)
+	}
+	return got
+}
+
+func TestPoolSoundAnswerIsUnchanged(t *testing.T) {
+	const highBytes = "caf\xe9 \xc3\xa9 \x80\xff"
+	for _, c := range []struct {
+		name, method, answer, body string
+		status                     int
+		fields                     fields
+		// closes is true for an answer that ends its connection.
+		closes bool
+	}{
+		{name: "length", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2"}},
+		{name: "empty reason", answer: "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2"}},
+		{name: "reason with tab and high bytes", answer: "HTTP/1.1 200 all\tis  " + highBytes + "\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2"}},
+		{name: "lowest final status", answer: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", status: 200, fields: fields{"Content-Length": "0"}},
+		{name: "highest status", answer: "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", status: 599, body: "ok", fields: fields{"Content-Length": "2"}},
+		{name: "unregistered status", answer: "HTTP/1.1 299 Odd\r\nContent-Length: 2\r\n\r\nok", status: 299, body: "ok", fields: fields{"Content-Length": "2"}},
+		{name: "value with tab and high bytes", answer: "HTTP/1.1 200 OK\r\nX: a\tb  " + highBytes + "\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok",
+			fields: fields{"Content-Length": "2", "X": "a\tb  " + highBytes}},
+		{name: "white space around values", answer: "HTTP/1.1 200 OK\r\nX:\t y \t\r\nContent-Length:2 \r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2", "X": "y"}},
+		{name: "empty value", answer: "HTTP/1.1 200 OK\r\nX:\r\nY: \t\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2", "X": "", "Y": ""}},
+		{name: "colons in value", answer: "HTTP/1.1 200 OK\r\nX: a: b:c\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2", "X": "a: b:c"}},
+		{name: "all characters of a name", answer: "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~09az: y\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok",
+			fields: fields{"Content-Length": "2", "X!#$%&'*+-.^_`|~09az": "y"}},
+		{name: "no content", answer: "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n", status: 204, fields: fields{"X": "y"}},
+		{name: "not modified", answer: "HTTP/1.1 304 Not Modified\r\nContent-Length: 40\r\n\r\n", status: 304, fields: fields{"Content-Length": "40"}},
+		{name: "to HEAD", method: "HEAD", answer: "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n", status: 200, fields: fields{"Content-Length": "40"}},
+		{name: "chunks", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1;a=b\r\nk\r\n0\r\n\r\n", status: 200, body: "ok", fields: fields{"Transfer-Encoding": "chunked"}},
+		{name: "chunks with trailers", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\nX: a\tb " + highBytes + "\r\nSet-Cookie: a=b\r\nY:\r\n\r\n", status: 200, body: "ok",
+			fields: fields{"Transfer-Encoding": "chunked"}},
+		{name: "interim answers", answer: "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.0 102 P\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok",
+			fields: fields{"Content-Length": "2"}},
+		{name: "to be closed", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", status: 200, body: "ok",
+			fields: fields{"Content-Length": "2", "Connection": "close"}, closes: true},
+		{name: "version 1.0", answer: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2", "Connection": "close"}, closes: true},
+		{name: "version 1.0 kept", answer: "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok",
+			fields: fields{"Content-Length": "2", "Connection": "keep-alive"}},
+		{name: "version 1.2", answer: "HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", fields: fields{"Content-Length": "2", "Connection": "close"}, closes: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.method == "" {
+				c.method = "GET"
+			}
+			s := startRawServer(t, c.answer)
+			pool := httpconn.NewPool(s.Address(), nil)
+			defer pool.Close()
+			for range 2 {
+				resp, err := exchange(t, pool, c.method)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got := fieldsOf(resp)
+				if resp.StatusCode() != c.status || string(resp.Body()) != c.body || !cmp.Equal(got, c.fields) {
+					t.Errorf("got status %d, body %q, fields %q; want %d, %q, %q", resp.StatusCode(), resp.Body(), got, c.status, c.body, c.fields)
+				}
+			}
+			if want := map[bool]int{false: 1, true: 2}[c.closes]; s.Connections() != want {
+				t.Errorf("two answers took %d connections, want %d", s.Connections(), want)
+			}
+		})
+	}
+}
+
+// An answer without a length ends with its connection.
+func TestPoolSoundAnswerWithoutLengthIsUnchanged(t *testing.T) {
+	address := cutServer(t, func() (string, bool) { return "HTTP/1.1 200 \r\nX: y\r\n\r\nto the end\r\n\r\n", false })
+	pool := httpconn.NewPool(address, nil)
+	defer pool.Close()
+	resp, err := exchange(t, pool, "GET")
+	if err != nil || resp.StatusCode() != 200 || string(resp.Body()) != "to the end\r\n\r\n" || !strings.Contains(resp.Header.String(), "X: y\r\n") {
+		t.Errorf("got %v, error %v; want the status, field and body of the answer", resp, err)
+	}
+}
+
 // The chunks of an answer whose version has none are not its body.
 func TestPoolChunksOfEarlierVersionAreNoBody(t *testing.T) {
 	address := cutServer(t, func() (string, bool) {
