Log malformed answers of other daemons and of the platform

What operators saw: a malformed answer of a daemon left no line in the log if the call was repeated elsewhere, or was a control message; one of the platform's store left one only when the store first became unreachable. Those of backend servers are in the call log, with the id of the request.

Cause: the connection pool returned an error like that of any cut connection, and its users log only what they give up.

Change: a pool reports malformed answers with their address, and the daemon logs each as one line of the part "answer", with what was expected and found. The clients of other daemons and of both platforms are wired to it.

Evidence: TestMalformedAnswerOfStoreIsLogged and the log lines of TestMalformedAnswerOfDaemonReachesNoCaller fail without the wiring.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -40,6 +40,8 @@
 	// AnswerBudget bounds the bytes of the answers that are read at the same time;
 	// nil means no bound.
 	AnswerBudget *httpconn.Budget
+	// OnMalformed is called for each malformed answer of another daemon; it may be nil.
+	OnMalformed func(address string, err *httpconn.MalformedError)
 
 	dial           httpconn.DialFunc
 	lastCallNumber atomic.Uint64
@@ -164,6 +166,7 @@
 	if p == nil {
 		p = &pool{Pool: httpconn.NewPool(address, f.dial)}
 		p.SetAnswerBudget(f.AnswerBudget)
+		p.OnMalformed(f.OnMalformed)
 		f.pools[address] = p
 	}
 	p.lastUsed = now
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -23,6 +23,8 @@
 	address string
 	dial    DialFunc
 	budget  *Budget
+	// onMalformed may be nil.
+	onMalformed func(address string, err *MalformedError)
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -65,6 +67,10 @@
 // It must be called before the first exchange.
 func (p *Pool) SetAnswerBudget(b *Budget) { p.budget = b }
 
+// OnMalformed sets a function that is called for each malformed answer with the address
+// that it came from. It must be called before the first exchange.
+func (p *Pool) OnMalformed(report func(address string, err *MalformedError)) { p.onMalformed = report }
+
 // Do sends the request and reads the complete answer. Errors are of type
 // *call.Failure, with the verdict NotRun if no byte of the request was sent.
 func (p *Pool) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
@@ -91,6 +97,7 @@
 		return nil
 	}
 	_ = c.Close()
+	p.reportMalformed(err)
 	f := &call.Failure{Verdict: verdictOf(c), Reason: call.ReasonOf(ctx, call.Cut), Err: err}
 	if (inactive || errors.Is(err, syscall.ETIMEDOUT)) && ctx.Err() == nil {
 		f.Reason = call.Silent
@@ -101,6 +108,13 @@
 	return f
 }
 
+func (p *Pool) reportMalformed(err error) {
+	var m *MalformedError
+	if p.onMalformed != nil && errors.As(err, &m) {
+		p.onMalformed(p.address, m)
+	}
+}
+
 func verdictOf(c *conn) call.Verdict {
 	if c.written.Load() == 0 {
 		return call.NotRun
--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -54,6 +54,12 @@
 	return &Client{pool: httpconn.NewPool(address, dial)}
 }
 
+// OnMalformed sets a function that is called for each malformed answer of the platform.
+// It must be called before the first call.
+func (c *Client) OnMalformed(report func(address string, err *httpconn.MalformedError)) {
+	c.pool.OnMalformed(report)
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() { c.pool.Close() }
 
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -183,6 +183,7 @@
 	d.forwarder.Mesh = s.Mesh
 	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
+	d.forwarder.OnMalformed = d.logMalformed
 	d.retry.Store(&s.Retry)
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
@@ -249,6 +250,12 @@
 	d.announcer.HandleCrash()
 }
 
+// logMalformed logs a malformed answer of another daemon or of the platform. The call log
+// has those of the backend server.
+func (d *Daemon) logMalformed(address string, err *httpconn.MalformedError) {
+	d.partLogger("answer").WithFields(logrus.Fields{"from": address, "cause": err}).Warn("malformed answer, connection closed")
+}
+
 // partLogger returns a logger whose messages are prefixed with the name of a part.
 func (d *Daemon) partLogger(part string) *logrus.Entry {
 	return partLogger(d.cfg.Log, d.cfg.Settings, part)
--- a/fescuehoistd/daemon/native_platform.go
+++ b/fescuehoistd/daemon/native_platform.go
@@ -32,6 +32,7 @@
 	// This platform keeps no advisories: those of the peers arrive later.
 	d.advisories.SetCompleteness(advisory.Complete)
 	n := &nativePlatform{d: d, client: platformhttp.NewClientWithDial(s.Platform, d.transport.dialPlatform)}
+	n.client.OnMalformed(d.logMalformed)
 	if len(s.Seeds) == 0 {
 		d.cfg.Reader.JoinTimeout = 0
 	}
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -35,6 +35,7 @@
 	s := d.cfg.Settings
 	self := member.ServerID(s.Server)
 	o := &objectPlatform{d: d, store: platform.NewStore(s.Platform, d.transport.dialPlatform)}
+	o.store.OnMalformed(d.logMalformed)
 	d.configs.ApplyByService()
 	o.watcher = configwatch.New(d.cfg.ConfigWatch, self, s.Domain, &platform.ConfigurationSource{Store: o.store},
 		d.members, d.configs, d.announcer, d.partLogger("feed"))
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,10 +32,36 @@
 	backend                       *platformtest.Backend
 	callers, announcements, ready string
 	settings                      *settings.Settings
+	log                           logBuffer
 	stop                          context.CancelCauseFunc
 	exited                        chan error
 }
 
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// lines returns the log lines that hold all the given words.
+func (b *logBuffer) lines(words ...string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(b.text.String()) {
+		if !slices.ContainsFunc(words, func(word string) bool { return !strings.Contains(line, word) }) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
 // startHost starts a backend server and the daemon beside it, with settings changed by
 // tune; both are stopped at the end of the test.
 func startHost(t *testing.T, store *platformtest.Store, name, domain, service string, tune ...func(*settings.Settings)) *host {
@@ -50,7 +77,7 @@
 	for _, f := range tune {
 		f(set)
 	}
-	h.settings = set
+	h.settings, h.backend.AdvertisedAddress = set, set.Backend
 	h.startDaemon(t)
 	t.Cleanup(func() {
 		h.stop(nil)
@@ -77,7 +104,7 @@
 	h.ready = listeners.Ready.Addr().String()
 	h.settings.Callers, h.settings.Announcements, h.settings.Ready = h.callers, h.announcements, h.ready
 	h.settings.Calls, h.settings.Peers = listeners.Calls.Addr().String(), listeners.Peers.Addr().String()
-	h.daemon, err = daemon.New(daemon.DefaultConfig(h.settings, logging.New(io.Discard, logrus.InfoLevel)), listeners)
+	h.daemon, err = daemon.New(daemon.DefaultConfig(h.settings, logging.New(&h.log, logrus.InfoLevel)), listeners)
 	if err != nil {
 		t.Fatal(err)
 	}
