Read the state of a daemon over the pool that checks answers

Cause: the command read it with the library's own client, the one place of the product that did not read answers over httpconn.Pool.

Change: it uses the pool.

--- a/fescuehoist/status.go
+++ b/fescuehoist/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/fescuehoist/view"
 	"fescuehoist.example/mesh/wait"
 )
@@ -42,7 +43,7 @@
 func (c *statusCommand) printOnce(ctx context.Context, out *output) error {
 	switch {
 	case c.Daemon != "":
-		return c.printDaemonState(out)
+		return c.printDaemonState(ctx, out)
 	case c.Platform != "":
 		return (&platformFlag{c.Platform, c.tlsFlags}).withSession(ctx, func(ctx context.Context, s *session) error {
 			v, err := view.Load(ctx, s.client)
@@ -60,15 +61,23 @@
 }
 
 // printDaemonState prints the JSON state from one daemon's admin address.
-func (c *statusCommand) printDaemonState(out *output) error {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+c.Daemon+"/v1/state", commandTimeout)
-	if err != nil {
+func (c *statusCommand) printDaemonState(ctx context.Context, out *output) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	pool := httpconn.NewPool(c.Daemon, nil)
+	defer pool.Close()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("/v1/state")
+	req.SetHost(c.Daemon)
+	if err := pool.Do(ctx, req, resp); err != nil {
 		return fmt.Errorf("daemon %s: %w", c.Daemon, err)
 	}
-	if code != fasthttp.StatusOK {
+	if code := resp.StatusCode(); code != fasthttp.StatusOK {
 		return fmt.Errorf("daemon %s answered with status %d, want 200", c.Daemon, code)
 	}
-	_, err = out.Write(body)
+	_, err := out.Write(resp.Body())
 	return err
 }
 
