--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -118,6 +118,10 @@
 	return errTooManyInterim
 }
 
+// maxCause is the maximum length of a cause named by the library, which may quote a field
+// of any length.
+const maxCause = 80
+
 // readHead reads one head of which every line is checked: the library takes some that
 // are malformed for others, for example status 000 for 200.
 func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
@@ -126,7 +130,8 @@
 	}
 	if err := resp.Header.Read(r); err != nil {
 		// The error of the library quotes the whole head around its cause.
-		return &MalformedError{Part: "length of the body", Expected: "one Content-Length, or the coding chunked alone", Found: cmp.Or(errors.Unwrap(err), err).Error()}
+		cause := cmp.Or(errors.Unwrap(err), err)
+		return &MalformedError{Part: "framing", Expected: "one Content-Length, or the coding chunked alone", Found: fmt.Sprintf("%.*s", maxCause, cause)}
 	}
 	return nil
 }
--- a/adapters/httpconn/head.go
+++ b/adapters/httpconn/head.go
@@ -150,8 +150,11 @@
 // checkCoding returns an error for a Transfer-Encoding field in an answer of a version
 // other than 1.1: a server of such a version may not have written any chunks.
 func (c *headChecker) checkCoding(line []byte) error {
+	if c.minor == '1' {
+		return nil
+	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if c.minor == '1' || !bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+	if !bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
 		return nil
 	}
 	return malformed("version of an answer with Transfer-Encoding", "HTTP/1.1", []byte(versionStart+string(c.minor)))
@@ -165,7 +168,11 @@
 	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return malformed("status code", "100 to 599", status)
 	}
-	return checkText(nil, line[reasonStart:])
+	reason := line[reasonStart:]
+	if i := indexNonText(reason); i >= 0 {
+		return malformed("reason", textCharacters, reason[i:i+1])
+	}
+	return nil
 }
 
 func checkField(line []byte) error {
@@ -181,23 +188,25 @@
 			return malformed("field name", "a token", name)
 		}
 	}
-	return checkText(name, value)
+	if i := indexNonText(value); i >= 0 {
+		// The rest of the value may be confidential.
+		return malformed(fmt.Sprintf("value of field %.*s", maxQuoted, name), textCharacters, value[i:i+1])
+	}
+	return nil
 }
 
-// checkText checks the reason, or the value of the field that is named. The error quotes
-// only the byte that is not allowed, since a value may be confidential.
-func checkText(name, text []byte) error {
+// textCharacters names the characters of a reason and of a field value.
+const textCharacters = "tabs, blanks and visible characters"
+
+// indexNonText returns the index of the first byte that is not one of textCharacters, or
+// -1. Bytes from 0x80 count as visible.
+func indexNonText(text []byte) int {
 	for i, b := range text {
-		if (b >= ' ' && b != 0x7f) || b == '\t' {
-			continue
+		if (b < ' ' && b != '\t') || b == 0x7f {
+			return i
 		}
-		part := "reason"
-		if len(name) > 0 {
-			part = fmt.Sprintf("value of field %.*s", maxQuoted, name)
-		}
-		return malformed(part, "tabs, blanks and visible characters", text[i:i+1])
 	}
-	return nil
+	return -1
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
