--- a/adapters/callhttp/malformed_answer_test.go
+++ b/adapters/callhttp/malformed_answer_test.go
@@ -40,12 +40,12 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
-			for exchange, make := range map[string]func() error{
+			for exchange, run := range map[string]func() error{
 				"call":            func() error { _, err := f.Forward(ctx, daemon.Address(), request("1", false)); return err },
 				"control message": func() error { _, err := f.Await(ctx, daemon.Address(), idempotency.ID{}); return err },
 			} {
 				reported = nil
-				if failure := failureOf(t, make()); failure.Verdict != mayHaveRun || failure.Reason != call.Cut {
+				if failure := failureOf(t, run()); failure.Verdict != mayHaveRun || failure.Reason != call.Cut {
 					t.Errorf("%s: got %v, want %s, %s", exchange, failure, mayHaveRun, call.Cut)
 				}
 				if len(reported) != 1 || !strings.HasPrefix(reported[0], daemon.Address()) || !strings.Contains(reported[0], "expected") {
