Start and stop the raw server of tests in one place

Six tests listened, started the server and closed it with the same lines. Start does all of it for a test, StartOn on a listener of its own, for the daemons' tests. What the tests assert is unchanged.

--- a/adapters/callhttp/malformed_answer_test.go
+++ b/adapters/callhttp/malformed_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -24,14 +23,9 @@
 		"tab before name": strings.Replace(answerOfDaemon, "Content-Length", "\tX: y\r\nContent-Length", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			daemon := rawserver.Start(ln, func(r *http.Request) string {
+			daemon := rawserver.Start(t, func(r *http.Request) string {
 				return strings.Replace(answer, "NUMBER", r.Header.Get("F-Call"), 1)
 			})
-			defer daemon.Close()
 			f := callhttp.NewForwarder(nil)
 			defer f.Close()
 			var reported []string
--- a/adapters/httpconn/malformed_answer_test.go
+++ b/adapters/httpconn/malformed_answer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,13 +19,7 @@
 // startRawServer answers each request with the same bytes.
 func startRawServer(t *testing.T, answer string) *rawserver.Server {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := rawserver.Start(ln, func(*http.Request) string { return answer })
-	t.Cleanup(s.Close)
-	return s
+	return rawserver.Start(t, func(*http.Request) string { return answer })
 }
 
 // exchange makes one exchange with a method over a pool.
--- a/adapters/platformhttp/malformed_answer_test.go
+++ b/adapters/platformhttp/malformed_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -21,12 +20,7 @@
 		"tab before name": strings.Replace(answer, "Content-Length", "X: y\r\n\tZ: z\r\nContent-Length", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			server := rawserver.Start(ln, func(*http.Request) string { return answer })
-			defer server.Close()
+			server := rawserver.Start(t, func(*http.Request) string { return answer })
 			client := platformhttp.NewClient(server.Address())
 			defer client.Close()
 			var reported []string
--- a/fescuehoist/status_test.go
+++ b/fescuehoist/status_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -23,14 +22,9 @@
 		"folded by a tab": {answer: strings.Replace(answer, "Content-Length", "X: y\r\n\tContent-Length: 1\r\nContent-Length", 1)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			daemon := rawserver.Start(ln, func(*http.Request) string { return c.answer })
-			defer daemon.Close()
+			daemon := rawserver.Start(t, func(*http.Request) string { return c.answer })
 			var out bytes.Buffer
-			err = (&statusCommand{Daemon: daemon.Address()}).Run(t.Context(), &output{&out})
+			err := (&statusCommand{Daemon: daemon.Address()}).Run(t.Context(), &output{&out})
 			if (err == nil) != c.sound || (out.String() == "{}") != c.sound {
 				t.Errorf("printed %q, error %v; want the state of the daemon: %v", out.String(), err, c.sound)
 			}
--- a/fescuehoistd/daemon/malformed_answer_test.go
+++ b/fescuehoistd/daemon/malformed_answer_test.go
@@ -26,20 +26,24 @@
 	chunkedOK   = "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
 )
 
-// startRawBackend starts a backend server that answers by path, and other paths with
-// soundAnswer. In the answers, ID stands for the id of the request.
-func startRawBackend(t *testing.T, answers map[string]string) *rawserver.Server {
+// startRaw starts a server on an address of this process alone.
+func startRaw(t *testing.T, answer func(r *http.Request) string) *rawserver.Server {
 	t.Helper()
 	ln, err := platformtest.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := rawserver.Start(ln, func(r *http.Request) string {
+	return rawserver.StartOn(t, ln, answer)
+}
+
+// startRawBackend starts a backend server that answers by path, and other paths with
+// soundAnswer. In the answers, ID stands for the id of the request.
+func startRawBackend(t *testing.T, answers map[string]string) *rawserver.Server {
+	t.Helper()
+	return startRaw(t, func(r *http.Request) string {
 		answer := cmp.Or(answers[r.URL.Path], soundAnswer)
 		return strings.ReplaceAll(answer, "ID", r.Header.Get(platformtest.HeaderRequestID))
 	})
-	t.Cleanup(s.Close)
-	return s
 }
 
 // seen returns how often the request with an id ran, and whether a connection that it
@@ -203,13 +207,7 @@
 // startMalformed starts a server that answers each request with a status that is none.
 func startMalformed(t *testing.T) *rawserver.Server {
 	t.Helper()
-	ln, err := platformtest.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := rawserver.Start(ln, func(*http.Request) string { return "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}" })
-	t.Cleanup(s.Close)
-	return s
+	return startRaw(t, func(*http.Request) string { return "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}" })
 }
 
 func TestMalformedAnswerOfStoreIsLogged(t *testing.T) {
--- a/standin/rawserver/rawserver.go
+++ b/standin/rawserver/rawserver.go
@@ -1,5 +1,4 @@
-// Package rawserver is an HTTP server whose answers are bytes chosen by a test, which
-// need not be HTTP.
+// Package rawserver is a server for tests that answers HTTP requests with any bytes.
 package rawserver
 
 import (
@@ -8,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"testing"
 )
 
 // Exchange is a request and the connection on which it came, counted from 1.
@@ -27,11 +27,22 @@
 	exchanges   []Exchange
 }
 
-// Start serves a listener, and answers each request with the bytes that answer returns.
-// Close stops the server.
-func Start(ln net.Listener, answer func(r *http.Request) string) *Server {
+// Start starts a server on a port of 127.0.0.1 until the end of the test. It answers each
+// request with the bytes that answer returns.
+func Start(t testing.TB, answer func(r *http.Request) string) *Server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return StartOn(t, ln, answer)
+}
+
+// StartOn is Start on an open listener.
+func StartOn(t testing.TB, ln net.Listener, answer func(r *http.Request) string) *Server {
 	s := &Server{listener: ln, answer: answer}
 	s.tasks.Go(s.accept)
+	t.Cleanup(s.stop)
 	return s
 }
 
@@ -52,8 +63,8 @@
 	return append([]Exchange(nil), s.exchanges...)
 }
 
-// Close closes the listener and the connections.
-func (s *Server) Close() {
+// stop closes the listener and the connections.
+func (s *Server) stop() {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	for _, c := range s.connections {
