--- a/adapters/callhttp/dialect.go
+++ b/adapters/callhttp/dialect.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/target"
 )
 
 // Dialect encodes and decodes the call metadata that callers and backend servers
@@ -37,6 +38,16 @@
 	CloseDelimited() bool
 }
 
+// ReadAPIKey returns the digest of the API key in a header field. A request that presents
+// several keys is taken to present none, since it is not clear on whose behalf it is made.
+func ReadAPIKey(h *fasthttp.RequestHeader, name string) (target.KeyDigest, bool) {
+	keys := h.PeekAll(name)
+	if len(keys) != 1 {
+		return target.KeyDigest{}, false
+	}
+	return target.DigestKey(keys[0]), true
+}
+
 // Native is the dialect of callers and backend servers that use fescuehoist's
 // own header fields.
 type Native struct{}
@@ -50,8 +61,9 @@
 	return d
 }
 
-// ReadCall reads the client, the depth and the remaining time.
+// ReadCall reads the client, the API key, the depth and the remaining time.
 func (Native) ReadCall(req *fasthttp.Request, r *call.Request) (time.Duration, error) {
+	r.KeyDigest, r.HasKey = ReadAPIKey(&req.Header, HeaderAPIKey)
 	r.Client = string(req.Header.Peek(HeaderClient))
 	var err error
 	if r.Depth, err = parseDepth(req); err != nil {
@@ -75,7 +87,7 @@
 
 // WriteCall adds the client, the depth and the remaining time.
 func (Native) WriteCall(ctx context.Context, r *call.Request, req *fasthttp.Request) {
-	writeMeshFields(ctx, r, r.Depth+1, req)
+	writeMeshFields(ctx, r.Client, r.Depth+1, req)
 }
 
 // CheckAnswer accepts all answers.
@@ -113,6 +125,10 @@
 		return fasthttp.StatusBadRequest
 	case call.Deadline:
 		return fasthttp.StatusGatewayTimeout
+	case call.Unauthorized:
+		return fasthttp.StatusUnauthorized
+	case call.OverAllowance:
+		return fasthttp.StatusTooManyRequests
 	}
 	if f.Verdict == call.NotRun {
 		return fasthttp.StatusServiceUnavailable
--- a/adapters/callhttp/forward_header.go
+++ b/adapters/callhttp/forward_header.go
@@ -1,6 +1,8 @@
 package callhttp
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
@@ -12,6 +14,16 @@
 	"fescuehoist.example/mesh/target"
 )
 
+// writeDaemonFields adds the fields that all daemons read. The client of a call with an
+// account is that account, which travels in its own field.
+func writeDaemonFields(ctx context.Context, r *call.Request, req *fasthttp.Request) {
+	client := r.Client
+	if r.Account != "" {
+		client = ""
+	}
+	writeMeshFields(ctx, client, r.Depth, req)
+}
+
 // writeForwardFields adds the fields that only the daemon beside the backend
 // server needs.
 func writeForwardFields(r *call.Request, req *fasthttp.Request) {
@@ -24,6 +36,7 @@
 	setNonEmpty(h, headerID, r.ID)
 	setNonEmpty(h, headerOrigin, r.Origin)
 	setNonEmpty(h, headerInstance, r.Instance)
+	setNonEmpty(h, headerAccount, r.Account)
 	if r.Suspect {
 		h.Set(headerSuspect, "1")
 	}
@@ -39,7 +52,8 @@
 // returns the remaining time of the call, 0 if there is no limit.
 func readForwardFields(req *fasthttp.Request, r *call.Request) (time.Duration, error) {
 	h := &req.Header
-	r.Client = string(h.Peek(HeaderClient))
+	r.Account = string(h.Peek(headerAccount))
+	r.Client = cmp.Or(r.Account, string(h.Peek(HeaderClient)))
 	r.Server = string(h.Peek(headerServer))
 	r.Service = string(h.Peek(headerService))
 	r.ID = string(h.Peek(headerID))
--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -78,7 +78,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	WriteRequest(r, req)
-	writeMeshFields(ctx, r, r.Depth, req)
+	writeDaemonFields(ctx, r, req)
 	writeForwardFields(r, req)
 	number := f.numberRequest(req)
 	o := httpconn.Options{NewConnection: r.NewConnection, InactivityTimeout: f.InactivityTimeout, Check: func(resp *fasthttp.Response) error {
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -32,6 +32,9 @@
 	HeaderDepth = "Fescuehoist-Depth"
 	// HeaderAttempts is the number of attempts made for a call.
 	HeaderAttempts = "Fescuehoist-Attempts"
+	// HeaderAPIKey is the API key of the client account on whose behalf the call is made.
+	// It is not forwarded.
+	HeaderAPIKey = "Fescuehoist-Key"
 	// HeaderKey is the idempotency key of a request that must not run twice.
 	HeaderKey = "Idempotency-Key"
 )
@@ -55,6 +58,8 @@
 	headerOrigin  = "F-Origin"
 	// headerInstance is the ID of the chosen backend server's current start.
 	headerInstance = "F-Instance"
+	// headerAccount is the client account that holds the caller's key.
+	headerAccount = "F-Account"
 	// headerCall is the number of a request; the answer repeats it.
 	headerCall = "F-Call"
 	// headerLeaving is set in answers of a backend server that will stop soon.
@@ -74,7 +79,7 @@
 	HeaderVerdict: true, HeaderReason: true, HeaderClient: true, HeaderTimeout: true, HeaderDepth: true,
 	HeaderAttempts: true, headerMesh: true, headerServer: true, headerService: true, headerClass: true,
 	headerAttempt: true, headerLoad: true, headerElapsed: true, headerSuspect: true, headerCall: true, headerControl: true,
-	headerID: true, headerOrigin: true, headerInstance: true, headerLeaving: true,
+	headerID: true, headerOrigin: true, headerInstance: true, headerLeaving: true, headerAccount: true, HeaderAPIKey: true,
 }
 
 func isEndToEnd(name string) bool { return !hopByHop[name] && !meshFields[name] }
@@ -135,9 +140,9 @@
 
 // writeMeshFields adds the fields for other daemons and for backend servers that
 // use the native dialect: client, depth and remaining time.
-func writeMeshFields(ctx context.Context, r *call.Request, depth int, req *fasthttp.Request) {
-	if r.Client != "" {
-		req.Header.Set(HeaderClient, r.Client)
+func writeMeshFields(ctx context.Context, client string, depth int, req *fasthttp.Request) {
+	if client != "" {
+		req.Header.Set(HeaderClient, client)
 	}
 	if depth > 0 {
 		req.Header.Set(HeaderDepth, strconv.Itoa(depth))
--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -112,7 +112,7 @@
 			State: uint32(r.State), Service: r.Service, Domain: r.Domain,
 			CallAddress: r.CallAddress, PeerAddress: r.PeerAddress,
 			Slots: uint32(r.Slots), Health: uint32(r.Health), Accusers: encodeIDs(r.SuspectedBy),
-			Instance: r.Instance, Blind: r.StoreUnreachable, LinkMbps: uint32(r.LinkMbps),
+			Instance: r.Instance, Release: r.Release, Blind: r.StoreUnreachable, LinkMbps: uint32(r.LinkMbps),
 		}
 	}
 	return out
@@ -132,7 +132,7 @@
 			State: member.State(r.GetState()), Service: r.GetService(), Domain: r.GetDomain(),
 			CallAddress: r.GetCallAddress(), PeerAddress: r.GetPeerAddress(),
 			Slots: int(r.GetSlots()), Health: member.Health(r.GetHealth()), SuspectedBy: decodeIDs(r.GetAccusers()),
-			Instance: r.GetInstance(), StoreUnreachable: r.GetBlind(), LinkMbps: int(r.GetLinkMbps()),
+			Instance: r.GetInstance(), Release: r.GetRelease(), StoreUnreachable: r.GetBlind(), LinkMbps: int(r.GetLinkMbps()),
 		}
 	}
 	return &gossip.Records{Records: records, FromAntiEntropy: in.GetCompared()}, nil
@@ -251,6 +251,9 @@
 		if b.Patch != nil {
 			body.Patch = encodePatch(b.Patch)
 		}
+		if b.Accounts != nil {
+			body.Accounts = encodeAccounts(b.Accounts)
+		}
 		out.Bodies = append(out.Bodies, body)
 	}
 	return out
@@ -279,6 +282,13 @@
 		if b.GetPatch() != nil {
 			body.Patch = decodePatch(b.GetPatch())
 		}
+		if b.GetAccounts() != nil {
+			accounts, err := decodeAccounts(b.GetAccounts())
+			if err != nil {
+				return nil, err
+			}
+			body.Accounts = accounts
+		}
 		u.Bodies = append(u.Bodies, body)
 	}
 	return &gossip.Configuration{Update: u}, nil
--- a/adapters/peergrpc/limits.go
+++ b/adapters/peergrpc/limits.go
@@ -57,7 +57,7 @@
 	}{
 		{"service", r.GetService(), maxName}, {"failure domain", r.GetDomain(), maxName},
 		{"call address", r.GetCallAddress(), maxAddress}, {"peer address", r.GetPeerAddress(), maxAddress},
-		{"instance", r.GetInstance(), maxName},
+		{"instance", r.GetInstance(), maxName}, {"release", r.GetRelease(), maxName},
 	} {
 		if err := checkLength(field.name, field.text, field.limit); err != nil {
 			return err
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -46,6 +46,8 @@
 	ProgressInterval time.Duration
 	// Retry bounds the retries of all daemons together.
 	Retry Retry
+	// Accounts bounds how client accounts are served.
+	Accounts Accounts
 	// Limits are the resource limits of the daemon's process.
 	Limits Limits
 	// TLS defines which connections use TLS.
@@ -81,6 +83,16 @@
 	Burst float64
 }
 
+// Accounts bounds how client accounts are served.
+type Accounts struct {
+	// RevokeWithin is the time within which every daemon refuses a revoked API key, whether
+	// it reaches the platform or not; 0 means no bound.
+	RevokeWithin time.Duration
+	// Window is the time over which the requests of an account are counted against its
+	// allowance.
+	Window time.Duration
+}
+
 // Limits are the resource limits of the daemon's process; 0 means none.
 type Limits struct {
 	// MemoryBytes is the maximum memory, in bytes; 0 means DefaultMemoryBytes.
@@ -104,6 +116,7 @@
 	DefaultDrainTimeout     = 30 * time.Second
 	DefaultProgressInterval = 50 * time.Millisecond
 	DefaultRetryShare       = 0.08
+	DefaultAccountWindow    = 5 * time.Second
 	maxRetryBurst           = 100_000
 	minMemoryMB             = 32
 	// DefaultMemoryBytes is the memory that the process may take without a setting.
@@ -145,6 +158,10 @@
 		Share float64 `toml:"share"`
 		Burst float64 `toml:"burst"`
 	} `toml:"retry"`
+	Accounts struct {
+		RevokeWithin string `toml:"revoke_within"`
+		Window       string `toml:"window"`
+	} `toml:"accounts"`
 	Limits struct {
 		MemoryMB    int     `toml:"memory_mb"`
 		Descriptors int     `toml:"descriptors"`
@@ -205,6 +222,10 @@
 			Share: checkNumber(f, "retry.share", in.Retry.Share, DefaultRetryShare, 1),
 			Burst: checkNumber(f, "retry.burst", in.Retry.Burst, 0, maxRetryBurst),
 		},
+		Accounts: Accounts{
+			RevokeWithin: checkDuration(f, "accounts.revoke_within", in.Accounts.RevokeWithin, 0),
+			Window:       checkDuration(f, "accounts.window", in.Accounts.Window, DefaultAccountWindow),
+		},
 		Limits: Limits{
 			MemoryBytes: int64(checkCount(f, "limits.memory_mb", in.Limits.MemoryMB, minMemoryMB)) << 20,
 			Descriptors: checkCount(f, "limits.descriptors", in.Limits.Descriptors, minDescriptors),
--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -12,6 +12,7 @@
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/target"
 )
 
 // OpenGate admits every call.
@@ -24,7 +25,7 @@
 }
 
 // LoadFor returns the gate's load.
-func (g *OpenGate) LoadFor(string) call.Load { return g.Load() }
+func (g *OpenGate) LoadFor(*target.Class) call.Load { return g.Load() }
 
 // Load returns the number of running calls.
 func (g *OpenGate) Load() call.Load { return call.Load{Running: int(g.running.Load())} }
@@ -131,7 +132,7 @@
 }
 
 // LoadFor returns the gate's load.
-func (g *FIFOGate) LoadFor(string) call.Load { return g.Load() }
+func (g *FIFOGate) LoadFor(*target.Class) call.Load { return g.Load() }
 
 // ObserveCondition does nothing.
 func (g *FIFOGate) ObserveCondition(call.Condition) {}
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -16,11 +16,13 @@
 
 	"fescuehoist.example/adapters/adminhttp"
 	"fescuehoist.example/adapters/backendhttp"
+	"fescuehoist.example/adapters/boottime"
 	"fescuehoist.example/adapters/callhttp"
 	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/adapters/peergrpc"
 	"fescuehoist.example/adapters/settings"
 	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/account"
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/configwatch"
@@ -180,6 +182,7 @@
 		forwarder:  callhttp.NewForwarder(transport.dialCalls),
 		traffic:    &peergrpc.Traffic{},
 	}
+	d.configs.SetClock(boottime.Now)
 	d.forwarder.Mesh = s.Mesh
 	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
@@ -232,7 +235,7 @@
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
 	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
-		Self: self, Routes: d.router, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
+		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin}, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
 		Idempotency: d.idempotency, Remote: d.forwarder, Local: d.inbound, Observer: observers{d.metrics, d.meter, calls},
 	}
--- /dev/null
+++ b/mesh/account/checker.go
@@ -0,0 +1,75 @@
+// Package account decides on behalf of which client account a call is made.
+package account
+
+import (
+	"errors"
+	"time"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/route"
+)
+
+var (
+	errMissingKey = errors.New("expected the key of a client account, found none")
+	errUnknownKey = errors.New("no client account holds the key")
+	errUnverified = errors.New("the configuration may be older than the time within which revoked keys must be refused")
+)
+
+// revokeMargin is subtracted from the time within which revoked keys must be refused, for
+// clocks that differ in speed.
+const revokeMargin = 50 * time.Millisecond
+
+// Verifications tells when the configuration was last known to be the newest.
+type Verifications interface {
+	VerificationAge() (manifest.Version, time.Duration, bool)
+}
+
+// Checker authorizes calls by the API keys that callers present.
+type Checker struct {
+	Configs Verifications
+	// RevokeWithin is the time after which a revoked key must be refused by every daemon,
+	// also by one that reaches neither the platform nor other daemons; 0 leaves that to
+	// the spread of the configuration.
+	RevokeWithin time.Duration
+}
+
+// Authorize sets the account of a classified call, and the rank that it has for the
+// account. Without accounts in the configuration, and in public classes, calls need no
+// key. In any case the key is removed from the call.
+func (c *Checker) Authorize(r *call.Request, t *route.Table) *call.Failure {
+	key, presented := r.KeyDigest, r.HasKey
+	r.KeyDigest, r.HasKey = [len(r.KeyDigest)]byte{}, false
+	accounts := t.Accounts()
+	if accounts.Len() == 0 || r.Class.Public {
+		return nil
+	}
+	if !presented {
+		return call.Refuse(call.Unauthorized, errMissingKey)
+	}
+	if !c.verified() {
+		return call.Refuse(call.Unconfigured, errUnverified)
+	}
+	account := accounts.ByKey(key)
+	if account == nil {
+		return call.Refuse(call.Unauthorized, errUnknownKey)
+	}
+	r.Account, r.Client = account.Name, account.Name
+	if account.Rank > 0 {
+		class := *r.Class
+		class.Rank = account.RankFor(class.Rank)
+		r.Class = &class
+	}
+	return nil
+}
+
+// verified reports whether the configuration cannot lack the revocation of a key that must
+// be refused by now. The time that passes between the check and the use of the key does not
+// matter: what counts is when the caller sent the request.
+func (c *Checker) verified() bool {
+	if c.RevokeWithin == 0 {
+		return true
+	}
+	_, age, known := c.Configs.VerificationAge()
+	return known && age < c.RevokeWithin-revokeMargin
+}
--- a/mesh/admit/class.go
+++ b/mesh/admit/class.go
@@ -49,16 +49,25 @@
 	demandAt time.Time
 }
 
-// classes holds the classes by name.
-type classes map[string]*class
+// classKey identifies a class. Calls of client accounts with ranks of their own form
+// classes of their own.
+type classKey struct {
+	name string
+	rank int
+}
+
+func keyOf(t *target.Class) classKey { return classKey{t.Name, t.Rank} }
+
+// classes holds the state of the classes.
+type classes map[classKey]*class
 
 // get returns the state of a class and updates its target.
 func (cs classes) get(t *target.Class) *class {
-	c := cs[t.Name]
+	c := cs[keyOf(t)]
 	if c == nil {
 		cs.evictIdle()
 		c = &class{}
-		cs[t.Name] = c
+		cs[keyOf(t)] = c
 	}
 	c.target = t
 	return c
@@ -69,9 +78,9 @@
 	if len(cs) < maxClasses {
 		return
 	}
-	for name, c := range cs {
+	for key, c := range cs {
 		if c.running == 0 && c.queue.len() == 0 {
-			delete(cs, name)
+			delete(cs, key)
 		}
 	}
 }
--- a/mesh/admit/gate.go
+++ b/mesh/admit/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/target"
 )
 
 // Causes of refusals.
@@ -411,13 +412,16 @@
 	return call.Load{Running: g.running, Queued: g.queued, Limit: g.limit.value()}
 }
 
-// LoadFor returns the load as seen by a call of the named class: queued calls of
-// less urgent classes do not count.
-func (g *Gate) LoadFor(class string) call.Load {
+// LoadFor returns the load as seen by a call of a class: queued calls of less urgent
+// classes do not count. The class is nil for a call that was not classified.
+func (g *Gate) LoadFor(t *target.Class) call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	load := call.Load{Running: g.running, Limit: g.limit.value()}
-	c := g.classes[class]
+	var c *class
+	if t != nil {
+		c = g.classes[keyOf(t)]
+	}
 	if c == nil {
 		load.Queued = g.queued
 		return load
--- a/mesh/announce/announcer.go
+++ b/mesh/announce/announcer.go
@@ -21,6 +21,8 @@
 	Slots int
 	// Instance is the ID of this start of the backend server; it may be empty.
 	Instance string
+	// Release is the version of its software; it may be empty.
+	Release string
 	// Started orders the starts of backend servers at one address and Sequence
 	// the announcements of one start. An announcement with neither counts as
 	// newer than the one before.
@@ -144,14 +146,14 @@
 		return
 	}
 	b := &a.last
-	if a.record.State == member.Ready && a.record.Service == b.Service && a.record.Slots == b.Slots && a.record.Instance == b.Instance {
+	if a.record.State == member.Ready && a.record.Service == b.Service && a.record.Slots == b.Slots && a.record.Instance == b.Instance && a.record.Release == b.Release {
 		return
 	}
 	a.gate.SetSlots(b.Slots)
 	if a.isNewerThanDaemon() {
 		a.gate.OpenFully()
 	}
-	a.record.State, a.record.Service, a.record.Slots, a.record.Instance = member.Ready, b.Service, b.Slots, b.Instance
+	a.record.State, a.record.Service, a.record.Slots, a.record.Instance, a.record.Release = member.Ready, b.Service, b.Slots, b.Instance, b.Release
 	a.publisher.Announce(a.record)
 }
 
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -23,6 +23,13 @@
 	Host, Service string
 	// Client is the client name that the caller sent.
 	Client string
+	// KeyDigest is the digest of the API key that the caller presented; HasKey is false
+	// if it presented none. Both are cleared once the key was checked.
+	KeyDigest target.KeyDigest
+	HasKey    bool
+	// Account is the client account that holds the caller's key; it is empty for calls
+	// that need none.
+	Account string
 	// Origin is the service of the backend server beside the daemon that
 	// received the call from its caller.
 	Origin string
--- a/mesh/call/failure.go
+++ b/mesh/call/failure.go
@@ -14,12 +14,16 @@
 const (
 	NoRoute Reason = "no-route"
 	// NoServer means that no backend server of the service accepts calls.
-	NoServer    Reason = "no-server"
-	BadRequest  Reason = "bad-request"
-	Overloaded  Reason = "overloaded"
-	Draining    Reason = "draining"
-	Deadline    Reason = "deadline"
-	Unreachable Reason = "unreachable"
+	NoServer   Reason = "no-server"
+	BadRequest Reason = "bad-request"
+	// Unauthorized means that no client account holds the caller's key.
+	Unauthorized Reason = "unauthorized"
+	// OverAllowance means that the client account has used up its allowance.
+	OverAllowance Reason = "over-allowance"
+	Overloaded    Reason = "overloaded"
+	Draining      Reason = "draining"
+	Deadline      Reason = "deadline"
+	Unreachable   Reason = "unreachable"
 	// Shed means that the backend server itself refused the request.
 	Shed Reason = "shed"
 	// Cut means that the connection ended without an answer.
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -42,6 +42,7 @@
 type Configuration struct {
 	Version  manifest.Version
 	Services []target.Service
+	Accounts []target.Account
 }
 
 // Source provides the configurations that operators write.
@@ -82,6 +83,8 @@
 	// start. It must be set before Run.
 	Neighborhood Neighborhood
 
+	// unapplied means that the newest configuration of the source could not be applied.
+	unapplied bool
 	// reread means that the source no longer has the changes after the known
 	// revision.
 	reread           bool
@@ -164,7 +167,7 @@
 	if known == 0 || w.reread {
 		limit = 0
 	}
-	start := time.Now()
+	start, asked := time.Now(), w.configs.Now()
 	c, revision, err := w.query(ctx, Revision(known), limit)
 	switch {
 	case err == nil:
@@ -184,6 +187,9 @@
 	// source gave it.
 	at := start.Add(min(time.Since(start), limit))
 	w.configs.ConfirmFromSource(uint64(revision), at)
+	if !w.unapplied {
+		w.configs.Verify(w.configs.KnownVersion(), asked)
+	}
 	w.configs.SkipQuorum()
 	return nil
 }
@@ -201,7 +207,8 @@
 
 func (w *Watcher) apply(c *Configuration) {
 	known := w.configs.KnownVersion()
-	changed, err := w.configs.ApplyFull(c.Version, c.Services)
+	changed, err := w.configs.ApplyFull(c.Version, c.Services, c.Accounts)
+	w.unapplied = err != nil
 	switch {
 	case err != nil:
 		w.logger.Warnf("version %d not applied, keeping version %d: %v", c.Version, known, err)
@@ -213,6 +220,7 @@
 // reject records a configuration that cannot be decoded. The known version stays
 // in force until a later one is written.
 func (w *Watcher) reject(err error) {
+	w.unapplied = true
 	w.logger.Warnf("configuration not applied, keeping version %d: %v", w.configs.KnownVersion(), err)
 	w.configs.SetRejection(manifest.NewRefusal(0, "", "expected a configuration, found: %v", err))
 }
--- a/mesh/manifest/content.go
+++ b/mesh/manifest/content.go
@@ -7,16 +7,17 @@
 	"fescuehoist.example/mesh/target"
 )
 
-// Body is the content of a service as peers exchange it. Fault is set instead
-// of Service when the platform's object is missing or unreadable; peers pass it
+// Body is the content of a service, or of a group of client accounts, as peers exchange
+// it. Fault is set instead when the platform's object is missing or unreadable; peers pass it
 // on so that every daemon refuses the version for the same reason. Patch is set
 // instead of Service when the receiver has the content that the patch applies
 // to.
 type Body struct {
-	Digest  target.Digest
-	Service *target.Service
-	Patch   *target.Patch
-	Fault   string
+	Digest   target.Digest
+	Service  *target.Service
+	Accounts *target.AccountGroup
+	Patch    *target.Patch
+	Fault    string
 }
 
 // content is a body with the validation problems of its service and the index of its
@@ -52,6 +53,9 @@
 	if b.Fault != "" {
 		return &content{body: Body{Digest: b.Digest, Fault: b.Fault}}, nil
 	}
+	if b.Accounts != nil && b.Accounts.Digest() == b.Digest {
+		return &content{body: *b, problems: b.Accounts.Validate()}, nil
+	}
 	if b.Service == nil || b.Service.Digest() != b.Digest {
 		return nil, fmt.Errorf("%w: the content of body %s is missing or has another digest", ErrIncomplete, b.Digest)
 	}
@@ -62,14 +66,25 @@
 	return c, nil
 }
 
+// name returns the name of the service or account group, or "" for a fault.
+func (b *Body) name() string {
+	switch {
+	case b.Service != nil:
+		return b.Service.Name
+	case b.Accounts != nil:
+		return b.Accounts.Name
+	}
+	return ""
+}
+
 // problemsFor returns the problems that prevent the content from being the
-// configuration of the service.
-func (c *content) problemsFor(service string) []target.Problem {
+// configuration of the service or account group.
+func (c *content) problemsFor(name string) []target.Problem {
 	if c.body.Fault != "" {
-		return []target.Problem{{Service: service, Text: c.body.Fault}}
+		return []target.Problem{{Service: name, Text: c.body.Fault}}
 	}
-	if c.body.Service.Name != service {
-		return []target.Problem{{Service: service, Text: fmt.Sprintf("its body names service %.80q", c.body.Service.Name)}}
+	if found := c.body.name(); found != name {
+		return []target.Problem{{Service: name, Text: fmt.Sprintf("its body names %.80q", found)}}
 	}
 	return c.problems
 }
--- a/mesh/manifest/full.go
+++ b/mesh/manifest/full.go
@@ -11,10 +11,11 @@
 // ApplyFull applies a complete configuration whose version number was assigned
 // by another system, as a change from the known version. It reports whether the
 // version is above the known one. Services that no daemon can name are left out, and
-// recorded as a rejection.
-func (s *Store) ApplyFull(v Version, services []target.Service) (bool, error) {
+// recorded as a rejection; so are the accounts if they have problems, and those of the known
+// version stay.
+func (s *Store) ApplyFull(v Version, services []target.Service, accounts []target.Account) (bool, error) {
 	services, problems := namedServices(services)
-	changed, err := s.applyFull(v, services)
+	changed, err := s.applyFull(v, newBodies(services, accounts))
 	if changed && err == nil && len(problems) > 0 {
 		s.SetRejection(&Refusal{Version: v, Problems: problems, InPart: true})
 	}
@@ -41,13 +42,22 @@
 	return named, problems
 }
 
-func (s *Store) applyFull(v Version, services []target.Service) (bool, error) {
-	bodies := make([]Body, len(services))
-	next := &Table{Version: v, Refs: make([]Ref, len(services))}
+// newBodies returns the contents of services and accounts.
+func newBodies(services []target.Service, accounts []target.Account) []Body {
+	var bodies []Body
 	for i := range services {
-		service := &services[i]
-		bodies[i] = Body{Digest: service.Digest(), Service: service}
-		next.Refs[i] = Ref{Service: service.Name, Digest: bodies[i].Digest}
+		bodies = append(bodies, Body{Digest: services[i].Digest(), Service: &services[i]})
+	}
+	for _, g := range target.GroupAccounts(accounts) {
+		bodies = append(bodies, Body{Digest: g.Digest(), Accounts: &g})
+	}
+	return bodies
+}
+
+func (s *Store) applyFull(v Version, bodies []Body) (bool, error) {
+	next := &Table{Version: v, Refs: make([]Ref, len(bodies))}
+	for i := range bodies {
+		next.Refs[i] = Ref{Service: bodies[i].name(), Digest: bodies[i].Digest}
 	}
 	slices.SortFunc(next.Refs, func(a, b Ref) int { return strings.Compare(a.Service, b.Service) })
 	known := s.Table()
--- a/mesh/manifest/full_test.go
+++ b/mesh/manifest/full_test.go
@@ -34,7 +34,7 @@
 			}
 			for i, sender := range senders {
 				if rapid.Bool().Draw(rt, "applies") || i == 0 {
-					if _, err := sender.ApplyFull(newest, services); err != nil {
+					if _, err := sender.ApplyFull(newest, services, nil); err != nil {
 						rt.Fatal(err)
 					}
 				}
@@ -67,7 +67,7 @@
 		version manifest.Version
 		applied bool
 	}{{5, true}, {3, false}, {5, false}} {
-		applied, err := store.ApplyFull(c.version, []target.Service{newHost("a.example", int(c.version))})
+		applied, err := store.ApplyFull(c.version, []target.Service{newHost("a.example", int(c.version))}, nil)
 		if err != nil || applied != c.applied {
 			t.Errorf("version %d: applied %t, error %v; want only version 5 applied, once", c.version, applied, err)
 		}
@@ -99,7 +99,7 @@
 		{6, []target.Service{newHost("a.example", 6), newHost("b.example", 6), newHost("b.example", 7)}, 6, `service "b.example", name: declared twice`},
 		{9, []target.Service{newHost("a.example", 9), newHost("b.example", 9)}, 9, ""},
 	} {
-		if _, err := store.ApplyFull(step.version, step.hosts); err != nil {
+		if _, err := store.ApplyFull(step.version, step.hosts, nil); err != nil {
 			t.Fatal(err)
 		}
 		snapshot, refusal := store.Snapshot(), store.Refusal()
@@ -126,7 +126,7 @@
 	for _, s := range []*manifest.Store{reader, peer} {
 		s.ApplyByService()
 	}
-	if _, err := reader.ApplyFull(4, []target.Service{newHost("a.example", 4), bad}); err != nil {
+	if _, err := reader.ApplyFull(4, []target.Service{newHost("a.example", 4), bad}, nil); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := peer.ApplyUpdate(reader.UpdateSince(0)); err != nil {
--- a/mesh/manifest/limits.go
+++ b/mesh/manifest/limits.go
@@ -80,7 +80,7 @@
 		touched[r.Service] = true
 	}
 	for _, name := range c.Removed {
-		if !target.ValidHost(name) {
+		if !validRefName(name) {
 			return fmt.Errorf("change %d: invalid service name %.80q", c.Version, name)
 		}
 		if touched[name] {
@@ -91,8 +91,11 @@
 	return nil
 }
 
+// validRefName reports whether a version may have content of this name.
+func validRefName(name string) bool { return target.ValidHost(name) || target.IsAccountGroup(name) }
+
 func (r *Ref) check() error {
-	if !target.ValidHost(r.Service) {
+	if !validRefName(r.Service) {
 		return fmt.Errorf("invalid service name %.80q", r.Service)
 	}
 	if !r.Digest.Valid() {
--- a/mesh/manifest/manifest.go
+++ b/mesh/manifest/manifest.go
@@ -18,8 +18,10 @@
 // the empty configuration.
 type Version uint64
 
-// Ref refers to the content of a service in one version by its digest.
+// Ref refers to the content of a service, or of a group of client accounts, in one version
+// by its digest.
 type Ref struct {
+	// Service names the service or the account group.
 	Service string
 	Digest  target.Digest
 }
--- a/mesh/manifest/snapshot.go
+++ b/mesh/manifest/snapshot.go
@@ -1,11 +1,18 @@
 package manifest
 
-import "fescuehoist.example/mesh/target"
+import (
+	"maps"
+
+	"fescuehoist.example/mesh/target"
+)
 
 // Snapshot is the validated, immutable configuration of one version.
 type Snapshot struct {
 	version  Version
 	services map[string]*content
+	// groups holds the account groups by name, accounts the directory of them all.
+	groups   map[string]*content
+	accounts *target.Accounts
 	// refused holds the services of the version that have no valid content.
 	refused map[string]bool
 }
@@ -21,6 +28,9 @@
 	return nil
 }
 
+// Accounts returns the directory of the client accounts.
+func (s *Snapshot) Accounts() *target.Accounts { return s.accounts }
+
 // Len returns the number of services.
 func (s *Snapshot) Len() int { return len(s.services) }
 
@@ -43,10 +53,14 @@
 func (s *Snapshot) Refused(service string) bool { return s.refused[service] }
 
 // buildSnapshot returns the snapshot of a table and the refusal with all problems of its
-// contents, or nil if there are none. Services with problems keep their content in the
-// snapshot kept; if that is nil, there is no snapshot of a version with problems.
-func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content, kept *Snapshot) (*Snapshot, *Refusal) {
-	s := &Snapshot{version: table.Version, services: make(map[string]*content, len(table.Refs)), refused: map[string]bool{}}
+// contents, or nil if there are none. With keepInvalid, what has problems keeps its content
+// in the earlier snapshot; otherwise there is no snapshot of a version with problems.
+func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content, earlier *Snapshot, keepInvalid bool) (*Snapshot, *Refusal) {
+	var kept *Snapshot
+	if keepInvalid {
+		kept = earlier
+	}
+	s := &Snapshot{version: table.Version, services: make(map[string]*content, len(table.Refs)), groups: map[string]*content{}, refused: map[string]bool{}}
 	var problems []target.Problem
 	for i := range table.Refs {
 		ref := &table.Refs[i]
@@ -56,8 +70,9 @@
 			s.keep(ref.Service, kept)
 			continue
 		}
-		s.services[ref.Service] = c
+		s.set(ref.Service, c)
 	}
+	problems = append(problems, s.buildAccounts(earlier)...)
 	if len(problems) == 0 {
 		return s, nil
 	}
@@ -68,11 +83,47 @@
 	return s, refusal
 }
 
-// keep takes over the content of a service from an earlier snapshot, if that has one.
-func (s *Snapshot) keep(service string, earlier *Snapshot) {
-	if earlier != nil && earlier.services[service] != nil {
-		s.services[service] = earlier.services[service]
+// set adds the content of a service or account group.
+func (s *Snapshot) set(name string, c *content) {
+	if c.body.Accounts != nil {
+		s.groups[name] = c
+		return
+	}
+	s.services[name] = c
+}
+
+// keep takes over the content of a service or account group from an earlier snapshot, if
+// that has one.
+func (s *Snapshot) keep(name string, earlier *Snapshot) {
+	switch {
+	case earlier == nil:
+	case earlier.services[name] != nil:
+		s.services[name] = earlier.services[name]
 		return
+	case earlier.groups[name] != nil:
+		s.groups[name] = earlier.groups[name]
+		return
+	}
+	s.refused[name] = true
+}
+
+// buildAccounts builds the directory of the accounts, or takes that of the earlier snapshot
+// if no group has changed. If the groups contradict each other, all accounts stay as they
+// were.
+func (s *Snapshot) buildAccounts(earlier *Snapshot) []target.Problem {
+	if earlier != nil && maps.Equal(s.groups, earlier.groups) {
+		s.accounts = earlier.accounts
+		return nil
+	}
+	groups := make([]*target.AccountGroup, 0, len(s.groups))
+	for _, c := range s.groups {
+		groups = append(groups, c.body.Accounts)
+	}
+	accounts, problems := target.NewAccounts(groups)
+	if len(problems) > 0 && earlier != nil {
+		s.groups, s.accounts = earlier.groups, earlier.accounts
+		return problems
 	}
-	s.refused[service] = true
+	s.accounts = accounts
+	return problems
 }
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -42,6 +42,8 @@
 	// and replaced at the next one.
 	confirmation Confirmation
 	confirmed    chan struct{}
+	clock        Clock
+	verification Verification
 
 	inForce atomic.Pointer[Snapshot]
 }
@@ -50,7 +52,7 @@
 func NewStore() *Store {
 	empty := &Snapshot{services: map[string]*content{}}
 	store := &Store{known: &Table{}, contents: map[target.Digest]*content{}, newestValid: empty,
-		changed: make(chan struct{}), confirmed: make(chan struct{})}
+		changed: make(chan struct{}), confirmed: make(chan struct{}), clock: monotonicClock()}
 	store.inForce.Store(empty)
 	return store
 }
@@ -268,11 +270,7 @@
 	if n := len(s.changes); n > 0 {
 		editID = s.changes[n-1].EditID
 	}
-	var kept *Snapshot
-	if s.byService {
-		kept = s.newestValid
-	}
-	snapshot, refusal := buildSnapshot(s.known, editID, s.contents, kept)
+	snapshot, refusal := buildSnapshot(s.known, editID, s.contents, s.newestValid, s.byService)
 	s.refusal = refusal
 	if snapshot != nil {
 		s.newestValid = snapshot
--- a/mesh/member/record.go
+++ b/mesh/member/record.go
@@ -83,6 +83,8 @@
 	// Instance is the ID that the backend server gives its current start; empty
 	// if it gives none.
 	Instance string
+	// Release is the version of the backend server's software; empty if it names none.
+	Release string
 	// StoreUnreachable means that the daemon cannot read the platform's store.
 	StoreUnreachable bool
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0 if
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -16,7 +16,8 @@
 	errNoService       = errors.New("the configuration in force has no such service")
 	errServiceRefused  = errors.New("the service's part of the configuration is not valid")
 	errNoClass         = errors.New("method and path match no class of the service")
-	errOutdated        = errors.New("no such route in a configuration that may be outdated")
+	errOutdated        = errors.New("no such route or key in a configuration that may be outdated")
+	errOverAllowance   = errors.New("the client account has used up its allowance")
 	errThrottled       = errors.New("throttled: the servers refuse most calls of this class and client")
 	errMisdirected     = errors.New("the call is addressed to another backend server or service")
 	errStopping        = errors.New("the daemon stops before the call is sure to end")
@@ -52,7 +53,7 @@
 func (p *Inbound) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	answer, err := p.call(ctx, r)
 	if err != nil && p.CallLog != nil {
-		p.CallLog.LogFailure(r, p.Gate.LoadFor(r.ClassName), err)
+		p.CallLog.LogFailure(r, p.Gate.LoadFor(r.Class), err)
 	}
 	return answer, err
 }
@@ -74,7 +75,7 @@
 	if err != nil {
 		ticket.Release()
 		f := asFailure(err)
-		f.Load = p.Gate.LoadFor(r.ClassName)
+		f.Load = p.Gate.LoadFor(r.Class)
 		return nil, f
 	}
 	answer, err := p.Backend.Call(ctx, r)
@@ -82,7 +83,7 @@
 	if err := ticket.End(ctx, err); err != nil {
 		return nil, err
 	}
-	answer.Load = p.Gate.LoadFor(r.ClassName)
+	answer.Load = p.Gate.LoadFor(r.Class)
 	return answer, nil
 }
 
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -39,8 +39,12 @@
 type Outbound struct {
 	Self member.ServerID
 	// Configs is nil if the source of the configuration does not confirm it.
-	Configs     Configs
-	Routes      *route.Router
+	Configs Configs
+	Routes  *route.Router
+	// Accounts and Allowances may be nil: then no call needs a key, or no account has
+	// an allowance.
+	Accounts    Accounts
+	Allowances  Allowances
 	Picker      Picker
 	Unreachable UnreachableServers
 	Retries     Retries
@@ -76,7 +80,7 @@
 	if err != nil {
 		f := *asFailure(err)
 		f.Reason = cmp.Or(f.VerdictReason, f.Reason)
-		f.RetryAfter = retry.RetryAfter(r, &f)
+		f.RetryAfter = cmp.Or(f.RetryAfter, retry.RetryAfter(r, &f))
 		err = &f
 	}
 	p.Observer.ObserveCall(r, time.Since(start), err)
@@ -96,9 +100,43 @@
 }
 
 func (p *Outbound) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if err := classify(p.Routes.Table(), r); err != nil {
+	table := p.Routes.Table()
+	if err := classify(table, r); err != nil {
 		return nil, p.checkOutdated(asFailure(err))
 	}
+	if p.Accounts != nil {
+		if f := p.Accounts.Authorize(r, table); f != nil {
+			return nil, p.checkOutdated(f)
+		}
+	}
+	refund, f := p.admitAccount(r, table)
+	if f != nil {
+		return nil, f
+	}
+	answer, err := p.route(ctx, r)
+	if err != nil && asFailure(err).Verdict == call.NotRun {
+		refund()
+	}
+	return answer, err
+}
+
+// admitAccount counts a call against the allowance of its account.
+func (p *Outbound) admitAccount(r *call.Request, t *route.Table) (refund func(), f *call.Failure) {
+	account := t.Accounts().ByName(r.Account)
+	if p.Allowances == nil || account == nil || !account.Limited() {
+		return func() {}, nil
+	}
+	refund, retryAfter, admitted := p.Allowances.Admit(account)
+	if !admitted {
+		f := call.Refuse(call.OverAllowance, errOverAllowance)
+		f.RetryAfter = retryAfter
+		return nil, f
+	}
+	return refund, nil
+}
+
+// route sends an admitted call to the service that its class names.
+func (p *Outbound) route(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	r.Service = r.Class.Destination(r.Service, rand.Float64())
 	ctx, cancel := context.WithTimeout(ctx, r.Class.Timeout)
 	defer cancel()
@@ -111,11 +149,11 @@
 	return p.Idempotency.Run(ctx, r, p.sendThrottled)
 }
 
-// checkOutdated returns the failure of a call that could not be classified. Whoever
-// asks for a route that a newer configuration may have is told to come back, since
-// "no route" would be final.
+// checkOutdated returns the failure of a call that could not be classified or authorized.
+// Whoever asks for a route, or presents a key, that a newer configuration may have is told
+// to come back, since "no route" and "unauthorized" would be final.
 func (p *Outbound) checkOutdated(f *call.Failure) *call.Failure {
-	if p.Configs == nil || f.Reason != call.NoRoute {
+	if p.Configs == nil || (f.Reason != call.NoRoute && f.Reason != call.Unauthorized) {
 		return f
 	}
 	if c := p.Configs.Confirmation(); c.Number > 0 && time.Since(c.At) < outdatedAge {
@@ -128,11 +166,17 @@
 // key gets here only after its replicas reported no earlier copy, so a NotRun
 // verdict holds for all copies.
 func (p *Outbound) sendThrottled(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if !p.Throttle.Allow(r.Service, r.ClassName, r.Client) {
+	client := r.Client
+	if r.Account != "" {
+		// The calls of one account at one daemon are mostly too few to tell whether
+		// servers refuse them, and allowances bound the large ones.
+		client = ""
+	}
+	if !p.Throttle.Allow(r.Service, r.ClassName, client) {
 		return nil, call.Refuse(call.Overloaded, errThrottled)
 	}
 	answer, err := p.sendWithRetries(ctx, r)
-	p.Throttle.Done(r.Service, r.ClassName, r.Client, !isOverloaded(err))
+	p.Throttle.Done(r.Service, r.ClassName, client, !isOverloaded(err))
 	return answer, err
 }
 
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -2,22 +2,39 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/quarantine"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/target"
 )
 
+// Accounts checks on behalf of which client account a call is made.
+type Accounts interface {
+	// Authorize sets the account of a classified call and removes its key, or returns a
+	// failure with verdict NotRun.
+	Authorize(r *call.Request, t *route.Table) *call.Failure
+}
+
+// Allowances bounds the calls of client accounts over all daemons.
+type Allowances interface {
+	// Admit counts a call of an account that has an allowance. The returned function
+	// takes back the count of a call that did not run. A refused call may be repeated
+	// after the returned time.
+	Admit(a *target.Account) (refund func(), retryAfter time.Duration, admitted bool)
+}
+
 // Gate admits calls to this daemon's backend server.
 type Gate interface {
 	// Enter waits until the call may run. The returned function ends the call
 	// and takes its error. An error of Enter is a *call.Failure with verdict
 	// NotRun.
 	Enter(ctx context.Context, r *call.Request) (func(error), error)
-	// LoadFor returns the load for calls of the named class.
-	LoadFor(class string) call.Load
+	// LoadFor returns the load for calls of a class, which may be nil.
+	LoadFor(class *target.Class) call.Load
 }
 
 // Picker chooses a backend server for each call, based on the outcomes of
--- a/mesh/retry/retry.go
+++ b/mesh/retry/retry.go
@@ -172,7 +172,7 @@
 		return false
 	}
 	switch f.Reason {
-	case call.Canceled, call.Deadline, call.NoRoute, call.BadRequest:
+	case call.Canceled, call.Deadline, call.NoRoute, call.BadRequest, call.Unauthorized, call.OverAllowance:
 		return false
 	}
 	return f.Verdict == call.NotRun || idempotent
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -76,6 +76,9 @@
 // Version returns the configuration version of the routes.
 func (t *Table) Version() manifest.Version { return t.snapshot.Version() }
 
+// Accounts returns the directory of the client accounts.
+func (t *Table) Accounts() *target.Accounts { return t.snapshot.Accounts() }
+
 // Refused reports whether the configuration version has a service of this name whose
 // content is not valid, so that its classes are unknown.
 func (t *Table) Refused(service string) bool { return t.snapshot.Refused(service) }
--- /dev/null
+++ b/mesh/target/account.go
@@ -0,0 +1,209 @@
+package target
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// KeyDigest is the SHA-256 hash of an API key. Keys are kept and compared in this form
+// only, so neither a memory dump nor the time of a comparison tells anything about them.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key []byte) KeyDigest { return sha256.Sum256(key) }
+
+// Account is a client account: on its behalf callers make calls.
+type Account struct {
+	Name string
+	// Keys are the digests of the keys that callers may present.
+	Keys []KeyDigest
+	// Rank orders accounts by urgency, 1 first, before the ranks of classes; 0 leaves the
+	// order to these.
+	Rank int
+	// Rate is the number of requests a second, and Burst the number in addition, that
+	// all daemons together admit. A Rate of 0 means no limit.
+	Rate, Burst float64
+}
+
+// RankFor returns the rank of a call of the account in a class with the given rank. The
+// account's rank takes precedence; calls without an account precede all others, since
+// backend servers make them while they run a request of an account.
+func (a *Account) RankFor(class int) int { return a.Rank*(MaxRank+1) + class }
+
+// Limited reports whether the account has an allowance.
+func (a *Account) Limited() bool { return a.Rate > 0 }
+
+// AccountGroups is the number of groups into which accounts are divided by hash, so that
+// a change of one account sends only its group to the daemons.
+const AccountGroups = 16
+
+// accountGroupPrefix cannot begin the name of a host or service.
+const accountGroupPrefix = "accounts/"
+
+// AccountGroup holds the accounts of one group, sorted by name.
+type AccountGroup struct {
+	// Name identifies the group in a version.
+	Name     string
+	Accounts []Account
+}
+
+// IsAccountGroup reports whether a name is that of an account group.
+func IsAccountGroup(name string) bool {
+	number, found := strings.CutPrefix(name, accountGroupPrefix)
+	return found && len(number) == 2 && number >= "00" && number < fmt.Sprintf("%02d", AccountGroups) && number[1] >= '0' && number[1] <= '9'
+}
+
+// GroupAccounts divides accounts into groups; empty groups are left out.
+func GroupAccounts(accounts []Account) []AccountGroup {
+	var groups [AccountGroups]AccountGroup
+	for i := range accounts {
+		n := xxhash.Sum64String(accounts[i].Name) % AccountGroups
+		groups[n].Name = fmt.Sprintf("%s%02d", accountGroupPrefix, n)
+		groups[n].Accounts = append(groups[n].Accounts, accounts[i])
+	}
+	for i := range groups {
+		slices.SortStableFunc(groups[i].Accounts, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return slices.DeleteFunc(groups[:], func(g AccountGroup) bool { return len(g.Accounts) == 0 })
+}
+
+// Digest returns the SHA-256 hash of the group's fields in hexadecimal.
+func (g *AccountGroup) Digest() Digest {
+	h := NewHasher()
+	h.WriteString(g.Name)
+	h.WriteUint64(uint64(len(g.Accounts)))
+	for i := range g.Accounts {
+		a := &g.Accounts[i]
+		h.WriteString(a.Name)
+		h.WriteUint64(uint64(len(a.Keys)))
+		for k := range a.Keys {
+			h.WriteString(string(a.Keys[k][:]))
+		}
+		h.WriteUint64(uint64(a.Rank))
+		h.WriteUint64(math.Float64bits(a.Rate))
+		h.WriteUint64(math.Float64bits(a.Burst))
+	}
+	return h.Digest()
+}
+
+// MaxAccountNameLength bounds the name of an account, in bytes.
+const MaxAccountNameLength = 128
+
+// Validate returns the problems of the group's accounts.
+func (g *AccountGroup) Validate() []Problem {
+	var problems []Problem
+	for i := range g.Accounts {
+		problems = append(problems, g.Accounts[i].validate()...)
+	}
+	return problems
+}
+
+func (a *Account) validate() []Problem {
+	var problems []Problem
+	add := func(field, format string, args ...any) {
+		problems = append(problems, Problem{Account: fmt.Sprintf("%.80s", a.Name), Field: field, Text: fmt.Sprintf(format, args...)})
+	}
+	if !validAccountName(a.Name) {
+		add("name", "%.80q; write 1 to %d printable characters without spaces", a.Name, MaxAccountNameLength)
+	}
+	if a.Rank < 0 {
+		add("rank", "%d; write 1 (most urgent) or more, or 0 to leave the order to the ranks of classes", a.Rank)
+	}
+	if !(a.Rate >= 0) || math.IsInf(a.Rate, 0) {
+		add("rate", "%g; write a number of requests a second of at least 0", a.Rate)
+	}
+	if !(a.Burst >= 0) || math.IsInf(a.Burst, 0) {
+		add("burst", "%g; write a number of requests of at least 0", a.Burst)
+	}
+	return problems
+}
+
+// validAccountName reports whether a name can be sent in a header field.
+func validAccountName(name string) bool {
+	return name != "" && len(name) <= MaxAccountNameLength && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// Accounts is an immutable directory of the accounts of one version. A nil directory
+// has none.
+type Accounts struct {
+	byKey  map[KeyDigest]*Account
+	byName map[string]*Account
+}
+
+// NewAccounts returns the directory of groups, or problems if a name or key belongs to
+// two accounts.
+func NewAccounts(groups []*AccountGroup) (*Accounts, []Problem) {
+	d := &Accounts{byKey: map[KeyDigest]*Account{}, byName: map[string]*Account{}}
+	var problems []Problem
+	for _, g := range groups {
+		for i := range g.Accounts {
+			problems = append(problems, d.add(&g.Accounts[i])...)
+		}
+	}
+	slices.SortFunc(problems, func(a, b Problem) int {
+		return cmp.Or(strings.Compare(a.Account, b.Account), strings.Compare(a.Text, b.Text))
+	})
+	return d, problems
+}
+
+func (d *Accounts) add(a *Account) []Problem {
+	var problems []Problem
+	if d.byName[a.Name] != nil {
+		problems = append(problems, Problem{Account: a.Name, Field: "name", Text: "declared twice; declare each account once"})
+	}
+	d.byName[a.Name] = a
+	for _, k := range a.Keys {
+		if other := d.byKey[k]; other != nil && other.Name != a.Name {
+			first, second := other.Name, a.Name
+			if bytes.Compare([]byte(first), []byte(second)) > 0 {
+				first, second = second, first
+			}
+			problems = append(problems, Problem{Account: second, Field: "keys", Text: fmt.Sprintf("a key is held by account %q, too; a key must belong to one account", first)})
+		}
+		d.byKey[k] = a
+	}
+	return problems
+}
+
+// ByKey returns the account that holds a key, or nil.
+func (d *Accounts) ByKey(k KeyDigest) *Account {
+	if d == nil {
+		return nil
+	}
+	return d.byKey[k]
+}
+
+// ByName returns the named account, or nil.
+func (d *Accounts) ByName(name string) *Account {
+	if d == nil {
+		return nil
+	}
+	return d.byName[name]
+}
+
+// Len returns the number of accounts. With none, calls need no key.
+func (d *Accounts) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byName)
+}
+
+// Limited calls f for each account with an allowance, in no particular order.
+func (d *Accounts) Limited(f func(*Account)) {
+	if d == nil {
+		return
+	}
+	for _, a := range d.byName {
+		if a.Limited() {
+			f(a)
+		}
+	}
+}
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -30,6 +30,8 @@
 	Timeout time.Duration
 	// Idempotent allows a call to be executed more than once.
 	Idempotent bool
+	// Public means that calls need no key of a client account.
+	Public bool
 	// Internal means that only other services make calls of the class.
 	Internal bool
 	// Notice is how long before a planned slowdown clients are notified.
--- a/mesh/target/diff.go
+++ b/mesh/target/diff.go
@@ -95,6 +95,7 @@
 		{"notice", c.Notice.String()},
 		{"attempts", strconv.Itoa(c.Attempts)},
 		{"parts", formatParts(c.Parts)},
+		{"public", strconv.FormatBool(c.Public)},
 	}
 }
 
--- a/mesh/target/digest.go
+++ b/mesh/target/digest.go
@@ -48,10 +48,11 @@
 	return h.Digest()
 }
 
-// writeSplit adds the attempts and parts of a class only if it declares any, so
-// that classes without them have the same digests as in earlier releases.
+// writeSplit adds the attempts, the parts and whether the class is public only if it
+// declares any of them, so that classes without them have the same digests as in earlier
+// releases.
 func (h *Hasher) writeSplit(c *Class) {
-	if c.Attempts == 0 && len(c.Parts) == 0 {
+	if c.Attempts == 0 && len(c.Parts) == 0 && !c.Public {
 		return
 	}
 	h.WriteUint64(uint64(c.Attempts))
@@ -60,6 +61,9 @@
 		h.WriteString(p.Service)
 		h.WriteUint64(uint64(p.Weight))
 	}
+	if c.Public {
+		h.writeBool(true)
+	}
 }
 
 // hasherBufferSize is the number of bytes that a Hasher buffers before it
--- a/mesh/target/validate.go
+++ b/mesh/target/validate.go
@@ -29,6 +29,8 @@
 	// Service and Class say where the problem is. An empty Service means the
 	// version as a whole, an empty Class the service as a whole.
 	Service, Class string
+	// Account names the client account that has the problem, in place of a service.
+	Account string
 	// Position is the position of the class in its service, from 1; 0 means the
 	// service as a whole.
 	Position int
@@ -48,10 +50,13 @@
 
 // Error returns the problem as one line.
 func (p Problem) Error() string {
-	if p.Service == "" {
+	if p.Service == "" && p.Account == "" {
 		return p.Text
 	}
 	where := "service " + quote(p.Service)
+	if p.Account != "" {
+		where = "account " + quote(p.Account)
+	}
 	if p.Class != "" {
 		where += ", class " + quote(p.Class)
 	}
