--- a/mesh/manifest/content.go
+++ b/mesh/manifest/content.go
@@ -84,7 +84,11 @@
 		return []target.Problem{{Service: name, Text: c.body.Fault}}
 	}
 	if found := c.body.name(); found != name {
-		return []target.Problem{{Service: name, Text: fmt.Sprintf("its body names %.80q", found)}}
+		noun := "service"
+		if c.body.Accounts != nil {
+			noun = "account group"
+		}
+		return []target.Problem{{Service: name, Text: fmt.Sprintf("its body names %s %.80q", noun, found)}}
 	}
 	return c.problems
 }
--- a/mesh/target/account.go
+++ b/mesh/target/account.go
@@ -110,7 +110,9 @@
 	add := func(field, format string, args ...any) {
 		problems = append(problems, Problem{Account: fmt.Sprintf("%.80s", a.Name), Field: field, Text: fmt.Sprintf(format, args...)})
 	}
-	if !validAccountName(a.Name) {
+	if a.Name == "" {
+		add("name", "an account has no name; write 1 to %d printable characters without spaces", MaxAccountNameLength)
+	} else if !validAccountName(a.Name) {
 		add("name", "%.80q; write 1 to %d printable characters without spaces", a.Name, MaxAccountNameLength)
 	}
 	if a.Rank < 0 {
