--- a/fescuehoistd/daemon/call_log.go
+++ b/fescuehoistd/daemon/call_log.go
@@ -39,6 +39,9 @@
 	if f.Err != nil {
 		e = e.WithField("cause", f.Err)
 	}
+	if r.Account != "" {
+		e = e.WithField("account", r.Account)
+	}
 	e.Info("call failed")
 }
 
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -84,6 +84,8 @@
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(o.store.FailedCalls()) }},
 		{Name: "fescuehoist.version.confirmation.age", Unit: "ms", Description: "Age of the latest confirmation that the known configuration version is the newest; no point before the first one.",
 			Read: o.confirmationAge},
+		{Name: "fescuehoist.version.verification.age", Unit: "ms", Description: "Age of the latest proof that the known configuration version was the newest, by a clock that counts suspension; no point before the first one.",
+			Read: o.verificationAge},
 	}
 }
 
@@ -95,6 +97,14 @@
 	return telemetry.SinglePoint(uint64(time.Since(c.At).Milliseconds()))
 }
 
+func (o *objectPlatform) verificationAge() []telemetry.Point {
+	_, age, known := o.d.configs.VerificationAge()
+	if !known {
+		return nil
+	}
+	return telemetry.SinglePoint(uint64(age.Milliseconds()))
+}
+
 func (o *objectPlatform) platformCalls() uint64 { return o.store.Calls() }
 
 func (o *objectPlatform) close() { o.store.Close() }
