Send less between failure domains when daemons start and records change

A daemon without any configuration now waits for a second for one of its own domain; lists to other domains wait 250 ms, and leave out what the peer has sent itself by then. The hello names the failure domain, since a starting daemon has no records to tell it.

--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -15,7 +15,7 @@
 func encode(m gossip.Message) (*peerpb.Frame, error) {
 	switch m := m.(type) {
 	case *gossip.Hello:
-		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version), Advisories: m.Advisories}
+		hello := &peerpb.Hello{From: string(m.From), Mesh: m.Mesh, Version: uint64(m.Version), Advisories: m.Advisories, Domain: m.Domain}
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: hello}}, nil
 	case *gossip.Heartbeat:
 		heartbeat := &peerpb.Heartbeat{Version: uint64(m.Version), Confirmation: m.Confirmation.Number,
@@ -100,7 +100,10 @@
 	if len(in.GetMesh()) > target.MaxNameLength {
 		return nil, fmt.Errorf("mesh name is %d bytes long, want at most %d", len(in.GetMesh()), target.MaxNameLength)
 	}
-	return &gossip.Hello{From: member.ServerID(in.GetFrom()), Mesh: in.GetMesh(), Version: manifest.Version(in.GetVersion()), Advisories: in.GetAdvisories()}, nil
+	if err := checkLength("failure domain", in.GetDomain(), maxName); err != nil {
+		return nil, err
+	}
+	return &gossip.Hello{From: member.ServerID(in.GetFrom()), Mesh: in.GetMesh(), Version: manifest.Version(in.GetVersion()), Advisories: in.GetAdvisories(), Domain: in.GetDomain()}, nil
 }
 
 func encodeRecords(records []member.Record) []*peerpb.Record {
--- a/adapters/peergrpc/contract_test.go
+++ b/adapters/peergrpc/contract_test.go
@@ -201,7 +201,7 @@
 		Bodies:  []manifest.Body{{Digest: s.Digest(), Service: s}, {Digest: "d", Fault: "missing"}},
 	}
 	return []gossip.Message{
-		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3, Advisories: true}, &gossip.Heartbeat{Version: 4},
+		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3, Advisories: true, Domain: "cairo-a"}, &gossip.Heartbeat{Version: 4},
 		&gossip.Heartbeat{Version: 4, Confirmation: gossip.Confirmation{Number: 7, Revision: 19, Age: 300 * time.Millisecond}},
 		&gossip.Records{Records: []member.Record{record}, FromAntiEntropy: true},
 		&gossip.Configuration{Update: update}, &gossip.Have{Versions: versions},
--- a/mesh/gossip/antientropy.go
+++ b/mesh/gossip/antientropy.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
+	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/wait"
 )
@@ -18,9 +20,23 @@
 	p.initiating = true
 	p.antiEntropyTimer = time.AfterFunc(n.cfg.AntiEntropyTimeout, p.link.Close)
 	p.mu.Unlock()
-	return p.link.Send(&Root{Hash: n.table.Root(), Version: n.configs.KnownVersion()})
+	return p.link.Send(&Root{Hash: n.table.Root(), Version: n.requestedVersion(p)})
 }
 
+// requestedVersion returns the version after which the peer is asked for configuration in
+// an anti-entropy exchange. A daemon without any asks no peer of another failure domain: it
+// pulls there after FarConfigDelay what it has not received until then.
+func (n *Node) requestedVersion(p *peer) manifest.Version {
+	known := n.configs.KnownVersion()
+	if known == 0 && !n.isNear(p) {
+		return noVersionRequested
+	}
+	return known
+}
+
+// noVersionRequested is not below the version of any peer.
+const noVersionRequested = manifest.Version(math.MaxUint64)
+
 // endAntiEntropy releases initiatorSlot and reports when the next exchange with
 // the peer is due.
 func (n *Node) endAntiEntropy(p *peer, busy bool) {
--- a/mesh/gossip/config.go
+++ b/mesh/gossip/config.go
@@ -38,6 +38,13 @@
 	// BatchInterval is the minimum time between two batches of updates on a
 	// stream.
 	BatchInterval time.Duration
+	// FarAdviceInterval is the minimum time between two lists of record versions on a lazy
+	// stream to another failure domain. Most records reach the peer over other streams
+	// meanwhile, and their versions are then not sent.
+	FarAdviceInterval time.Duration
+	// FarConfigDelay is how long a daemon without any configuration waits for one from its
+	// own failure domain before it pulls the whole from another.
+	FarConfigDelay time.Duration
 	// GraftDelay is how long a daemon that received a version on one stream
 	// waits for the content on another before it pulls it.
 	GraftDelay time.Duration
@@ -75,6 +82,8 @@
 		RejoinInterval:          2 * time.Second,
 		RejoinFleetSize:         100,
 		BatchInterval:           20 * time.Millisecond,
+		FarAdviceInterval:       250 * time.Millisecond,
+		FarConfigDelay:          time.Second,
 		GraftDelay:              100 * time.Millisecond,
 		AntiEntropyInterval:     30 * time.Second,
 		AntiEntropyTimeout:      30 * time.Second,
--- a/mesh/gossip/confirmation.go
+++ b/mesh/gossip/confirmation.go
@@ -18,6 +18,15 @@
 	return h
 }
 
+// sendConfirmation sends a heartbeat with the latest confirmation unless the peer has it.
+func (n *Node) sendConfirmation(p *peer, next *time.Ticker) error {
+	if n.configs.Confirmation().Number <= p.confirmationNumber() {
+		return nil
+	}
+	next.Reset(n.cfg.HeartbeatInterval)
+	return p.link.Send(n.heartbeat(p))
+}
+
 // receiveConfirmation records the confirmation in a heartbeat.
 func (n *Node) receiveConfirmation(p *peer, m *Heartbeat) {
 	c := m.Confirmation
--- a/mesh/gossip/gossiptest/network.go
+++ b/mesh/gossip/gossiptest/network.go
@@ -30,6 +30,7 @@
 	mu          sync.Mutex
 	listeners   map[string]listener
 	partitioned func(from, to string) bool
+	observer    func(from, to string, m gossip.Message)
 	reorderRand *rand.Rand
 	dials       int
 	messages    int
@@ -52,6 +53,14 @@
 	n.partitioned = partitioned
 }
 
+// SetObserver sets a function that is called, one call at a time, for each message that
+// is sent.
+func (n *Network) SetObserver(observe func(from, to string, m gossip.Message)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.observer = observe
+}
+
 // Reorder lets messages overtake earlier ones that are still queued, at random
 // with the given seed.
 func (n *Network) Reorder(seed uint64) {
@@ -179,6 +188,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.messages++
+	if n.observer != nil {
+		n.observer(l.from, l.to, m)
+	}
 	if n.partitioned != nil && n.partitioned(l.from, l.to) {
 		return nil
 	}
--- a/mesh/gossip/message.go
+++ b/mesh/gossip/message.go
@@ -28,6 +28,8 @@
 	Version manifest.Version
 	// Advisories means that the sender accepts advisories.
 	Advisories bool
+	// Domain is the sender's failure domain; daemons of earlier releases leave it empty.
+	Domain string
 }
 
 // Advisories carries advisories that the receiver may be missing. The first one of a stream,
--- a/mesh/gossip/peer.go
+++ b/mesh/gossip/peer.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,10 @@
 	link Link
 	// acceptsAdvisories is false for a daemon of an earlier release.
 	acceptsAdvisories bool
+	// domain is the peer's failure domain, empty if it did not name one.
+	domain string
+	// adviceInterval is the minimum time between two lists of versions.
+	adviceInterval time.Duration
 
 	mu sync.Mutex
 	// lazy means that the peer is sent only the versions of updates.
@@ -27,6 +33,8 @@
 	// records and versions hold the updates to send.
 	records  map[member.ServerID]member.Record
 	versions map[member.ServerID]member.Version
+	// versionsDue is when queued versions are sent; it is zero while there are none.
+	versionsDue time.Time
 	// replies holds all other messages, which are sent before the updates.
 	replies []Message
 	// missing holds the versions of records that the peer has and this daemon
@@ -93,7 +101,24 @@
 		}
 		p.records[r.Server] = *r
 	}
-	signal(p.wake)
+	p.scheduleVersions()
+	if len(p.records) > 0 {
+		signal(p.wake)
+	}
+}
+
+// scheduleVersions sets when the queued versions are sent. It must be called with p.mu
+// held.
+func (p *peer) scheduleVersions() {
+	if len(p.versions) == 0 || !p.versionsDue.IsZero() {
+		return
+	}
+	p.versionsDue = time.Now().Add(p.adviceInterval)
+	if p.adviceInterval == 0 {
+		signal(p.wake)
+		return
+	}
+	time.AfterFunc(p.adviceInterval, func() { signal(p.wake) })
 }
 
 // dropReceived drops queued updates that the peer has sent itself.
@@ -150,9 +175,9 @@
 	signal(p.missingAdded)
 }
 
-// takeMissing removes and returns the versions of records and of the
-// configuration that were received before a time, and whether later ones remain.
-func (p *peer) takeMissing(before time.Time) (versions []member.Version, config manifest.Version, more bool) {
+// takeMissing removes and returns the versions of records, and that of the configuration,
+// that were received before the given times, and whether later ones remain.
+func (p *peer) takeMissing(before, configBefore time.Time) (versions []member.Version, config manifest.Version, more bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, a := range p.missing {
@@ -161,7 +186,7 @@
 			delete(p.missing, id)
 		}
 	}
-	if p.missingConfig > 0 && p.missingConfigAt.Before(before) {
+	if p.missingConfig > 0 && p.missingConfigAt.Before(configBefore) {
 		config, p.missingConfig = p.missingConfig, 0
 	}
 	return versions, config, len(p.missing) > 0 || p.missingConfig > 0
@@ -219,12 +244,8 @@
 	for _, r := range p.records {
 		records = append(records, r)
 	}
-	versions := make([]member.Version, 0, len(p.versions))
-	for _, v := range p.versions {
-		versions = append(versions, v)
-	}
+	versions := p.takeVersions()
 	clear(p.records)
-	clear(p.versions)
 	replies = p.replies
 	p.replies = nil
 	updates = recordMessages(records, false)
@@ -236,6 +257,18 @@
 	return updates, replies
 }
 
+// takeVersions removes and returns the queued versions once they are due. It must be called
+// with p.mu held.
+func (p *peer) takeVersions() []member.Version {
+	if time.Now().Before(p.versionsDue) {
+		return nil
+	}
+	p.versionsDue = time.Time{}
+	versions := slices.Collect(maps.Values(p.versions))
+	clear(p.versions)
+	return versions
+}
+
 func recordMessages(records []member.Record, fromAntiEntropy bool) []Message {
 	var messages []Message
 	for len(records) > 0 {
--- a/mesh/gossip/stream.go
+++ b/mesh/gossip/stream.go
@@ -59,7 +59,7 @@
 }
 
 func (n *Node) handshake(p *peer) error {
-	if err := p.link.Send(&Hello{From: n.self, Mesh: n.cfg.Mesh, Version: n.configs.KnownVersion(), Advisories: n.Advisories != nil}); err != nil {
+	if err := p.link.Send(&Hello{From: n.self, Mesh: n.cfg.Mesh, Version: n.configs.KnownVersion(), Advisories: n.Advisories != nil, Domain: n.domain}); err != nil {
 		return fmt.Errorf("handshake: %w", err)
 	}
 	m, err := p.link.Recv()
@@ -77,6 +77,10 @@
 		return errSelf
 	}
 	p.id, p.knownVersion, p.acceptsAdvisories = hello.From, hello.Version, hello.Advisories
+	p.domain = hello.Domain
+	if !n.isNear(p) {
+		p.adviceInterval = n.cfg.FarAdviceInterval
+	}
 	n.configs.ObserveVersion(string(hello.From), hello.Version)
 	return nil
 }
@@ -240,6 +244,10 @@
 	defer graftTimer.Stop()
 	graftScheduled, antiEntropyDue := true, false
 	var lastFlush time.Time
+	// A confirmation that came before this loop signals nothing in it.
+	if err := n.sendConfirmation(p, heartbeat); err != nil {
+		return err
+	}
 	for {
 		changed, confirmed := n.configs.Changed(), n.configs.Confirmed()
 		sent, err := n.flush(p)
@@ -271,10 +279,7 @@
 		case <-heartbeat.C:
 			err = p.link.Send(n.heartbeat(p))
 		case <-confirmed:
-			if n.configs.Confirmation().Number > p.confirmationNumber() {
-				heartbeat.Reset(n.cfg.HeartbeatInterval)
-				err = p.link.Send(n.heartbeat(p))
-			}
+			err = n.sendConfirmation(p, heartbeat)
 		case <-antiEntropyTimer.C:
 			antiEntropyDue = true
 			n.pullFaulty(p)
@@ -298,7 +303,8 @@
 	if n.configs.KnownVersion() == 0 && len(n.initiatorSlot) > 0 {
 		return true
 	}
-	versions, version, more := p.takeMissing(time.Now().Add(-n.cfg.GraftDelay / 2))
+	now := time.Now()
+	versions, version, more := p.takeMissing(now.Add(-n.cfg.GraftDelay/2), now.Add(-n.configGraftDelay(p)))
 	known := n.configs.KnownVersion()
 	pull := &Pull{Graft: true, Version: known, Configure: version > known}
 	for i := range versions {
@@ -363,8 +369,21 @@
 	return nil
 }
 
+// configGraftDelay returns how long this daemon waits before it pulls a configuration
+// version that the peer has. A daemon without any configuration would pull all of it, which
+// is cheaper from a peer in its own failure domain.
+func (n *Node) configGraftDelay(p *peer) time.Duration {
+	if n.configs.KnownVersion() == 0 && !n.isNear(p) {
+		return n.cfg.FarConfigDelay
+	}
+	return n.cfg.GraftDelay / 2
+}
+
 // isNear reports whether the peer is in this daemon's failure domain.
 func (n *Node) isNear(p *peer) bool {
+	if p.domain != "" {
+		return p.domain == n.domain
+	}
 	r, known := n.table.Get(p.id)
 	return known && r.Domain == n.domain
 }
