--- a/mesh/configwatch/readers.go
+++ b/mesh/configwatch/readers.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fescuehoist.example/mesh/member"
 )
 
@@ -33,7 +31,7 @@
 		if m.Server == w.self || m.Terminal() || m.Health != member.Alive {
 			continue
 		}
-		precedesOwn := precedes(m, &own)
+		precedesOwn := member.Precedes(m, &own)
 		if precedesOwn {
 			r.confirming = false
 		}
@@ -44,7 +42,7 @@
 		if precedesOwn {
 			r.rank.position++
 		}
-		if precedes(m, first) {
+		if member.Precedes(m, first) {
 			first = m
 		}
 	}
@@ -52,17 +50,6 @@
 	return r
 }
 
-// precedes reports whether daemon a is before b in the order of readers.
-func precedes(a, b *member.Record) bool {
-	switch {
-	case a.StoreUnreachable != b.StoreUnreachable:
-		return b.StoreUnreachable
-	case a.LinkMbps != b.LinkMbps:
-		return a.LinkMbps > b.LinkMbps
-	}
-	return xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server))
-}
-
 // watchTimeout returns how long a call of this daemon waits for a change.
 func (r *roles) watchTimeout(cfg *Config) time.Duration {
 	if r.confirming {
