Count the requests of accounts and decide on their limits

mesh/allowance counts requests in slices of the window and decides as a token bucket over these sums; mesh/collect adds the counts up in two levels and carries decisions and the age of the configuration back. Not wired in yet.

--- /dev/null
+++ b/mesh/collect/decide.go
@@ -0,0 +1,137 @@
+package collect
+
+import (
+	"errors"
+	"time"
+
+	"fescuehoist.example/mesh/allowance"
+)
+
+// ErrNotCollecting means that a daemon cannot decide, since the configuration that it
+// has gives it nothing to decide on.
+var ErrNotCollecting = errors.New("nothing is collected in the configuration in force here")
+
+const (
+	// settleTime is the time for which a new collector waits for the reports of others
+	// before it decides.
+	settleTime = 300 * time.Millisecond
+	// forwardLifetime is the age up to which a decision of the fleet's collector is passed
+	// on within a failure domain.
+	forwardLifetime = 400 * time.Millisecond
+)
+
+// decideForFleet makes the decisions of the fleet's collector.
+func (c *Collector) decideForFleet(now time.Duration) {
+	c.mu.Lock()
+	if now-max(c.fleetSince, c.summingSince) < settleTime {
+		c.mu.Unlock()
+		return
+	}
+	t := sum(now, c.daemons, c.sums)
+	c.mu.Unlock()
+	reply := c.decide(t)
+	reply.Fleet = true
+	if c.Judge != nil {
+		c.Judge.Observe(t.releases)
+		reply.Directions = c.Judge.Directions()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decided, c.decidedAt = reply, now
+	c.limited.record(reply.Limits)
+}
+
+// decide returns the limits for the daemons in a sum.
+func (c *Collector) decide(t *total) *Reply {
+	reply := &Reply{Daemons: t.coverage.Daemons}
+	t.coverage.All = max(c.FleetSize(), 1)
+	accounts := c.configs.Snapshot().Accounts()
+	for name, n := range t.accounts {
+		a := accounts.ByName(name)
+		if a == nil || !a.Limited() {
+			continue
+		}
+		if l, needed := allowance.Decide(a, c.cfg.Window, &t.coverage, n); needed {
+			reply.Limits = append(reply.Limits, l)
+		}
+	}
+	return reply
+}
+
+// Receive records a report of another daemon and returns the latest decision for it, or
+// ErrNotCollecting.
+func (c *Collector) Receive(r *Report) (*Reply, error) {
+	if interval, _ := c.interval(); interval == 0 {
+		return nil, ErrNotCollecting
+	}
+	now := c.configs.Now()
+	var reply Reply
+	if r.Sum {
+		c.record(c.sums, &c.summingSince, r, now)
+		reply = *c.sumReply(now)
+	} else {
+		c.record(c.daemons, &c.collectingSince, r, now)
+		reply = *c.ownReply(now)
+	}
+	if v, age, known := c.configs.VerificationAge(); known {
+		reply.Verified, reply.Version, reply.VerificationAge = true, v, age
+	}
+	return &reply, nil
+}
+
+// record adds a report to a book. The time since which reports arrive starts again after a
+// time without any.
+func (c *Collector) record(b *book, since *time.Duration, r *Report, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.inTouch(now, c.self) == 0 {
+		*since = now
+	}
+	b.put(r, now)
+}
+
+// ownReply returns the decision for the daemons of the own failure domain: that of the
+// fleet's collector, or one for their part of the limits if it is not recent.
+func (c *Collector) ownReply(now time.Duration) *Reply {
+	if r := c.fleetDecision(now); r != nil {
+		return r
+	}
+	return c.decidePart(now, &c.collectingSince, c.daemons)
+}
+
+// sumReply returns the decision for the failure domains that report to this daemon. If it
+// is not the fleet's collector, they get their part of the limits.
+func (c *Collector) sumReply(now time.Duration) *Reply {
+	if r := c.fleetDecision(now); r != nil && c.collectsForFleet() {
+		return r
+	}
+	return c.decidePart(now, &c.summingSince, c.sums)
+}
+
+// fleetDecision returns the decision of the fleet's collector, or nil if it is not recent.
+func (c *Collector) fleetDecision(now time.Duration) *Reply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.decided == nil || !c.decided.Fleet || now-c.decidedAt >= forwardLifetime {
+		return nil
+	}
+	return c.decided
+}
+
+func (c *Collector) collectsForFleet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isFleet
+}
+
+// decidePart decides for the daemons in a book, once these had time to report.
+func (c *Collector) decidePart(now time.Duration, since *time.Duration, b *book) *Reply {
+	c.mu.Lock()
+	if now-*since < settleTime {
+		c.mu.Unlock()
+		return &Reply{Undecided: true}
+	}
+	t := sum(now, b)
+	c.mu.Unlock()
+	return c.decide(t)
+}
--- a/mesh/target/account.go
+++ b/mesh/target/account.go
@@ -135,6 +135,8 @@
 type Accounts struct {
 	byKey  map[KeyDigest]*Account
 	byName map[string]*Account
+	// limited is the number of accounts with an allowance.
+	limited int
 }
 
 // NewAccounts returns the directory of groups, or problems if a name or key belongs to
@@ -159,6 +161,9 @@
 		problems = append(problems, Problem{Account: a.Name, Field: "name", Text: "declared twice; declare each account once"})
 	}
 	d.byName[a.Name] = a
+	if a.Limited() {
+		d.limited++
+	}
 	for _, k := range a.Keys {
 		if other := d.byKey[k]; other != nil && other.Name != a.Name {
 			first, second := other.Name, a.Name
@@ -196,6 +201,9 @@
 	return len(d.byName)
 }
 
+// HasLimited reports whether an account has an allowance.
+func (d *Accounts) HasLimited() bool { return d != nil && d.limited > 0 }
+
 // Limited calls f for each account with an allowance, in no particular order.
 func (d *Accounts) Limited(f func(*Account)) {
 	if d == nil {
