Wire collection and allowances into the daemon

Reports travel on one gRPC stream for each collector, on the listener of the peer streams. With accounts.revoke_within a daemon asks the source itself once its verification is two fifths of that age old, under the back-off of its checks.

--- a/Makefile
+++ b/Makefile
@@ -69,3 +69,4 @@
 generate:
 	tools/generate.sh adapters/peergrpc/peerpb/peer.proto adapters/peergrpc/peerpb
 	tools/generate.sh adapters/statusgrpc/statuspb/status.proto adapters/statusgrpc/statuspb
+	tools/generate.sh adapters/collectgrpc/collectpb/collect.proto adapters/collectgrpc/collectpb
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"fescuehoist.example/adapters/backendhttp"
 	"fescuehoist.example/adapters/boottime"
 	"fescuehoist.example/adapters/callhttp"
+	"fescuehoist.example/adapters/collectgrpc"
 	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/adapters/peergrpc"
 	"fescuehoist.example/adapters/settings"
@@ -147,6 +148,7 @@
 	traffic           *peergrpc.Traffic
 	meter             *status.Meter
 	stops             *stop.Executor
+	collection        *collection
 	replicas          *idempotency.Replicas
 	ledger            *idempotency.Ledger
 	idempotency       *idempotency.Runner
@@ -215,6 +217,7 @@
 	d.announcer = announce.New(own, d.node, d.backend, d.gate, d.advisories, s.AnnounceLifetime)
 	d.meter = status.NewMeter()
 	d.stops = stop.NewExecutor(self, s.Domain, d.announcer, d.partLogger("stop"))
+	d.buildCollection(self)
 	if s.API == settings.Objects {
 		d.platformAdapter = newObjectPlatform(d)
 		return
@@ -235,7 +238,8 @@
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
 	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
-		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin}, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
+		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin},
+		Allowances: d.collection.counter, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
 		Idempotency: d.idempotency, Remote: d.forwarder, Local: d.inbound, Observer: observers{d.metrics, d.meter, calls},
 	}
@@ -297,12 +301,14 @@
 		return (&stateLog{logger: d.partLogger("belief"), configs: d.configs, members: d.members}).run(controlCtx)
 	})
 	g.Go(func() error { return d.router.Run(controlCtx) })
+	g.Go(func() error { return d.collection.collector.Run(controlCtx) })
 	g.Go(func() error { return d.cfg.Policy.Unreachable.Run(controlCtx, d.forwarder) })
 	g.Go(func() error { return d.replicas.Run(controlCtx, d.idempotency.ReplicateTo) })
 	g.Go(func() error {
 		server := peergrpc.NewServer(d.node, d.transport.serverCredentials)
 		server.Traffic = d.traffic
-		return server.Run(controlCtx, d.listeners.Peers, d.platformAdapter.services()...)
+		collector := &collectgrpc.Server{Receiver: d.collection.collector}
+		return server.Run(controlCtx, d.listeners.Peers, append(d.platformAdapter.services(), collector)...)
 	})
 	g.Go(func() error { return d.stops.Run(controlCtx) })
 	g.Go(func() error { return d.admin().Run(controlCtx, d.listeners.Admin) })
@@ -437,6 +443,7 @@
 	d.idempotency.Wait()
 	d.forwarder.Close()
 	d.backend.Close()
+	d.collection.client.Close()
 	d.platformAdapter.close()
 	_ = d.metrics.Close(context.Background())
 }
--- a/fescuehoistd/daemon/native_platform.go
+++ b/fescuehoistd/daemon/native_platform.go
@@ -51,6 +51,9 @@
 
 func (n *nativePlatform) dialect() callhttp.Dialect { return callhttp.Native{} }
 
+// registered returns the number of seeds and this daemon.
+func (n *nativePlatform) registered() int { return 1 + len(n.d.cfg.Settings.Seeds) }
+
 func (n *nativePlatform) services() []peergrpc.Service {
 	return []peergrpc.Service{&statusgrpc.Server{Receiver: n.collector}}
 }
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -37,6 +37,7 @@
 	o := &objectPlatform{d: d, store: platform.NewStore(s.Platform, d.transport.dialPlatform)}
 	o.store.OnMalformed(d.logMalformed)
 	d.configs.ApplyByService()
+	d.cfg.ConfigWatch.VerifyAge = s.Accounts.RevokeWithin * 2 / 5
 	o.watcher = configwatch.New(d.cfg.ConfigWatch, self, s.Domain, &platform.ConfigurationSource{Store: o.store},
 		d.members, d.configs, d.announcer, d.partLogger("feed"))
 	logger := d.partLogger("discover")
@@ -70,6 +71,9 @@
 
 func (o *objectPlatform) dialect() callhttp.Dialect { return platform.Dialect{} }
 
+// registered returns the number of daemons in the platform's store as last read.
+func (o *objectPlatform) registered() int { return o.discovery.Registered() }
+
 func (o *objectPlatform) services() []peergrpc.Service { return nil }
 
 func (o *objectPlatform) joinQuorum() int { return 0 }
--- a/fescuehoistd/daemon/platform_adapter.go
+++ b/fescuehoistd/daemon/platform_adapter.go
@@ -21,6 +21,9 @@
 	// services returns the gRPC services offered to other daemons in addition to
 	// the peer protocol.
 	services() []peergrpc.Service
+	// registered returns the number of daemons that a starting daemon knows of before it
+	// has connected to any, itself included.
+	registered() int
 	// joinQuorum returns the number of peers that must have reported a configuration
 	// version before a starting daemon puts one in force.
 	joinQuorum() int
--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -77,6 +77,8 @@
 	decided   *Reply
 	decidedAt time.Duration
 	limited   limitedLog
+	// answered and failed count the reports of this daemon.
+	answered, failed uint64
 }
 
 // reported names the receiver of reports of one kind.
@@ -228,6 +230,7 @@
 		return nil
 	}
 	c.recordAttempt(to.Server, err == nil)
+	c.countReport(err == nil)
 	if err != nil {
 		c.reported = reported{}
 		return nil
@@ -238,6 +241,16 @@
 	return reply
 }
 
+func (c *Collector) countReport(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answered {
+		c.answered++
+		return
+	}
+	c.failed++
+}
+
 // ownReport returns the counts of this daemon.
 func (c *Collector) ownReport(whole bool) *Report {
 	r := &Report{From: c.self, Daemons: 1, Present: c.counter.Present(), Whole: whole, Accounts: c.counter.Counts(whole)}
@@ -273,16 +286,19 @@
 	Domain, Fleet member.ServerID
 	// Daemons is the number of daemons that the latest decision rests on.
 	Daemons int
+	// Answered and Failed count the reports that this daemon sent.
+	Answered, Failed uint64
 }
 
 // Status returns the current status.
 func (c *Collector) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.decided == nil {
-		return Status{}
+	s := Status{Answered: c.answered, Failed: c.failed}
+	if c.decided != nil {
+		s.Domain, s.Fleet, s.Daemons = c.nameOf(c.roles.domain), c.nameOf(c.roles.fleet), c.decided.Daemons
 	}
-	return Status{Domain: c.nameOf(c.roles.domain), Fleet: c.nameOf(c.roles.fleet), Daemons: c.decided.Daemons}
+	return s
 }
 
 func (c *Collector) nameOf(r *member.Record) member.ServerID {
--- a/mesh/configwatch/config.go
+++ b/mesh/configwatch/config.go
@@ -19,6 +19,10 @@
 	// it in the order of readers, up to CheckSpread, so that the confirmation that
 	// the first ones receive saves the others theirs.
 	CheckStep, CheckSpread time.Duration
+	// VerifyAge is the age of the verification of the configuration at which a daemon
+	// asks the source itself while there are client accounts; 0 means never. The calls of
+	// readers that wait for a change end after it, too.
+	VerifyAge time.Duration
 	// CheckWait is how long the call of a check waits for a change.
 	CheckWait time.Duration
 	// CallTimeout bounds a call, in addition to the time that it waits for a
--- a/mesh/configwatch/follow.go
+++ b/mesh/configwatch/follow.go
@@ -35,15 +35,38 @@
 // confirmation arrives.
 func (w *Watcher) nextCheck(r rank) time.Time {
 	due := w.configs.Confirmation().At.Add(w.cfg.CheckAge)
+	if verify := w.nextVerification(); w.verifies() && verify.Before(due) {
+		due = verify
+	}
 	if due.Before(w.checkAfter) {
 		due = w.checkAfter
 	}
 	return due.Add(min(time.Duration(r.position)*w.cfg.CheckStep, w.cfg.CheckSpread))
 }
 
+// verifies reports whether the daemon has to know how old its configuration may be, to
+// refuse revoked keys of client accounts.
+func (w *Watcher) verifies() bool {
+	return w.cfg.VerifyAge > 0 && w.configs.Snapshot().Accounts().Len() > 0
+}
+
+// nextVerification returns the time at which the verification gets too old.
+func (w *Watcher) nextVerification() time.Time {
+	due := time.Now()
+	if _, age, known := w.configs.VerificationAge(); known {
+		due = due.Add(w.cfg.VerifyAge - age)
+	}
+	if due.Before(w.verifyAfter) {
+		return w.verifyAfter
+	}
+	return due
+}
+
 // check asks the source whether the known configuration is current.
 func (w *Watcher) check(ctx context.Context, r rank) {
 	confirmed := w.configs.Confirmation().At
+	// A configuration that cannot be applied is not verified by any number of checks.
+	w.verifyAfter = time.Now().Add(w.cfg.VerifyAge)
 	err := w.callSource(ctx, w.cfg.CheckWait)
 	if err == nil {
 		w.checkDelay.Reset()
--- a/mesh/configwatch/readers.go
+++ b/mesh/configwatch/readers.go
@@ -51,9 +51,12 @@
 }
 
 // watchTimeout returns how long a call of this daemon waits for a change.
-func (r *roles) watchTimeout(cfg *Config) time.Duration {
-	if r.confirming {
-		return cfg.ConfirmInterval
+func (w *Watcher) watchTimeout(r *roles) time.Duration {
+	switch {
+	case r.confirming:
+		return w.cfg.ConfirmInterval
+	case w.verifies():
+		return min(w.cfg.WatchTimeout, w.cfg.VerifyAge)
 	}
-	return cfg.WatchTimeout
+	return w.cfg.WatchTimeout
 }
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -96,7 +96,9 @@
 	// checkAfter is the earliest time of the next check of the source; before the
 	// first confirmation it counts from the start.
 	checkAfter time.Time
-	checkDelay *backoff.ExponentialBackOff
+	// verifyAfter is the earliest time of a check for the age of the verification alone.
+	verifyAfter time.Time
+	checkDelay  *backoff.ExponentialBackOff
 }
 
 // New returns a Watcher; Run starts it.
@@ -128,7 +130,7 @@
 			continue
 		}
 		start := time.Now()
-		if w.read(ctx, roles.watchTimeout(&w.cfg)) {
+		if w.read(ctx, w.watchTimeout(&roles)) {
 			delay.Reset()
 			_ = wait.For(ctx, w.cfg.MinReadInterval-time.Since(start))
 			continue
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -120,6 +121,8 @@
 	// own failure domain.
 	listed    chan struct{}
 	neighbors int
+	// registered is the number of entries that were last listed.
+	registered atomic.Int64
 }
 
 // New returns a finder; Run starts it.
@@ -140,6 +143,10 @@
 	}
 }
 
+// Registered returns the number of daemons that the registry named when it was last read,
+// 0 before that.
+func (f *Finder) Registered() int { return int(f.registered.Load()) }
+
 // Run registers the daemon, adds registered daemons as contacts, and does so again
 // whenever the daemon has no open stream, until ctx ends. The entry is written
 // before the others are read, so that of two daemons that start at the same time
@@ -329,6 +336,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.registered.Store(int64(len(entries)))
 	for _, e := range entries {
 		if e.Server == f.self.Server {
 			f.advisories.Restore(e.Advisories)
