Grant large bodies before they are sent over a narrow link

Uploads of 60 kB took a host's link of 10 Mbit/s for 48 ms each, several at once, and short requests of the same hosts waited behind them in a queue that no admission gate saw.

A daemon that forwards a body above 8 KB to a host with a known limits.link_mbps now sends the head with "Expect: 100-continue" and the body once the daemon there asks for it. mesh/link decides: at most 40 ms of bodies, or one larger one, are on their way; others wait by rank and time left; a body that cannot arrive and be worked on in time is refused at once, not run. The wait travels with the load, and the picker adds it and the time of the body to the cost of a server. Unknown links are not bounded.

--- a/adapters/callhttp/handler.go
+++ b/adapters/callhttp/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/mesh/call"
 )
 
@@ -24,6 +25,8 @@
 	Dialect Dialect
 	// Origin is the service of the backend server beside this daemon.
 	Origin string
+	// Bodies may be nil.
+	Bodies Bodies
 }
 
 // Handle makes the call that a request describes and writes its answer or
@@ -69,6 +72,9 @@
 	// Control handles control messages; if nil, they are refused as malformed
 	// calls.
 	Control *ControlHandler
+	// Bodies decides about the large bodies of forwarded calls. If it is nil, all are
+	// read at once.
+	Bodies Bodies
 }
 
 var errOtherMesh = errors.New("request is addressed to another mesh")
@@ -91,6 +97,7 @@
 		writeFailure(call.Refuse(call.BadRequest, err), resp)
 		return
 	}
+	timeout = addArrivalTime(r, timeout, httpconn.HeadTime(ctx))
 	answer, err := callWithTimeout(ctx, timeout, h.Handler, r)
 	if err != nil {
 		f := toFailure(err)
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -211,8 +211,14 @@
 	return depth, nil
 }
 
+// formatLoad encodes a load. The wait for the link, in milliseconds, is left out if it is
+// below one; earlier releases ignore it.
 func formatLoad(l call.Load) string {
-	return fmt.Sprintf("%d %d %d %d", l.Running, l.Queued, l.Limit, l.ServiceTime.Microseconds())
+	text := fmt.Sprintf("%d %d %d %d", l.Running, l.Queued, l.Limit, l.ServiceTime.Microseconds())
+	if l.LinkWait < time.Millisecond {
+		return text
+	}
+	return text + " " + strconv.FormatInt(l.LinkWait.Milliseconds(), 10)
 }
 
 func parseLoad(text string) call.Load {
@@ -225,8 +231,13 @@
 		}
 		numbers[i], text = n, rest
 	}
+	linkWait, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		linkWait = 0
+	}
 	return call.Load{
 		Running: numbers[0], Queued: numbers[1], Limit: numbers[2],
 		ServiceTime: time.Duration(numbers[3]) * time.Microsecond,
+		LinkWait:    time.Duration(linkWait) * time.Millisecond,
 	}
 }
--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -36,7 +36,7 @@
 	for range maxStaleAnswers {
 		// An answer without Content-Type has none.
 		resp.Header.SetNoDefaultContentType(true)
-		if err := readFinalHeader(c.r, resp); err != nil {
+		if err := readFinalHeader(c.r, resp, o.onContinue); err != nil {
 			return err
 		}
 		var checkErr error
@@ -103,7 +103,8 @@
 }
 
 // readFinalHeader skips interim answers and reads the header of the final one.
-func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
+// onContinue is called for each interim answer with status 100; it may be nil.
+func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response, onContinue func()) error {
 	for range maxInterimAnswers {
 		if err := readHead(r, resp); err != nil {
 			return err
@@ -113,6 +114,8 @@
 			return errProtocolSwitch
 		case status >= firstFinalStatus:
 			return nil
+		case status == fasthttp.StatusContinue && onContinue != nil:
+			onContinue()
 		}
 	}
 	return errTooManyInterim
--- a/adapters/httpconn/conn.go
+++ b/adapters/httpconn/conn.go
@@ -68,6 +68,9 @@
 	r       *bufio.Reader
 	w       *bufio.Writer
 	written atomic.Int64
+	// headBytes is the length of the head of a request whose body is only sent when the
+	// server asks for it; without the body the request has not run.
+	headBytes int64
 	// received is true once a byte of the current answer has arrived.
 	received   bool
 	idleSince  time.Time
--- /dev/null
+++ b/adapters/httpconn/continue.go
@@ -0,0 +1,52 @@
+package httpconn
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/valyala/fasthttp"
+)
+
+// expectContinue is the value of the field Expect in a request whose sender waits for an
+// interim answer with status 100 before it sends the body.
+const expectContinue = "100-continue"
+
+// roundTripAsked sends the head of a request, and its body once the server asks for it.
+// The final answer may arrive at any time.
+func roundTripAsked(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+	req.Header.Set(fasthttp.HeaderExpect, expectContinue)
+	req.Header.SetContentLength(len(req.Body()))
+	c.headBytes = math.MaxInt64
+	if err := req.Header.Write(c.w); err != nil {
+		return err
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	c.headBytes = c.written.Load()
+	var sent chan error
+	o.onContinue = func() {
+		if sent != nil {
+			return
+		}
+		sent = make(chan error, 1)
+		go func() { sent <- sendAskedBody(c, req) }()
+	}
+	err := readAnswer(c, req, resp, o)
+	if sent != nil {
+		return endSending(c, resp, sent, err)
+	}
+	if err != nil {
+		return fmt.Errorf("before the body was asked for: %w", err)
+	}
+	// The server may still wait for the body.
+	resp.SetConnectionClose()
+	return nil
+}
+
+func sendAskedBody(c *conn, req *fasthttp.Request) error {
+	if _, err := c.w.Write(req.Body()); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -49,6 +49,11 @@
 	// AllowCloseDelimited accepts an answer without a declared length, whose
 	// body ends with the connection.
 	AllowCloseDelimited bool
+	// AskFirst sends the head of the request alone, with "Expect: 100-continue", and
+	// the body once the server has asked for it. Until then the request has not run.
+	AskFirst bool
+	// onContinue is called for each interim answer that asks for the body.
+	onContinue func()
 }
 
 // ErrOtherRequest is the error of Options.Check for an answer to an earlier
@@ -85,6 +90,7 @@
 		return call.Refuse(call.ReasonOf(ctx, call.Unreachable), err)
 	}
 	c.written.Store(0)
+	c.headBytes = 0
 	c.received = false
 	startInactivityTimer(c, o.InactivityTimeout)
 	stop := context.AfterFunc(ctx, c.interrupt)
@@ -116,7 +122,7 @@
 }
 
 func verdictOf(c *conn) call.Verdict {
-	if c.written.Load() == 0 {
+	if c.written.Load() <= c.headBytes {
 		return call.NotRun
 	}
 	return call.MayHaveRun
@@ -128,6 +134,9 @@
 const largeBodySize = 16 << 10
 
 func roundTrip(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+	if o.AskFirst {
+		return roundTripAsked(c, req, resp, o)
+	}
 	if len(req.Body()) <= largeBodySize {
 		if err := send(c, req); err != nil {
 			return err
@@ -136,7 +145,12 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(c, req) }()
-	err := readAnswer(c, req, resp, o)
+	return endSending(c, resp, sent, readAnswer(c, req, resp, o))
+}
+
+// endSending ends an exchange whose answer was read, or not with err, while the request
+// was being sent.
+func endSending(c *conn, resp *fasthttp.Response, sent <-chan error, err error) error {
 	select {
 	case sendErr := <-sent:
 		if err == nil {
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -28,6 +28,8 @@
 	// body is the account of the request that is being read, if the length of its body
 	// is unknown, or nil.
 	body *bodyAccount
+	// arriving is the body that is being read, or nil.
+	arriving ArrivingBody
 	// unread is true if the rest of a request was left unread.
 	unread bool
 
@@ -46,6 +48,8 @@
 	req  *fasthttp.Request
 	resp *fasthttp.Response
 	body bodyAccount
+	// headAt is when the head was read, if the body was announced to the handler.
+	headAt time.Time
 	// complete is true once the answer is complete, last if it ends the
 	// connection.
 	complete, last bool
@@ -75,6 +79,9 @@
 // Read reads from the connection, and counts the bytes of a body of unknown length.
 func (n *session) Read(b []byte) (int, error) {
 	count, err := n.Conn.Read(b)
+	if n.arriving != nil {
+		n.arriving.Arrived(count)
+	}
 	if n.body != nil {
 		if roomErr := n.body.receive(int64(count)); roomErr != nil {
 			return 0, roomErr
@@ -116,7 +123,7 @@
 		}
 		x := newExchange(n.server.bodies)
 		_ = n.SetReadDeadline(time.Now().Add(ReadTimeout))
-		if err := n.read(x); err != nil {
+		if err := n.read(ctx, x); err != nil {
 			n.reject(x, err)
 			return lastRequest
 		}
@@ -139,8 +146,9 @@
 
 // read reads one complete request. If the header exceeds the buffer, the buffer
 // grows to MaxHeaderSize.
-func (n *session) read(x *exchange) error {
+func (n *session) read(ctx context.Context, x *exchange) error {
 	defer func() { n.body = nil }()
+	defer n.endBody()
 	var head *fasthttp.RequestHeader
 	awaitRoom := func(length int) error {
 		if length < 0 && x.body.budget != nil {
@@ -148,7 +156,10 @@
 			x.req.Header.CopyTo(head)
 			n.body = &x.body
 		}
-		return x.body.await(int64(length))
+		if err := x.body.await(int64(length)); err != nil {
+			return err
+		}
+		return n.announceBody(ctx, x, length)
 	}
 	err := readRequest(n.r, n.w, x.req, awaitRoom)
 	var bufferErr *fasthttp.ErrSmallBuffer
@@ -241,10 +252,14 @@
 		x.release()
 		return
 	}
-	if errors.Is(err, ErrNoBodyRoom) {
+	switch {
+	case errors.Is(err, errBodyRefused):
+		// The handler has written the answer.
+		n.unread = true
+	case errors.Is(err, ErrNoBodyRoom):
 		n.unread = true
 		n.server.handler.Refuse(x.req, x.resp, ErrNoBodyRoom)
-	} else {
+	default:
 		x.resp.SetStatusCode(malformedStatus(err))
 		x.resp.SetBodyString("malformed request\n")
 		n.server.handler.RejectMalformed(x.resp)
@@ -257,7 +272,7 @@
 		n.server.handler.Refuse(x.req, x.resp, errCrowded)
 	} else {
 		stopProgress := n.startProgress(x)
-		n.server.handler.Handle(ctx, x.req, x.resp)
+		n.server.handler.Handle(withHeadTime(ctx, x.headAt), x.req, x.resp)
 		stopProgress()
 	}
 	x.resp.SkipBody = x.req.Header.IsHead()
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/idempotency"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
@@ -140,6 +141,7 @@
 	platformAdapter   platformAdapter
 	router            *route.Router
 	gate              Gate
+	link              *link.Gate
 	backend           *backendhttp.Client
 	announcer         *announce.Announcer
 	forwarder         *callhttp.Forwarder
@@ -178,6 +180,7 @@
 		advisories: advisory.NewBook(),
 		configs:    manifest.NewStore(),
 		gate:       cfg.Policy.Gate,
+		link:       link.NewGate(s.Limits.LinkMbps),
 		backend:    &backendhttp.Client{},
 		forwarder:  callhttp.NewForwarder(transport.dialCalls),
 		traffic:    &peergrpc.Traffic{},
@@ -233,7 +236,7 @@
 		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.advisories, d.handleBackendCrash)
 	d.advisories.Apply = d.quarantineTracker.ApplyAdvisory
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
-	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
+	d.inbound = &proxy.Inbound{CallLog: calls, Link: d.link, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
 		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin}, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
 		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
@@ -383,14 +386,14 @@
 // callerServer returns the server for calls from callers.
 func (d *Daemon) callerServer() *httpconn.Server {
 	s := d.cfg.Settings
-	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers", callerIdleAge)
+	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service, Bodies: d.inbound}, 0, "callers", callerIdleAge)
 }
 
 // daemonServer returns the server for calls from other daemons.
 func (d *Daemon) daemonServer() *httpconn.Server {
 	s := d.cfg.Settings
 	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
+	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control, Bodies: d.inbound}, s.ProgressInterval, "calls", daemonIdleAge)
 }
 
 // The connections of callers and those of other daemons may each use one part in
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -9,6 +9,7 @@
 	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
@@ -46,8 +47,10 @@
 		gate = admit.NewFixedGate()
 	}
 	unreachable := route.NewUnreachableServers(partLogger(log, s, "route"))
+	picker := route.NewPicker(s.Domain, unreachable.Contains)
+	picker.Self = member.ServerID(s.Server)
 	return Policy{
-		Gate: gate, Picker: route.NewPicker(s.Domain, unreachable.Contains), Unreachable: unreachable,
+		Gate: gate, Picker: picker, Unreachable: unreachable,
 		Retries: retry.NewPolicy(), Throttle: admit.NewThrottle(),
 	}
 }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -59,6 +59,8 @@
 	Depth int
 	// NewConnection requests a connection that no call has used before.
 	NewConnection bool
+	// AskFirst asks the daemon of the chosen server before the body is sent to it.
+	AskFirst bool
 	// Suspect is set if a backend server crashed while it ran the request.
 	Suspect bool
 	// Class is nil until the call is classified.
@@ -76,6 +78,9 @@
 	Running, Queued, Limit int
 	// ServiceTime is the mean run time of calls of the class, 0 if unknown.
 	ServiceTime time.Duration
+	// LinkWait is how long a large body that asks now would wait until it may be sent
+	// over the link of the server's host.
+	LinkWait time.Duration
 }
 
 // Answer is the answer of a backend server.
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/target"
 )
 
 var (
@@ -40,6 +43,8 @@
 	Backend    call.Handler
 	// CallLog receives the calls that failed here; it may be nil.
 	CallLog CallLog
+	// Link bounds the large bodies on their way to this host; it may be nil.
+	Link Link
 }
 
 // CallLog logs calls to this daemon's backend server.
@@ -53,7 +58,7 @@
 func (p *Inbound) Call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	answer, err := p.call(ctx, r)
 	if err != nil && p.CallLog != nil {
-		p.CallLog.LogFailure(r, p.Gate.LoadFor(r.Class), err)
+		p.CallLog.LogFailure(r, p.loadFor(r.Class), err)
 	}
 	return answer, err
 }
@@ -75,7 +80,7 @@
 	if err != nil {
 		ticket.Release()
 		f := asFailure(err)
-		f.Load = p.Gate.LoadFor(r.Class)
+		f.Load = p.loadFor(r.Class)
 		return nil, f
 	}
 	answer, err := p.Backend.Call(ctx, r)
@@ -83,10 +88,60 @@
 	if err := ticket.End(ctx, err); err != nil {
 		return nil, err
 	}
-	answer.Load = p.Gate.LoadFor(r.Class)
+	answer.Load = p.loadFor(r.Class)
 	return answer, nil
 }
 
+// loadFor returns the load as seen by a call of a class, which may be nil.
+func (p *Inbound) loadFor(c *target.Class) call.Load {
+	load := p.Gate.LoadFor(c)
+	if p.Link != nil {
+		load.LinkWait = p.Link.Wait()
+	}
+	return load
+}
+
+// AdmitBody waits until the body of a forwarded call, of the given length in bytes, may
+// be sent to this host. Errors are of type *call.Failure with verdict NotRun.
+func (p *Inbound) AdmitBody(ctx context.Context, r *call.Request, length int64) (*link.Body, error) {
+	if p.Link == nil {
+		return nil, nil
+	}
+	if err := classify(p.Routes.Table(), r); err != nil {
+		return nil, call.Refuse(call.Unconfigured, err)
+	}
+	if !p.Host.Serves(r.Server, r.Service) {
+		return nil, call.Refuse(call.Misdirected, errMisdirected)
+	}
+	body, err := p.Link.Enter(ctx, r, length, slotsOf(p.Gate.LoadFor(r.Class)))
+	if err != nil {
+		f := asFailure(err)
+		f.Load = p.loadFor(r.Class)
+		if p.CallLog != nil {
+			p.CallLog.LogFailure(r, f.Load, f)
+		}
+		return nil, f
+	}
+	return body, nil
+}
+
+// ObserveBody counts a body that arrives without having been asked for.
+func (p *Inbound) ObserveBody(length int64) *link.Body {
+	if p.Link == nil {
+		return nil
+	}
+	return p.Link.Observe(length)
+}
+
+// slotsOf estimates how long a call that sees a load would wait for a slot.
+func slotsOf(l call.Load) link.Slots {
+	s := link.Slots{Service: l.ServiceTime}
+	if l.Limit > 0 && l.Running >= l.Limit {
+		s.Wait = l.ServiceTime * time.Duration(l.Queued) / time.Duration(l.Limit)
+	}
+	return s
+}
+
 // classify sets the class of an unclassified call.
 func classify(t *route.Table, r *call.Request) error {
 	if r.Class != nil {
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/retry"
@@ -190,7 +191,7 @@
 // succeeds.
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.Deposit(r)
-	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
+	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency, Body: len(r.Body)}
 	var last *call.Failure
 	var failedAnswer *call.Answer
 	for {
@@ -304,6 +305,7 @@
 		attemptCtx, done = p.Unreachable.CallContext(ctx, server)
 		defer done()
 	}
+	r.AskFirst = server.LinkMbps > 0 && len(r.Body) > link.FreeBytes
 	answer, err := p.Remote.Forward(attemptCtx, server.CallAddress, r)
 	if err == nil {
 		return answer, nil
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/quarantine"
 	"fescuehoist.example/mesh/retry"
@@ -37,6 +38,17 @@
 	LoadFor(class *target.Class) call.Load
 }
 
+// Link bounds the large bodies that are sent to this host.
+type Link interface {
+	// Enter waits until a body of the given length in bytes may be sent. An error is a
+	// *call.Failure with verdict NotRun.
+	Enter(ctx context.Context, r *call.Request, length int64, s link.Slots) (*link.Body, error)
+	// Observe tracks a body that arrives without having been asked for.
+	Observe(length int64) *link.Body
+	// Wait returns how long a body that asks now would wait.
+	Wait() time.Duration
+}
+
 // Picker chooses a backend server for each call, based on the outcomes of
 // earlier ones.
 type Picker interface {
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -65,6 +65,9 @@
 // Picker chooses backend servers by the load and the failures that this daemon
 // has seen.
 type Picker struct {
+	// Self is the server of this daemon's host, to which bodies cross no link. It must be
+	// set before the first call.
+	Self          member.ServerID
 	domain        string
 	isUnreachable func(*member.Record) bool
 
@@ -92,6 +95,8 @@
 	// class and Elapsed the part of it that has passed.
 	Class            string
 	Latency, Elapsed time.Duration
+	// Body is the size of the body in bytes.
+	Body int
 	// Tried lists the servers that the call was already sent to.
 	Tried []member.ServerID
 	// NeedCapacity restricts the choice to servers that may have a free slot.
@@ -101,6 +106,9 @@
 	// late means that the servers of the own failure domain have a free slot, but
 	// are not expected to meet the target.
 	late bool
+	// linkLate means that no server of the own failure domain is expected to meet the
+	// target, and that the body is large for the links of the service.
+	linkLate bool
 }
 
 // Outcome is the result of a call as far as it concerns the server's
@@ -130,6 +138,7 @@
 		stats := p.statsFor(chosen.Server)
 		stats.inflight++
 		stats.pickedAt = time.Now()
+		p.occupyLink(q, chosen, stats.pickedAt)
 	}
 	return chosen
 }
@@ -149,8 +158,13 @@
 		}
 		q.late = true
 	}
+	q.linkLate = best != nil && p.usesLink(q, best) && !p.meetsTarget(q, best)
 	for range globalSamples {
-		best = p.cheaper(q, best, s.next(best, anyDomain))
+		candidate := s.next(best, anyDomain)
+		if q.linkLate && candidate != nil && candidate.Domain != p.domain && !p.meetsTarget(q, candidate) {
+			continue
+		}
+		best = p.cheaper(q, best, candidate)
 	}
 	return best
 }
@@ -179,7 +193,7 @@
 	return calls < limit
 }
 
-// meetsTarget reports whether a server of the own failure domain is expected to
+// meetsTarget reports whether a server is expected to
 // answer a call in time, so that no other failure domain needs to be considered.
 func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
 	return q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
@@ -200,6 +214,9 @@
 		if p.excluded(&q, r) || !p.statsFor(r.Server).mayHaveCapacity(r.Slots, now) {
 			continue
 		}
+		if p.usesLink(q, r) && !p.arrivesInTime(q, r) {
+			continue
+		}
 		if best == nil || p.cost(q, r) < p.cost(q, best) {
 			best = r
 		}
@@ -286,6 +303,7 @@
 		serviceTime, cost = defaultServiceTime, initialServiceTime
 	}
 	cost += time.Duration(queueWait(calls, limit) * float64(serviceTime))
+	cost += p.linkTime(q, r, now)
 	if r.Domain != p.domain {
 		cost += p.crossDomainCost(q)
 	}
@@ -311,6 +329,9 @@
 // round trip, plus a share of the target latency for each kilobyte of the
 // class's mean size.
 func (p *Picker) crossDomainCost(q Query) time.Duration {
+	if q.linkLate {
+		return crossDomainLatency
+	}
 	perKB := crossDomainCostPerKB
 	if q.late {
 		perKB = lateCrossDomainCostPerKB
--- a/mesh/route/stats.go
+++ b/mesh/route/stats.go
@@ -42,6 +42,9 @@
 	failures     int
 	ejectedUntil time.Time
 	pickedAt     time.Time
+	// linkFreeAt is when the link of the server's host is expected to have carried the
+	// bodies that are sent or wait there.
+	linkFreeAt time.Time
 	// leavingInstance is the instance that said last that it will stop soon.
 	leavingInstance string
 }
@@ -51,6 +54,7 @@
 	if outcome.Load.Limit > 0 {
 		s.load, s.loadAt, s.inflightAtReport = outcome.Load, now, s.inflight
 		s.serviceTimes[outcome.Class] = outcome.Load.ServiceTime
+		s.linkFreeAt = now.Add(outcome.Load.LinkWait)
 	}
 	if outcome.LeavingInstance != "" {
 		s.leavingInstance = outcome.LeavingInstance
@@ -61,7 +65,9 @@
 	}
 	switch outcome.Failure.Reason {
 	case call.Overloaded, call.Shed:
-		s.refusedAt = now
+		if !refusedByLink(outcome.Load) {
+			s.refusedAt = now
+		}
 	case call.Unreachable, call.Draining, call.Misdirected, call.Unconfigured:
 		s.recordFailure(toleratedFailures+1, now)
 	case call.Silent:
