Choose servers for large bodies by the room on their links

The samples of a failure domain were found by searching from a random place, so a server behind many of other domains got most of them: of three servers 40%, 37% and 23% of the bodies. And a body could leave its domain only if one of two random samples had room.

Servers are drawn at random first and searched only after eight draws. A large body that its own domain cannot take in time goes to any server that can, and stays if there is none. A server that does not answer before it asks for a body is given up for calls that must not run twice, too, since these have not run.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -81,7 +81,7 @@
 	writeDaemonFields(ctx, r, req)
 	writeForwardFields(r, req)
 	number := f.numberRequest(req)
-	o := httpconn.Options{NewConnection: r.NewConnection, AskFirst: r.AskFirst, InactivityTimeout: f.InactivityTimeout, Check: func(resp *fasthttp.Response) error {
+	o := httpconn.Options{NewConnection: r.NewConnection, AskFirst: r.AskFirst, AskTimeout: f.InactivityTimeout, InactivityTimeout: f.InactivityTimeout, Check: func(resp *fasthttp.Response) error {
 		return checkCallNumber(number, resp)
 	}}
 	if r.Class == nil || !r.Class.Idempotent {
--- a/adapters/httpconn/continue.go
+++ b/adapters/httpconn/continue.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -11,6 +12,15 @@
 // interim answer with status 100 before it sends the body.
 const expectContinue = "100-continue"
 
+// headTimeout returns the maximum time without a received byte until the server asks for
+// the body, or for the whole exchange if it is not asked.
+func (o *Options) headTimeout() time.Duration {
+	if o.AskFirst && o.InactivityTimeout == 0 {
+		return o.AskTimeout
+	}
+	return o.InactivityTimeout
+}
+
 // roundTripAsked sends the head of a request, and its body once the server asks for it.
 // The final answer may arrive at any time.
 func roundTripAsked(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
@@ -29,6 +39,10 @@
 		if sent != nil {
 			return
 		}
+		if o.InactivityTimeout == 0 && stopInactivityTimer(c) {
+			// The connection is interrupted, so reading on fails.
+			return
+		}
 		sent = make(chan error, 1)
 		go func() { sent <- sendAskedBody(c, req) }()
 	}
--- a/adapters/httpconn/continue_test.go
+++ b/adapters/httpconn/continue_test.go
@@ -95,6 +95,15 @@
 		{name: "silent while waiting", options: Options{InactivityTimeout: 50 * time.Millisecond}, verdict: call.NotRun, reason: call.Silent, serve: func(p *askedPeer) {
 			_, _ = io.Copy(io.Discard, p.r)
 		}},
+		{name: "silent while waiting, with a limit for that alone", options: Options{AskTimeout: 50 * time.Millisecond}, verdict: call.NotRun, reason: call.Silent, serve: func(p *askedPeer) {
+			_, _ = io.Copy(io.Discard, p.r)
+		}},
+		{name: "silent after it asked, with a limit for the time before", status: 200, reused: true, options: Options{AskTimeout: 50 * time.Millisecond}, serve: func(p *askedPeer) {
+			p.write(askForBody)
+			p.readBody(askedBodySize)
+			time.Sleep(100 * time.Millisecond)
+			p.write(askedAnswer)
+		}},
 		{name: "closed after a part of the body", verdict: call.MayHaveRun, reason: call.Cut, serve: func(p *askedPeer) {
 			p.write(askForBody)
 			p.readBody(1)
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -52,6 +52,9 @@
 	// AskFirst sends the head of the request alone, with "Expect: 100-continue", and
 	// the body once the server has asked for it. Until then the request has not run.
 	AskFirst bool
+	// AskTimeout replaces InactivityTimeout until the server asks for the body, if that
+	// is 0: a request that has not run may be sent elsewhere.
+	AskTimeout time.Duration
 	// onContinue is called for each interim answer that asks for the body.
 	onContinue func()
 }
@@ -92,7 +95,7 @@
 	c.written.Store(0)
 	c.headBytes = 0
 	c.received = false
-	startInactivityTimer(c, o.InactivityTimeout)
+	startInactivityTimer(c, o.headTimeout())
 	stop := context.AfterFunc(ctx, c.interrupt)
 	err = roundTrip(c, req, resp, &o)
 	c.answer.release()
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"iter"
 	"math/rand/v2"
 	"slices"
@@ -158,13 +159,12 @@
 		}
 		q.late = true
 	}
-	q.linkLate = best != nil && p.usesLink(q, best) && !p.meetsTarget(q, best)
+	if best != nil && p.usesLink(q, best) && !p.meetsTarget(q, best) {
+		q.linkLate = true
+		return cmp.Or(p.pickWithCapacity(servers, q), best)
+	}
 	for range globalSamples {
-		candidate := s.next(best, anyDomain)
-		if q.linkLate && candidate != nil && candidate.Domain != p.domain && !p.meetsTarget(q, candidate) {
-			continue
-		}
-		best = p.cheaper(q, best, candidate)
+		best = p.cheaper(q, best, s.next(best, anyDomain))
 	}
 	return best
 }
@@ -258,17 +258,30 @@
 // next returns a random server of a failure domain, or of any, that the call
 // may go to, that is not ejected and that is not exclude; nil if there is none.
 func (s *sampler) next(exclude *member.Record, domain string) *member.Record {
-	for _, r := range fromRandom(s.servers) {
-		if r == exclude || (domain != anyDomain && r.Domain != domain) || s.picker.excluded(s.query, r) {
-			continue
+	if len(s.servers) == 0 {
+		return nil
+	}
+	for range randomDraws {
+		if r := s.servers[rand.IntN(len(s.servers))]; s.allowed(r, exclude, domain) {
+			return r
 		}
-		if !s.ejected(r) {
+	}
+	for _, r := range fromRandom(s.servers) {
+		if s.allowed(r, exclude, domain) {
 			return r
 		}
 	}
 	return nil
 }
 
+// randomDraws is the number of draws before the servers are searched in order, which
+// prefers those that follow many that are not allowed, for example of other domains.
+const randomDraws = 8
+
+func (s *sampler) allowed(r, exclude *member.Record, domain string) bool {
+	return r != exclude && (domain == anyDomain || r.Domain == domain) && !s.picker.excluded(s.query, r) && !s.ejected(r)
+}
+
 func (s *sampler) ejected(r *member.Record) bool {
 	if !s.picker.statsFor(r.Server).ejected(s.now) {
 		return false
