Show the link in metrics, and retry refused bodies elsewhere

A body that one link cannot take goes to a server that has room; this costs none of the retry budget, since nothing reached a server. If there is none, the caller is told to come back after the wait for the link at the earliest. The metrics show the bytes on their way and waiting, what was granted and refused, and the rate at which bodies arrive.

--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -11,7 +11,7 @@
 
 // registerMetrics registers the metrics of the daemon beside those of the calls.
 func (d *Daemon) registerMetrics() error {
-	return d.metrics.Register(slices.Concat(d.loadMetrics(), d.controlMetrics(), d.platformAdapter.metrics())...)
+	return d.metrics.Register(slices.Concat(d.loadMetrics(), d.linkMetrics(), d.controlMetrics(), d.platformAdapter.metrics())...)
 }
 
 func (d *Daemon) loadMetrics() []telemetry.Metric {
@@ -27,6 +27,27 @@
 	}
 }
 
+// linkMetrics returns the metrics of the host's link, none if its bandwidth is unknown.
+func (d *Daemon) linkMetrics() []telemetry.Metric {
+	if d.cfg.Settings.Limits.LinkMbps == 0 {
+		return nil
+	}
+	return []telemetry.Metric{
+		{Name: "fescuehoist.link.bodies", Unit: "By", Description: "Bytes of large request bodies: on their way to this host, and waiting until they may be sent.", Label: "state",
+			Read: func() []telemetry.Point {
+				c := d.link.Counts()
+				return []telemetry.Point{{Label: "in-transit", Value: uint64(c.InTransit)}, {Label: "waiting", Value: uint64(c.Waiting)}}
+			}},
+		{Name: "fescuehoist.link.decisions", Description: "Large request bodies that were granted or refused.", Monotonic: true, Label: "decision",
+			Read: func() []telemetry.Point {
+				c := d.link.Counts()
+				return []telemetry.Point{{Label: "granted", Value: c.Granted}, {Label: "refused", Value: c.Refused}}
+			}},
+		{Name: "fescuehoist.link.rate", Unit: "By/s", Description: "Mean rate at which granted bodies arrived, beside the other traffic of the link.",
+			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.link.Counts().Rate)) }},
+	}
+}
+
 func (d *Daemon) rateLimit() []telemetry.Point {
 	limit := d.gate.RateLimit()
 	if limit == 0 {
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -73,6 +73,8 @@
 	InTransit, Waiting int64
 	// Granted and Refused count bodies since the start.
 	Granted, Refused uint64
+	// Rate is the mean rate in bytes per second at which granted bodies arrived.
+	Rate float64
 }
 
 // Body is a body on its way to the host. The methods of a nil Body do nothing.
@@ -167,6 +169,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.counts
+	c.Rate = g.measured
 	for b := range g.bodies {
 		c.InTransit += b.remaining()
 	}
--- a/mesh/proxy/outbound_test.go
+++ b/mesh/proxy/outbound_test.go
@@ -47,11 +47,21 @@
 // newOutbound returns an Outbound that knows up to two backend servers of one
 // service.
 func newOutbound(t *testing.T, servers int, forwarder proxy.Forwarder) *proxy.Outbound {
+	t.Helper()
+	return &proxy.Outbound{
+		Self: "entry", Routes: linkedRoutes(t, servers, 0), Picker: route.NewPicker("a", nil), Unreachable: route.NewUnreachableServers(permitAll{}),
+		Retries: retry.NewPolicy(), Throttle: permitAll{}, Remote: forwarder, Observer: permitAll{},
+	}
+}
+
+// linkedRoutes returns the routes to up to two backend servers behind links of the given
+// bandwidth in Mbit/s, 0 if it is unknown.
+func linkedRoutes(t *testing.T, servers, mbps int) *route.Router {
 	t.Helper()
 	table := member.NewTable("entry")
 	for _, id := range []member.ServerID{"lookup-1", "lookup-2"}[:servers] {
 		table.Merge([]member.Record{{
-			Server: id, Incarnation: 1, State: member.Ready, Service: "lookup", CallAddress: string(id), Slots: 4,
+			Server: id, Incarnation: 1, State: member.Ready, Service: "lookup", CallAddress: string(id), Slots: 4, LinkMbps: mbps,
 		}})
 	}
 	configs := manifest.NewStore()
@@ -60,10 +70,7 @@
 	if _, err := configs.ApplyUpdate(history.Delta(0, 1)); err != nil {
 		t.Fatal(err)
 	}
-	return &proxy.Outbound{
-		Self: "entry", Routes: route.NewRouter(configs, table), Picker: route.NewPicker("a", nil), Unreachable: route.NewUnreachableServers(permitAll{}),
-		Retries: retry.NewPolicy(), Throttle: permitAll{}, Remote: forwarder, Observer: permitAll{},
-	}
+	return route.NewRouter(configs, table)
 }
 
 func newSearchRequest() *call.Request {
@@ -149,3 +156,52 @@
 		t.Errorf("got %v, want not-run and no-server with a retry time", err)
 	}
 }
+
+// linkForwarder refuses the body at the first address called, since its link is busy.
+type linkForwarder struct {
+	called   []string
+	askFirst []bool
+}
+
+func (r *linkForwarder) Forward(_ context.Context, address string, request *call.Request) (*call.Answer, error) {
+	r.called, r.askFirst = append(r.called, address), append(r.askFirst, request.AskFirst)
+	if len(r.called) == 1 {
+		f := call.Refuse(call.Overloaded, nil)
+		f.Load = call.Load{Running: 1, Limit: 4, LinkWait: 2 * time.Second}
+		return nil, f
+	}
+	return &call.Answer{Status: 200, Load: call.Load{Limit: 4}}, nil
+}
+
+// Guards against a body that is given up although another server has room, and against a
+// retry of it that other calls pay for.
+func TestOutboundBodyRefusedByLinkGoesElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		servers, body, mbps int
+		calls               int
+		asked               bool
+	}{
+		{servers: 2, body: 60_000, mbps: 10, calls: 2, asked: true},
+		{servers: 1, body: 60_000, mbps: 10, calls: 1, asked: true},
+		{servers: 2, body: 600, mbps: 10, calls: 2},
+		{servers: 2, body: 60_000, mbps: 0, calls: 2},
+	} {
+		forwarder := &linkForwarder{}
+		outbound := newOutbound(t, c.servers, forwarder)
+		outbound.Routes = linkedRoutes(t, c.servers, c.mbps)
+		outbound.Retries = retry.NewPolicyWithLimits(retry.Limits{Share: func() float64 { return 0 }, Burst: func() float64 { return 0 }})
+		r := newSearchRequest()
+		r.Class.Latency, r.Class.Idempotent, r.Body = time.Second, false, make([]byte, c.body)
+		_, err := outbound.Call(context.Background(), r)
+		if len(forwarder.called) != c.calls || forwarder.askFirst[0] != c.asked {
+			t.Errorf("%+v: called %v, asked %v", c, forwarder.called, forwarder.askFirst)
+		}
+		if c.calls == 2 && (err != nil || forwarder.called[0] == forwarder.called[1]) {
+			t.Errorf("%+v: got %v from %v, want an answer of another server", c, err, forwarder.called)
+		}
+		var f *call.Failure
+		if c.calls == 1 && (!errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Overloaded || f.RetryAfter < time.Second) {
+			t.Errorf("%+v: got %v, want overloaded (not-run) with a retry time after the wait for the link", c, err)
+		}
+	}
+}
--- a/mesh/retry/retryafter.go
+++ b/mesh/retry/retryafter.go
@@ -28,7 +28,7 @@
 	}
 	delay := unreadyDelay
 	if r.Class != nil && f.NoCapacity() {
-		delay = time.Duration(overloadLatencyShare * float64(r.Class.Latency))
+		delay = max(time.Duration(overloadLatencyShare*float64(r.Class.Latency)), f.Load.LinkWait)
 	}
 	delay = max(delay, minDelay)
 	return delay/2 + rand.N(delay)
