Let large bodies leave a host one after another

Bodies that a daemon sends to several hosts share its own link. A body that its receiver has granted now leaves when the own link has room; a failure here counts against no server.

Bodies that the link carries in 5 ms need no grant, so that fast links cost no round trip.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -14,6 +14,7 @@
 
 	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/route"
 )
 
@@ -43,6 +44,9 @@
 	// OnMalformed is called for each malformed answer of another daemon; it may be nil.
 	OnMalformed func(address string, err *httpconn.MalformedError)
 
+	// Uplink bounds the large bodies that leave this host; nil means no bound.
+	Uplink Uplink
+
 	dial           httpconn.DialFunc
 	lastCallNumber atomic.Uint64
 
@@ -51,6 +55,13 @@
 	lastSweep time.Time
 }
 
+// Uplink decides when large bodies leave this host.
+type Uplink interface {
+	// Send waits until a body of the given length in bytes may leave. Errors are of type
+	// *call.Failure with verdict NotRun.
+	Send(ctx context.Context, r *call.Request, length int64) (*link.Body, error)
+}
+
 // pool holds the connections to one daemon.
 type pool struct {
 	*httpconn.Pool
@@ -88,6 +99,16 @@
 		o.InactivityTimeout = 0
 		o.MaxIdleAge = httpconn.MaxIdleAgeNonIdempotent
 	}
+	if r.AskFirst && f.Uplink != nil {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		var body *link.Body
+		o.BeforeBody = func() (err error) {
+			body, err = f.Uplink.Send(ctx, r, int64(len(r.Body)))
+			return err
+		}
+		defer func() { body.End() }()
+	}
 	if err := f.pool(address).DoWith(ctx, req, resp, o); err != nil {
 		return nil, err
 	}
--- a/adapters/httpconn/arrival.go
+++ b/adapters/httpconn/arrival.go
@@ -27,7 +27,7 @@
 }
 
 // MinAnnouncedBody is the size in bytes above which a BodyHandler is told of a body.
-const MinAnnouncedBody = link.FreeBytes
+const MinAnnouncedBody = link.MinBytes
 
 var errBodyRefused = errors.New("the handler refused the body")
 
--- a/adapters/httpconn/continue_test.go
+++ b/adapters/httpconn/continue_test.go
@@ -104,6 +104,21 @@
 			time.Sleep(100 * time.Millisecond)
 			p.write(askedAnswer)
 		}},
+		{name: "no room to send the body", verdict: call.NotRun, reason: call.Deadline, serve: func(p *askedPeer) {
+			p.write(askForBody)
+			if n, _ := io.Copy(io.Discard, p.r); n > 0 {
+				p.t.Errorf("got %d bytes of a body that had no room, want none", n)
+			}
+		}, options: Options{BeforeBody: func() error {
+			time.Sleep(20 * time.Millisecond)
+			return call.Refuse(call.Deadline, nil)
+		}}},
+		{name: "closed while the body waits to be sent", verdict: call.NotRun, reason: call.Cut, serve: func(p *askedPeer) {
+			p.write(askForBody)
+		}, options: Options{BeforeBody: func() error {
+			time.Sleep(20 * time.Millisecond)
+			return nil
+		}}},
 		{name: "closed after a part of the body", verdict: call.MayHaveRun, reason: call.Cut, serve: func(p *askedPeer) {
 			p.write(askForBody)
 			p.readBody(1)
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -55,6 +55,10 @@
 	// AskTimeout replaces InactivityTimeout until the server asks for the body, if that
 	// is 0: a request that has not run may be sent elsewhere.
 	AskTimeout time.Duration
+	// BeforeBody is called when the server has asked for the body, and may wait. If it
+	// returns an error, the body is not sent and the exchange fails with that error,
+	// which must be a *call.Failure with verdict NotRun. It may be nil.
+	BeforeBody func() error
 	// onContinue is called for each interim answer that asks for the body.
 	onContinue func()
 }
@@ -107,6 +111,10 @@
 	}
 	_ = c.Close()
 	p.reportMalformed(err)
+	var unsent *call.Failure
+	if errors.As(err, &unsent) {
+		return unsent
+	}
 	f := &call.Failure{Verdict: verdictOf(c), Reason: call.ReasonOf(ctx, call.Cut), Err: err}
 	if (inactive || errors.Is(err, syscall.ETIMEDOUT)) && ctx.Err() == nil {
 		f.Reason = call.Silent
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -134,14 +134,15 @@
 	listeners *Listeners
 	transport *transport
 
-	members           *member.Table
-	advisories        *advisory.Book
-	configs           *manifest.Store
-	node              *gossip.Node
-	platformAdapter   platformAdapter
-	router            *route.Router
-	gate              Gate
-	link              *link.Gate
+	members         *member.Table
+	advisories      *advisory.Book
+	configs         *manifest.Store
+	node            *gossip.Node
+	platformAdapter platformAdapter
+	router          *route.Router
+	gate            Gate
+	// link bounds the bodies on their way to this host, uplink those that leave it.
+	link, uplink      *link.Gate
 	backend           *backendhttp.Client
 	announcer         *announce.Announcer
 	forwarder         *callhttp.Forwarder
@@ -181,12 +182,13 @@
 		configs:    manifest.NewStore(),
 		gate:       cfg.Policy.Gate,
 		link:       link.NewGate(s.Limits.LinkMbps),
+		uplink:     link.NewGate(s.Limits.LinkMbps),
 		backend:    &backendhttp.Client{},
 		forwarder:  callhttp.NewForwarder(transport.dialCalls),
 		traffic:    &peergrpc.Traffic{},
 	}
 	d.configs.SetClock(boottime.Now)
-	d.forwarder.Mesh = s.Mesh
+	d.forwarder.Mesh, d.forwarder.Uplink = s.Mesh, d.uplink
 	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.forwarder.OnMalformed = d.logMalformed
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -5,17 +5,21 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/target"
 )
 
 const (
-	// FreeBytes is the size in bytes up to which a body is sent without a grant: the
-	// request for the grant would take about as long as the body.
-	FreeBytes = 8 << 10
+	// MinBytes is the size in bytes up to which a body is sent without a grant over any
+	// link; freeTime is the same as the time that the link takes: the request for the
+	// grant would take about as long.
+	MinBytes = 8 << 10
+	freeTime = 5 * time.Millisecond
 	// windowTime is how long the link takes for the bytes that may be on their way at
 	// the same time, unless a single body is larger.
 	windowTime = 40 * time.Millisecond
@@ -51,8 +55,10 @@
 // then by the time left.
 type Gate struct {
 	// rate is the rate of the link in bytes per second; 0 means that it is unknown and
-	// nothing is bounded. window and overlap are windowTime and overlapTime in bytes.
+	// nothing is bounded. window and overlap are windowTime and overlapTime in bytes, free
+	// is the size up to which a body needs no grant.
 	rate, window, overlap float64
+	free                  int64
 
 	mu sync.Mutex
 	// measured is the mean rate in bytes per second at which granted bodies arrived.
@@ -86,6 +92,8 @@
 	// arrived counts the bytes that arrived.
 	arrived             int64
 	startedAt, arriving time.Time
+	// carriedAt is when the link has carried a body of which the arrival is not seen.
+	carriedAt time.Time
 }
 
 // waiter is a body that is not yet granted.
@@ -107,10 +115,19 @@
 	rate := float64(mbps) * 1e6 / 8
 	return &Gate{
 		rate: rate, measured: rate, window: rate * windowTime.Seconds(), overlap: rate * overlapTime.Seconds(),
-		bodies: map[*Body]bool{},
+		free: int64(FreeBytes(mbps)), bodies: map[*Body]bool{},
 	}
 }
 
+// FreeBytes returns the size in bytes up to which a body needs no grant of a host whose
+// link has the given bandwidth in Mbit/s. Without a known bandwidth none needs one.
+func FreeBytes(mbps int) int {
+	if mbps == 0 {
+		return math.MaxInt
+	}
+	return max(MinBytes, int(float64(mbps)*1e6/8*freeTime.Seconds()))
+}
+
 // Slots is what is known of the slots at which a call runs once its body has arrived.
 type Slots struct {
 	// Wait is how long the call would wait for a slot if it were there now.
@@ -123,7 +140,7 @@
 // must be told what arrives, and must be ended. An error is a *call.Failure with verdict
 // NotRun, and reason Overloaded if the body cannot arrive and be worked on in time.
 func (g *Gate) Enter(ctx context.Context, r *call.Request, length int64, s Slots) (*Body, error) {
-	if g.rate == 0 || length <= FreeBytes {
+	if length <= g.free {
 		return nil, nil
 	}
 	w, refusal := g.arrive(ctx, r, length, s)
@@ -139,10 +156,30 @@
 	return w.body, nil
 }
 
+// Send waits until a body of the given length in bytes may leave over the link of the
+// sending host, where bodies to all other hosts meet. The returned Body counts until the
+// link has carried it at its rate, or is ended before. An error is a *call.Failure with
+// verdict NotRun; no other server would help, so its reason is not Overloaded.
+func (g *Gate) Send(ctx context.Context, r *call.Request, length int64) (*Body, error) {
+	ranked := &call.Request{}
+	if r.Class != nil {
+		ranked.Class = &target.Class{Rank: r.Class.Rank}
+	}
+	b, err := g.Enter(ctx, ranked, length, Slots{})
+	var f *call.Failure
+	if errors.As(err, &f) && f.Reason == call.Overloaded {
+		f.Reason = call.Deadline
+	}
+	if b != nil {
+		b.endAtRate()
+	}
+	return b, err
+}
+
 // Observe tracks a body that arrives without a grant, for example from a caller. Granted
 // ones wait for it for windowTime at most.
 func (g *Gate) Observe(length int64) *Body {
-	if g.rate == 0 || length <= FreeBytes {
+	if length <= g.free {
 		return nil
 	}
 	g.mu.Lock()
@@ -291,6 +328,9 @@
 // countsUntil returns when a body no longer counts as on its way unless more of it
 // arrives: its sender may be dead or slow, and the link is free for others then.
 func (g *Gate) countsUntil(b *Body) time.Time {
+	if !b.carriedAt.IsZero() {
+		return b.carriedAt
+	}
 	stalled := b.arriving.Add(stallTime)
 	slow := b.startedAt.Add(slowFactor*g.shortest(b.length) + stallTime)
 	if slow.Before(stalled) {
@@ -437,6 +477,15 @@
 	}
 }
 
+// endAtRate ends the body once the link has carried it.
+func (b *Body) endAtRate() {
+	b.gate.mu.Lock()
+	defer b.gate.mu.Unlock()
+	carried := b.gate.shortest(b.length)
+	b.carriedAt = b.startedAt.Add(carried)
+	time.AfterFunc(carried, b.End)
+}
+
 // End ends a body that arrived or that will not. It may be called more than once.
 func (b *Body) End() {
 	if b == nil {
--- a/mesh/link/gate_test.go
+++ b/mesh/link/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -334,3 +335,43 @@
 		b.End()
 	}
 }
+
+// Guards against several bodies that leave a host at once, behind which its short answers
+// wait, and against bodies that count after the link has carried them.
+func TestBodiesLeaveHostOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer untilAllEnded()
+		g := NewGate(testMbps)
+		start := time.Now()
+		for i := range 4 {
+			if _, err := g.Send(t.Context(), upload(1, time.Second), uploadSize); err != nil {
+				t.Fatal(err)
+			}
+			if left, want := time.Since(start), time.Duration(i)*uploadTime; left != want {
+				t.Errorf("body %d left after %v, want %v", i, left, want)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
+		defer cancel()
+		if _, err := g.Send(ctx, upload(1, time.Second), uploadSize); !refusedAs(err, call.Deadline) {
+			t.Errorf("body that cannot leave in time: got %v, want deadline (not-run)", err)
+		}
+		canceled, err := g.Send(t.Context(), upload(1, time.Second), 64<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		canceled.End()
+		if c := g.Counts(); c.InTransit != 0 {
+			t.Errorf("%d bytes of a canceled body count, want none", c.InTransit)
+		}
+	})
+}
+
+// Guards against a round trip for bodies that the link carries in less time.
+func TestBodiesOfShortTimeNeedNoGrant(t *testing.T) {
+	for _, c := range []struct{ mbps, want int }{{0, math.MaxInt}, {1, MinBytes}, {10, MinBytes}, {100, 62_500}} {
+		if got := FreeBytes(c.mbps); got != c.want {
+			t.Errorf("at %d Mbit/s: %d bytes, want %d", c.mbps, got, c.want)
+		}
+	}
+}
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -305,7 +305,7 @@
 		attemptCtx, done = p.Unreachable.CallContext(ctx, server)
 		defer done()
 	}
-	r.AskFirst = server.LinkMbps > 0 && len(r.Body) > link.FreeBytes
+	r.AskFirst = len(r.Body) > link.FreeBytes(server.LinkMbps)
 	answer, err := p.Remote.Forward(attemptCtx, server.CallAddress, r)
 	if err == nil {
 		return answer, nil
--- a/mesh/route/link.go
+++ b/mesh/route/link.go
@@ -11,7 +11,7 @@
 // usesLink reports whether the body of a call is so large that it takes a noticeable part
 // of the link of a server's host. It is false where the bandwidth is unknown.
 func (p *Picker) usesLink(q Query, r *member.Record) bool {
-	return q.Body > link.FreeBytes && r.LinkMbps > 0 && r.Server != p.Self
+	return q.Body > link.FreeBytes(r.LinkMbps) && r.Server != p.Self
 }
 
 // bodyTime returns how long the link of a server's host takes for the body of a call.
