--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/idempotency"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
@@ -134,13 +135,15 @@
 	listeners *Listeners
 	transport *transport
 
-	members           *member.Table
-	advisories        *advisory.Book
-	configs           *manifest.Store
-	node              *gossip.Node
-	platformAdapter   platformAdapter
-	router            *route.Router
-	gate              Gate
+	members         *member.Table
+	advisories      *advisory.Book
+	configs         *manifest.Store
+	node            *gossip.Node
+	platformAdapter platformAdapter
+	router          *route.Router
+	gate            Gate
+	// link bounds the bodies on their way to this host, uplink those that leave it.
+	link, uplink      *link.Gate
 	backend           *backendhttp.Client
 	announcer         *announce.Announcer
 	forwarder         *callhttp.Forwarder
@@ -180,12 +183,14 @@
 		advisories: advisory.NewBook(),
 		configs:    manifest.NewStore(),
 		gate:       cfg.Policy.Gate,
+		link:       link.NewGate(s.Limits.LinkMbps),
+		uplink:     link.NewGate(s.Limits.LinkMbps),
 		backend:    &backendhttp.Client{},
 		forwarder:  callhttp.NewForwarder(transport.dialCalls),
 		traffic:    &peergrpc.Traffic{},
 	}
 	d.configs.SetClock(boottime.Now)
-	d.forwarder.Mesh = s.Mesh
+	d.forwarder.Mesh, d.forwarder.Uplink = s.Mesh, d.uplink
 	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.forwarder.OnMalformed = d.logMalformed
@@ -236,7 +241,7 @@
 		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.advisories, d.handleBackendCrash)
 	d.advisories.Apply = d.quarantineTracker.ApplyAdvisory
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
-	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
+	d.inbound = &proxy.Inbound{CallLog: calls, Link: d.link, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
 		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin},
 		Allowances: d.collection.counter, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
@@ -389,14 +394,14 @@
 // callerServer returns the server for calls from callers.
 func (d *Daemon) callerServer() *httpconn.Server {
 	s := d.cfg.Settings
-	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers", callerIdleAge)
+	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service, Bodies: d.inbound}, 0, "callers", callerIdleAge)
 }
 
 // daemonServer returns the server for calls from other daemons.
 func (d *Daemon) daemonServer() *httpconn.Server {
 	s := d.cfg.Settings
 	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
+	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control, Bodies: d.inbound}, s.ProgressInterval, "calls", daemonIdleAge)
 }
 
 // The connections of callers and those of other daemons may each use one part in
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"iter"
 	"math/rand/v2"
 	"slices"
@@ -65,6 +66,9 @@
 // Picker chooses backend servers by the load and the failures that this daemon
 // has seen.
 type Picker struct {
+	// Self is the server of this daemon's host, to which bodies cross no link. It must be
+	// set before the first call.
+	Self          member.ServerID
 	domain        string
 	isUnreachable func(*member.Record) bool
 
@@ -92,6 +96,8 @@
 	// class and Elapsed the part of it that has passed.
 	Class            string
 	Latency, Elapsed time.Duration
+	// Body is the size of the body in bytes.
+	Body int
 	// Tried lists the servers that the call was already sent to.
 	Tried []member.ServerID
 	// NeedCapacity restricts the choice to servers that may have a free slot.
@@ -101,6 +107,9 @@
 	// late means that the servers of the own failure domain have a free slot, but
 	// are not expected to meet the target.
 	late bool
+	// linkLate means that no server of the own failure domain is expected to meet the
+	// target, and that the body is large for the links of the service.
+	linkLate bool
 }
 
 // Outcome is the result of a call as far as it concerns the server's
@@ -130,6 +139,7 @@
 		stats := p.statsFor(chosen.Server)
 		stats.inflight++
 		stats.pickedAt = time.Now()
+		p.occupyLink(q, chosen, stats.pickedAt)
 	}
 	return chosen
 }
@@ -149,6 +159,10 @@
 		}
 		q.late = true
 	}
+	if best != nil && p.usesLink(q, best) && !p.meetsTarget(q, best) {
+		q.linkLate = true
+		return cmp.Or(p.pickWithCapacity(servers, q), best)
+	}
 	for range globalSamples {
 		best = p.cheaper(q, best, s.next(best, anyDomain))
 	}
@@ -179,7 +193,7 @@
 	return calls < limit
 }
 
-// meetsTarget reports whether a server of the own failure domain is expected to
+// meetsTarget reports whether a server is expected to
 // answer a call in time, so that no other failure domain needs to be considered.
 func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
 	return q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
@@ -200,6 +214,9 @@
 		if p.excluded(&q, r) || !p.statsFor(r.Server).mayHaveCapacity(r.Slots, now) {
 			continue
 		}
+		if p.usesLink(q, r) && !p.arrivesInTime(q, r) {
+			continue
+		}
 		if best == nil || p.cost(q, r) < p.cost(q, best) {
 			best = r
 		}
@@ -241,17 +258,30 @@
 // next returns a random server of a failure domain, or of any, that the call
 // may go to, that is not ejected and that is not exclude; nil if there is none.
 func (s *sampler) next(exclude *member.Record, domain string) *member.Record {
-	for _, r := range fromRandom(s.servers) {
-		if r == exclude || (domain != anyDomain && r.Domain != domain) || s.picker.excluded(s.query, r) {
-			continue
+	if len(s.servers) == 0 {
+		return nil
+	}
+	for range randomDraws {
+		if r := s.servers[rand.IntN(len(s.servers))]; s.allowed(r, exclude, domain) {
+			return r
 		}
-		if !s.ejected(r) {
+	}
+	for _, r := range fromRandom(s.servers) {
+		if s.allowed(r, exclude, domain) {
 			return r
 		}
 	}
 	return nil
 }
 
+// randomDraws is the number of draws before the servers are searched in order, which
+// prefers those that follow many that are not allowed, for example of other domains.
+const randomDraws = 8
+
+func (s *sampler) allowed(r, exclude *member.Record, domain string) bool {
+	return r != exclude && (domain == anyDomain || r.Domain == domain) && !s.picker.excluded(s.query, r) && !s.ejected(r)
+}
+
 func (s *sampler) ejected(r *member.Record) bool {
 	if !s.picker.statsFor(r.Server).ejected(s.now) {
 		return false
@@ -286,6 +316,7 @@
 		serviceTime, cost = defaultServiceTime, initialServiceTime
 	}
 	cost += time.Duration(queueWait(calls, limit) * float64(serviceTime))
+	cost += p.linkTime(q, r, now)
 	if r.Domain != p.domain {
 		cost += p.crossDomainCost(q)
 	}
@@ -311,6 +342,9 @@
 // round trip, plus a share of the target latency for each kilobyte of the
 // class's mean size.
 func (p *Picker) crossDomainCost(q Query) time.Duration {
+	if q.linkLate {
+		return crossDomainLatency
+	}
 	perKB := crossDomainCostPerKB
 	if q.late {
 		perKB = lateCrossDomainCostPerKB
