Test that keys are refused while the configuration cannot be verified

With the store silent for the time within which revoked keys must be refused, both daemons refuse keys, also one that restarts then; public requests go on, and the key that was kept works again once the store is back.

--- a/fescuehoistd/daemon/accounts_test.go
+++ b/fescuehoistd/daemon/accounts_test.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/platform/platformtest"
 )
 
@@ -106,3 +108,38 @@
 		}
 	}
 }
+
+// Guards against a revoked key that works on daemons that the store cannot reach: they take
+// no keys once nothing has verified their configuration for that long, also one that starts
+// then.
+func TestKeysAreRefusedOnceConfigurationIsUnverified(t *testing.T) {
+	const revokeWithin = 2 * time.Second
+	strict := func(s *settings.Settings) { s.Accounts.RevokeWithin = revokeWithin }
+	store := platformtest.NewStore()
+	defer store.Close()
+	entry, server, _ := startAccountHosts(t, store, strict)
+	store.SetFault(platformtest.Unresponsive)
+	time.Sleep(revokeWithin)
+	restart(t, daemon.ErrAborted, entry)
+	await(t, "the first public request after the restart", func() bool { return sendWithKey(t, entry, "/inner/x", "public", "") == 200 })
+	for _, h := range []*host{entry, server} {
+		if status := sendWithKey(t, h, "/search/x", "unverified", firstKey); status != 503 {
+			t.Errorf("%s: key while the store has been away for %s: status %d, want 503", h.settings.Server, revokeWithin, status)
+		}
+		if status := sendWithKey(t, h, "/inner/x", "public", ""); status != 200 {
+			t.Errorf("%s: public request: status %d, want 200", h.settings.Server, status)
+		}
+	}
+	store.PutConfiguration(accountConfiguration(9, secondKey))
+	store.SetFault(platformtest.NoFault)
+	for _, h := range []*host{entry, server} {
+		await(t, "the key that was kept", func() bool { return sendWithKey(t, h, "/search/x", "kept", secondKey) == 200 })
+		await(t, "status 401 for the revoked key", func() bool {
+			status := sendWithKey(t, h, "/search/x", "revoked", firstKey)
+			if status == 200 {
+				t.Errorf("%s: a request with the revoked key ran", h.settings.Server)
+			}
+			return status == 401
+		})
+	}
+}
