Keep connections whose body was sent when the answer arrives

The answer to a large body could be read before the sending goroutine had returned from its last write; the connection was closed then and the next body needed a new one. The exchange now waits 20 ms for that. A whole answer counts although the server closed without reading the rest of the request; before, it was lost if the write failed first.

--- a/adapters/httpconn/continue.go
+++ b/adapters/httpconn/continue.go
@@ -1,14 +1,11 @@
 package httpconn
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"fescuehoist.example/mesh/call"
 )
 
 // expectContinue is the value of the field Expect in a request whose sender waits for an
@@ -51,7 +48,7 @@
 	}
 	err := readAnswer(c, req, resp, o)
 	if sent != nil {
-		return endSendingAsked(c, resp, sent, err)
+		return endSending(c, resp, sent, err)
 	}
 	if err != nil {
 		return fmt.Errorf("before the body was asked for: %w", err)
@@ -61,20 +58,6 @@
 	return nil
 }
 
-// endSendingAsked is endSending for a body that may not have been sent because BeforeBody
-// failed.
-func endSendingAsked(c *conn, resp *fasthttp.Response, sent <-chan error, err error) error {
-	if err == nil {
-		return endSending(c, resp, sent, nil)
-	}
-	_ = c.Close()
-	var unsent *call.Failure
-	if errors.As(<-sent, &unsent) {
-		return unsent
-	}
-	return err
-}
-
 // sendAskedBody sends the body of a request once before has returned. If that fails, it
 // ends the exchange.
 func sendAskedBody(c *conn, req *fasthttp.Request, before func() error) error {
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -159,20 +159,34 @@
 	return endSending(c, resp, sent, readAnswer(c, req, resp, o))
 }
 
+// sendGrace is how long the sending of a body may go on after its answer. The answer may
+// arrive before the sending goroutine has returned from its last write; the connection
+// would be closed for nothing then.
+const sendGrace = 20 * time.Millisecond
+
 // endSending ends an exchange whose answer was read, or not with err, while the request
 // was being sent.
 func endSending(c *conn, resp *fasthttp.Response, sent <-chan error, err error) error {
-	select {
-	case sendErr := <-sent:
-		if err == nil {
-			err = sendErr
+	if err == nil {
+		grace := time.NewTimer(sendGrace)
+		defer grace.Stop()
+		select {
+		case sendErr := <-sent:
+			if sendErr != nil {
+				// The answer is whole; the server closed without reading the request.
+				resp.SetConnectionClose()
+			}
+			return nil
+		case <-grace.C:
 		}
-	default:
-		// The server would read the rest of the body as part of this request, so
-		// the connection cannot be reused.
-		resp.SetConnectionClose()
-		_ = c.Close()
-		<-sent
+	}
+	// The server would read the rest of the body as part of this request, so the
+	// connection cannot be reused.
+	resp.SetConnectionClose()
+	_ = c.Close()
+	var unsent *call.Failure
+	if sendErr := <-sent; err != nil && errors.As(sendErr, &unsent) {
+		return unsent
 	}
 	return err
 }
