--- a/fescuehoistd/daemon/state.go
+++ b/fescuehoistd/daemon/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 )
@@ -21,6 +22,9 @@
 	Running int      `json:"calls_running"`
 	Queued  int      `json:"calls_queued"`
 	Limit   int      `json:"calls_limit"`
+	// Link counts the large request bodies that come to this host, and is zero if the
+	// bandwidth of its link is unknown.
+	Link link.Counts `json:"link"`
 	// Idle is true if the backend server accepts no calls and runs none.
 	Idle bool `json:"idle"`
 	// Stops are the planned stops that the daemon knows.
@@ -59,7 +63,7 @@
 		Server: d.cfg.Settings.Server, Domain: d.cfg.Settings.Domain,
 		State:   d.announcer.State().String(),
 		InForce: d.configs.Snapshot().Version(), Known: d.configs.KnownVersion(),
-		Peers: d.node.PeerCount(), Running: load.Running, Queued: load.Queued, Limit: load.Limit, Idle: d.gate.Idle(),
+		Peers: d.node.PeerCount(), Running: load.Running, Queued: load.Queued, Limit: load.Limit, Link: d.link.Counts(), Idle: d.gate.Idle(),
 		PlatformCalls: d.platformAdapter.platformCalls(), ControlSent: d.traffic.Sent(), ControlReceived: d.traffic.Received(),
 	}
 	for _, planned := range d.stops.List().Stops {
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -76,11 +76,13 @@
 // Counts describes the bodies at a gate.
 type Counts struct {
 	// InTransit and Waiting are in bytes: on their way, and not yet granted.
-	InTransit, Waiting int64
+	InTransit int64 `json:"bytes_in_transit"`
+	Waiting   int64 `json:"bytes_waiting"`
 	// Granted and Refused count bodies since the start.
-	Granted, Refused uint64
+	Granted uint64 `json:"granted"`
+	Refused uint64 `json:"refused"`
 	// Rate is the mean rate in bytes per second at which granted bodies arrived.
-	Rate float64
+	Rate float64 `json:"bytes_per_second"`
 }
 
 // Body is a body on its way to the host. The methods of a nil Body do nothing.
--- a/mesh/link/gate_test.go
+++ b/mesh/link/gate_test.go
@@ -375,3 +375,21 @@
 		}
 	}
 }
+
+// BenchmarkBody measures the decisions about one body that arrives in 15 parts.
+func BenchmarkBody(b *testing.B) {
+	g := NewGate(1000)
+	r := upload(1, time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		body, err := g.Enter(b.Context(), r, 1<<20, Slots{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		for range 15 {
+			body.Arrived(1 << 16)
+		}
+		body.End()
+		g.Wait()
+	}
+}
