--- a/fescuehoistd/daemon/call_log.go
+++ b/fescuehoistd/daemon/call_log.go
@@ -53,10 +53,14 @@
 // LogFailure logs a call that failed at the daemon beside the backend server, with the
 // load on that server.
 func (l *callLog) LogFailure(r *call.Request, load call.Load, err error) {
-	l.logger.WithFields(logrus.Fields{
+	e := l.logger.WithFields(logrus.Fields{
 		"id": r.ID, "class": r.ClassName, "origin": r.Origin, "running": load.Running, "queued": load.Queued,
 		"limit": load.Limit, "usual": load.ServiceTime, "cause": err,
-	}).Info("call rejected or not answered by the backend server")
+	})
+	if load.LinkWait > 0 {
+		e = e.WithField("link_wait", load.LinkWait.Round(time.Millisecond))
+	}
+	e.Info("call rejected or not answered by the backend server")
 }
 
 func isSampled(id string) bool { return id != "" && xxhash.Sum64String(id)%sampleInterval == 0 }
--- a/mesh/link/gate_test.go
+++ b/mesh/link/gate_test.go
@@ -361,6 +361,8 @@
 			t.Fatal(err)
 		}
 		canceled.End()
+		// The timer that ends the body before it may be due at this moment.
+		synctest.Wait()
 		if c := g.Counts(); c.InTransit != 0 {
 			t.Errorf("%d bytes of a canceled body count, want none", c.InTransit)
 		}
