--- a/fescuehoistd/daemon/admin_test.go
+++ b/fescuehoistd/daemon/admin_test.go
@@ -21,6 +21,7 @@
 	set := &settings.Settings{
 		Server: "lookup-1", Domain: "cairo-a", Callers: loopback, Calls: loopback, Peers: loopback, Admin: loopback,
 		Platform: "127.0.0.1:1", AnnounceLifetime: time.Second, DrainTimeout: time.Second,
+		Limits: settings.Limits{LinkMbps: 10},
 	}
 	listeners, err := daemon.Listen(set)
 	if err != nil {
@@ -44,6 +45,8 @@
 		{"/metrics", fasthttp.StatusOK, []string{
 			`fescuehoist_version{kind="in-force"} 0`, `fescuehoist_members{state="starting"} 1`, "fescuehoist_peers 0",
 			`fescuehoist_control_bytes_total{direction="sent"} 0`, "fescuehoist_platform_calls_total", "fescuehoist_backend_calls_queued 0",
+			`fescuehoist_link_bodies_bytes{state="waiting"} 0`, `fescuehoist_link_decisions_total{decision="refused"} 0`,
+			"fescuehoist_link_rate_bytes_per_second 1.25e+06",
 		}},
 		{"/absent", fasthttp.StatusNotFound, nil},
 	} {
