Look at the slots again before a body that waited is sent

While a body waited for the link, the slots of the server may have filled; its call was refused after the body had crossed the link in vain.

--- a/adapters/callhttp/bodies_test.go
+++ b/adapters/callhttp/bodies_test.go
@@ -18,11 +18,13 @@
 	"fescuehoist.example/mesh/target"
 )
 
+func noSlots() link.Slots { return link.Slots{} }
+
 // linkBodies admits bodies by a gate alone.
 type linkBodies struct{ *link.Gate }
 
 func (b linkBodies) AdmitBody(ctx context.Context, r *call.Request, length int64) (*link.Body, error) {
-	body, err := b.Enter(ctx, r, length, link.Slots{})
+	body, err := b.Enter(ctx, r, length, noSlots)
 	if err != nil {
 		err.(*call.Failure).Load = call.Load{Limit: 4, LinkWait: b.Wait()}
 	}
@@ -64,7 +66,7 @@
 // holdLink takes the whole link until release is called, as a long body that keeps
 // arriving.
 func holdLink(t *testing.T, g *link.Gate) (release func()) {
-	body, err := g.Enter(t.Context(), upload(true), 4<<20, link.Slots{})
+	body, err := g.Enter(t.Context(), upload(true), 4<<20, noSlots)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -126,25 +126,45 @@
 }
 
 // Enter waits until a body of the given length in bytes may be sent. The returned Body
-// must be told what arrives, and must be ended. An error is a *call.Failure with verdict
-// NotRun, and reason Overloaded if the body cannot arrive and be worked on in time.
-func (g *Gate) Enter(ctx context.Context, r *call.Request, length int64, s Slots) (*Body, error) {
+// must be told what arrives, and must be ended. slots is called when the body asks, and
+// again after it waited. An error is a *call.Failure with verdict NotRun, and reason
+// Overloaded if the body cannot arrive and be worked on in time.
+func (g *Gate) Enter(ctx context.Context, r *call.Request, length int64, slots func() Slots) (*Body, error) {
 	if length <= g.free {
 		return nil, nil
 	}
-	w, refusal := g.arrive(ctx, r, length, s)
+	w, refusal := g.arrive(ctx, r, length, slots())
 	if refusal != nil {
 		return nil, refusal
 	}
-	if err := g.await(ctx, w); err != nil {
-		return nil, err
+	waited := false
+	select {
+	case <-w.decided:
+	default:
+		waited = true
+		if err := g.await(ctx, w); err != nil {
+			return nil, err
+		}
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
 	}
+	// The slots may have filled while the body waited.
+	if waited && slots().Wait > time.Until(w.latest) {
+		return nil, g.withdraw(w.body)
+	}
 	return w.body, nil
 }
 
+// withdraw takes back the grant of a body whose call would get no slot in time.
+func (g *Gate) withdraw(b *Body) *call.Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.end()
+	g.counts.Granted--
+	return g.refusal(errNoSlot)
+}
+
 // Send waits until a body of the given length in bytes may leave over the link of the
 // sending host, where bodies to all other hosts meet. The returned Body counts until the
 // link has carried it at its rate, or is ended before. An error is a *call.Failure with
@@ -154,7 +174,7 @@
 	if r.Class != nil {
 		ranked.Class = &target.Class{Rank: r.Class.Rank}
 	}
-	b, err := g.Enter(ctx, ranked, length, Slots{})
+	b, err := g.Enter(ctx, ranked, length, func() Slots { return Slots{} })
 	var f *call.Failure
 	if errors.As(err, &f) && f.Reason == call.Overloaded {
 		f.Reason = call.Deadline
@@ -394,11 +414,6 @@
 // await returns once the body is granted or refused. When it can no longer arrive in
 // time or ctx ends, it removes the body from the queue and returns the refusal.
 func (g *Gate) await(ctx context.Context, w *waiter) error {
-	select {
-	case <-w.decided:
-		return nil
-	default:
-	}
 	expired := time.NewTimer(time.Until(w.latest) - g.shortest(w.length))
 	defer expired.Stop()
 	select {
--- a/mesh/link/gate_test.go
+++ b/mesh/link/gate_test.go
@@ -31,6 +31,10 @@
 	return &call.Request{Class: &target.Class{Rank: rank, Latency: latency}}
 }
 
+func slots(s Slots) func() Slots { return func() Slots { return s } }
+
+var noSlots = slots(Slots{})
+
 // wire carries bytes in the order in which they are sent.
 type wire struct {
 	mu     sync.Mutex
@@ -98,7 +102,7 @@
 					tasks.Go(func() {
 						ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
 						defer cancel()
-						b, err := gates[i].Enter(ctx, upload(2, 400*time.Millisecond), uploadSize, Slots{Service: 70 * time.Millisecond})
+						b, err := gates[i].Enter(ctx, upload(2, 400*time.Millisecond), uploadSize, slots(Slots{Service: 70 * time.Millisecond}))
 						if err != nil {
 							return
 						}
@@ -147,7 +151,7 @@
 				defer untilAllEnded()
 				g := NewGate(testMbps)
 				if c.busy {
-					b, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+					b, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 					go (&wire{}).send(b)
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
@@ -155,7 +159,7 @@
 				r := upload(1, c.latency)
 				r.Elapsed = c.elapsed
 				start := time.Now()
-				b, err := g.Enter(ctx, r, uploadSize, c.slots)
+				b, err := g.Enter(ctx, r, uploadSize, slots(c.slots))
 				defer b.End()
 				if c.refused && (!refusedAs(err, call.Overloaded) || time.Since(start) > 0) {
 					t.Errorf("got %v after %v, want overloaded (not-run) at once", err, time.Since(start))
@@ -174,7 +178,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		defer untilAllEnded()
 		g := NewGate(testMbps)
-		first, _ := g.Enter(t.Context(), upload(3, time.Second), uploadSize, Slots{})
+		first, _ := g.Enter(t.Context(), upload(3, time.Second), uploadSize, noSlots)
 		var mu sync.Mutex
 		var order []string
 		var tasks sync.WaitGroup
@@ -184,7 +188,7 @@
 			latency time.Duration
 		}{{"late", 2, 2 * time.Second}, {"soon", 2, time.Second}, {"urgent", 1, 3 * time.Second}, {"refused", 3, 300 * time.Millisecond}} {
 			tasks.Go(func() {
-				b, err := g.Enter(t.Context(), upload(w.rank, w.latency), uploadSize, Slots{})
+				b, err := g.Enter(t.Context(), upload(w.rank, w.latency), uploadSize, noSlots)
 				mu.Lock()
 				defer mu.Unlock()
 				if err != nil {
@@ -209,16 +213,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		defer untilAllEnded()
 		g := NewGate(testMbps)
-		b, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+		b, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 		go (&wire{}).send(b)
 		refused := make(chan error, 1)
 		go func() {
-			_, err := g.Enter(t.Context(), upload(2, 160*time.Millisecond), uploadSize, Slots{})
+			_, err := g.Enter(t.Context(), upload(2, 160*time.Millisecond), uploadSize, noSlots)
 			refused <- err
 		}()
 		synctest.Wait()
 		start := time.Now()
-		urgent, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+		urgent, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -234,6 +238,26 @@
 	})
 }
 
+// Guards against sending a body whose call would be refused for a slot afterwards.
+func TestBodyIsRefusedIfSlotsFilledWhileItWaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer untilAllEnded()
+		g := NewGate(testMbps)
+		b, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
+		go (&wire{}).send(b)
+		start := time.Now()
+		_, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, func() Slots {
+			if time.Since(start) > 0 {
+				return Slots{Wait: time.Second}
+			}
+			return Slots{}
+		})
+		if c := g.Counts(); !refusedAs(err, call.Overloaded) || c.Granted != 1 || c.Refused != 1 || c.InTransit >= uploadSize {
+			t.Errorf("got %v and %+v, want overloaded (not-run) and the grant of the first body alone", err, c)
+		}
+	})
+}
+
 // Guards against a sender that dies or stops sending and keeps the link from others.
 func TestLostGrantFreesTheLink(t *testing.T) {
 	for _, c := range []struct {
@@ -259,10 +283,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				defer untilAllEnded()
 				g := NewGate(testMbps)
-				lost, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+				lost, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 				c.lose(lost)
 				start := time.Now()
-				b, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+				b, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 				if err != nil || time.Since(start) > c.limit {
 					t.Errorf("next body: granted after %v with %v, want within %v", time.Since(start), err, c.limit)
 				}
@@ -277,11 +301,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		defer untilAllEnded()
 		g := NewGate(testMbps)
-		held, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+		held, _ := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 		ctx, cancel := context.WithCancel(t.Context())
 		canceled := make(chan error, 1)
 		go func() {
-			_, err := g.Enter(ctx, upload(1, time.Second), uploadSize, Slots{})
+			_, err := g.Enter(ctx, upload(1, time.Second), uploadSize, noSlots)
 			canceled <- err
 		}()
 		synctest.Wait()
@@ -312,7 +336,7 @@
 			}()
 		}
 		start := time.Now()
-		b, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, Slots{})
+		b, err := g.Enter(t.Context(), upload(1, time.Second), uploadSize, noSlots)
 		if waited := time.Since(start); err != nil || waited < windowTime || waited > windowTime+time.Millisecond {
 			t.Errorf("granted after %v with %v, want after %v", waited, err, windowTime)
 		}
@@ -327,7 +351,7 @@
 func TestWithoutKnownLinkNothingIsBounded(t *testing.T) {
 	g := NewGate(0)
 	for range 100 {
-		b, err := g.Enter(t.Context(), upload(1, time.Millisecond), 64<<20, Slots{Wait: time.Hour})
+		b, err := g.Enter(t.Context(), upload(1, time.Millisecond), 64<<20, slots(Slots{Wait: time.Hour}))
 		if b != nil || err != nil || g.Wait() != 0 {
 			t.Fatalf("got %v, %v and a wait of %v, want none", b, err, g.Wait())
 		}
@@ -384,7 +408,7 @@
 	r := upload(1, time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
-		body, err := g.Enter(b.Context(), r, 1<<20, Slots{})
+		body, err := g.Enter(b.Context(), r, 1<<20, noSlots)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -113,7 +113,7 @@
 	if !p.Host.Serves(r.Server, r.Service) {
 		return nil, call.Refuse(call.Misdirected, errMisdirected)
 	}
-	body, err := p.Link.Enter(ctx, r, length, slotsOf(p.Gate.LoadFor(r.Class)))
+	body, err := p.Link.Enter(ctx, r, length, func() link.Slots { return slotsOf(p.Gate.LoadFor(r.Class)) })
 	if err != nil {
 		f := asFailure(err)
 		f.Load = p.loadFor(r.Class)
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -40,9 +40,9 @@
 
 // Link bounds the large bodies that are sent to this host.
 type Link interface {
-	// Enter waits until a body of the given length in bytes may be sent. An error is a
-	// *call.Failure with verdict NotRun.
-	Enter(ctx context.Context, r *call.Request, length int64, s link.Slots) (*link.Body, error)
+	// Enter waits until a body of the given length in bytes may be sent; slots returns
+	// the present state of the slots. An error is a *call.Failure with verdict NotRun.
+	Enter(ctx context.Context, r *call.Request, length int64, slots func() link.Slots) (*link.Body, error)
 	// Observe tracks a body that arrives without having been asked for.
 	Observe(length int64) *link.Body
 	// Wait returns how long a body that asks now would wait.
