Do not take a body that waits in the queue of its link for a lost one

A granted body of which no byte had arrived for 50 ms no longer counted, also while another one was arriving: it stood behind that one, and a third body was granted.

A request beyond the limit of connections is refused before its body is sent.

--- a/adapters/httpconn/arrival.go
+++ b/adapters/httpconn/arrival.go
@@ -35,9 +35,16 @@
 // be read.
 func (n *session) announceBody(ctx context.Context, x *exchange, length int) error {
 	handler, ok := n.server.handler.(BodyHandler)
-	if !ok || length <= MinAnnouncedBody || n.refusing {
+	if !ok || length <= MinAnnouncedBody {
 		return nil
 	}
+	if n.refusing {
+		if !x.req.MayContinue() {
+			return nil
+		}
+		n.server.handler.Refuse(x.req, x.resp, errCrowded)
+		return errBodyRefused
+	}
 	x.headAt = time.Now()
 	if !x.req.MayContinue() || n.r.Buffered() > 0 {
 		body, _ := handler.AwaitBody(ctx, x.req, x.resp, length, false)
--- a/mesh/link/body.go
+++ b/mesh/link/body.go
@@ -27,6 +27,9 @@
 	defer g.mu.Unlock()
 	b.arrived += int64(bytes)
 	b.arriving = time.Now()
+	if !b.observed {
+		g.arriving = b.arriving
+	}
 	if len(g.waiting) > 0 {
 		g.fill(b.arriving)
 	}
@@ -90,7 +93,12 @@
 	if !b.carriedAt.IsZero() {
 		return b.carriedAt
 	}
-	stalled := b.arriving.Add(stallTime)
+	since := b.arriving
+	if !b.observed && g.arriving.After(since) {
+		// It may only wait in the queue of the link, behind the other.
+		since = g.arriving
+	}
+	stalled := since.Add(stallTime)
 	slow := b.startedAt.Add(slowFactor*g.shortest(b.length) + stallTime)
 	if slow.Before(stalled) {
 		return slow
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -27,9 +27,10 @@
 	// granted. Its first byte arrives one round trip later, at most 2.8 ms in the
 	// network and some time at the sender.
 	overlapTime = 4 * time.Millisecond
-	// stallTime is how long a body may stop arriving, or take beyond slowFactor times
-	// its time on the link, before other bodies are granted beside it.
-	stallTime  = 50 * time.Millisecond
+	// stallTime is how long no body may arrive, or one may take beyond slowFactor times
+	// its time on the link, before other bodies are granted beside it. Shorter times fill
+	// the queue of the link with bodies of senders that are only late.
+	stallTime  = 40 * time.Millisecond
 	slowFactor = 2
 	// targetShare is the share of the target latency within which a body that has to
 	// wait must have arrived and the call have run; the rest is for the answer.
@@ -64,6 +65,8 @@
 	// measured is the mean rate in bytes per second at which granted bodies arrived.
 	measured float64
 	lastEnd  time.Time
+	// arriving is when a byte of a granted body arrived last.
+	arriving time.Time
 	bodies   map[*Body]bool
 	observed int
 	waiting  []*waiter
