--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -27,9 +27,10 @@
 	// granted. Its first byte arrives one round trip later, at most 2.8 ms in the
 	// network and some time at the sender.
 	overlapTime = 4 * time.Millisecond
-	// stallTime is how long a body may stop arriving, or take beyond slowFactor times
-	// its time on the link, before other bodies are granted beside it.
-	stallTime  = 50 * time.Millisecond
+	// stallTime is how long no body may arrive, or one may take beyond slowFactor times
+	// its time on the link, before other bodies are granted beside it. Shorter times fill
+	// the queue of the link with bodies of senders that are only late.
+	stallTime  = 40 * time.Millisecond
 	slowFactor = 2
 	// targetShare is the share of the target latency within which a body that has to
 	// wait must have arrived and the call have run; the rest is for the answer.
@@ -64,6 +65,8 @@
 	// measured is the mean rate in bytes per second at which granted bodies arrived.
 	measured float64
 	lastEnd  time.Time
+	// arriving is when a byte of a granted body arrived last.
+	arriving time.Time
 	bodies   map[*Body]bool
 	observed int
 	waiting  []*waiter
@@ -76,24 +79,13 @@
 // Counts describes the bodies at a gate.
 type Counts struct {
 	// InTransit and Waiting are in bytes: on their way, and not yet granted.
-	InTransit, Waiting int64
+	InTransit int64 `json:"bytes_in_transit"`
+	Waiting   int64 `json:"bytes_waiting"`
 	// Granted and Refused count bodies since the start.
-	Granted, Refused uint64
+	Granted uint64 `json:"granted"`
+	Refused uint64 `json:"refused"`
 	// Rate is the mean rate in bytes per second at which granted bodies arrived.
-	Rate float64
-}
-
-// Body is a body on its way to the host. The methods of a nil Body do nothing.
-type Body struct {
-	gate   *Gate
-	length int64
-	// observed means that the body was sent without a grant.
-	observed bool
-	// arrived counts the bytes that arrived.
-	arrived             int64
-	startedAt, arriving time.Time
-	// carriedAt is when the link has carried a body of which the arrival is not seen.
-	carriedAt time.Time
+	Rate float64 `json:"bytes_per_second"`
 }
 
 // waiter is a body that is not yet granted.
@@ -137,25 +129,45 @@
 }
 
 // Enter waits until a body of the given length in bytes may be sent. The returned Body
-// must be told what arrives, and must be ended. An error is a *call.Failure with verdict
-// NotRun, and reason Overloaded if the body cannot arrive and be worked on in time.
-func (g *Gate) Enter(ctx context.Context, r *call.Request, length int64, s Slots) (*Body, error) {
+// must be told what arrives, and must be ended. slots is called when the body asks, and
+// again after it waited. An error is a *call.Failure with verdict NotRun, and reason
+// Overloaded if the body cannot arrive and be worked on in time.
+func (g *Gate) Enter(ctx context.Context, r *call.Request, length int64, slots func() Slots) (*Body, error) {
 	if length <= g.free {
 		return nil, nil
 	}
-	w, refusal := g.arrive(ctx, r, length, s)
+	w, refusal := g.arrive(ctx, r, length, slots())
 	if refusal != nil {
 		return nil, refusal
 	}
-	if err := g.await(ctx, w); err != nil {
-		return nil, err
+	waited := false
+	select {
+	case <-w.decided:
+	default:
+		waited = true
+		if err := g.await(ctx, w); err != nil {
+			return nil, err
+		}
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
 	}
+	// The slots may have filled while the body waited.
+	if waited && slots().Wait > time.Until(w.latest) {
+		return nil, g.withdraw(w.body)
+	}
 	return w.body, nil
 }
 
+// withdraw takes back the grant of a body whose call would get no slot in time.
+func (g *Gate) withdraw(b *Body) *call.Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b.end()
+	g.counts.Granted--
+	return g.refusal(errNoSlot)
+}
+
 // Send waits until a body of the given length in bytes may leave over the link of the
 // sending host, where bodies to all other hosts meet. The returned Body counts until the
 // link has carried it at its rate, or is ended before. An error is a *call.Failure with
@@ -165,7 +177,7 @@
 	if r.Class != nil {
 		ranked.Class = &target.Class{Rank: r.Class.Rank}
 	}
-	b, err := g.Enter(ctx, ranked, length, Slots{})
+	b, err := g.Enter(ctx, ranked, length, func() Slots { return Slots{} })
 	var f *call.Failure
 	if errors.As(err, &f) && f.Reason == call.Overloaded {
 		f.Reason = call.Deadline
@@ -325,20 +337,6 @@
 	return granted, min(observed, g.window)
 }
 
-// countsUntil returns when a body no longer counts as on its way unless more of it
-// arrives: its sender may be dead or slow, and the link is free for others then.
-func (g *Gate) countsUntil(b *Body) time.Time {
-	if !b.carriedAt.IsZero() {
-		return b.carriedAt
-	}
-	stalled := b.arriving.Add(stallTime)
-	slow := b.startedAt.Add(slowFactor*g.shortest(b.length) + stallTime)
-	if slow.Before(stalled) {
-		return slow
-	}
-	return stalled
-}
-
 // mayGrant reports whether a body may be sent beside those on their way.
 func (g *Gate) mayGrant(w *waiter, now time.Time) bool {
 	granted, observed := g.inTransit(now)
@@ -419,11 +417,6 @@
 // await returns once the body is granted or refused. When it can no longer arrive in
 // time or ctx ends, it removes the body from the queue and returns the refusal.
 func (g *Gate) await(ctx context.Context, w *waiter) error {
-	select {
-	case <-w.decided:
-		return nil
-	default:
-	}
 	expired := time.NewTimer(time.Until(w.latest) - g.shortest(w.length))
 	defer expired.Stop()
 	select {
@@ -459,72 +452,3 @@
 func (g *Gate) duration(bytes float64) time.Duration {
 	return time.Duration(bytes / g.measured * float64(time.Second))
 }
-
-func (b *Body) remaining() int64 { return max(b.length-b.arrived, 0) }
-
-// Arrived counts bytes of the body that arrived.
-func (b *Body) Arrived(bytes int) {
-	if b == nil || bytes <= 0 {
-		return
-	}
-	g := b.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b.arrived += int64(bytes)
-	b.arriving = time.Now()
-	if len(g.waiting) > 0 {
-		g.fill(b.arriving)
-	}
-}
-
-// endAtRate ends the body once the link has carried it.
-func (b *Body) endAtRate() {
-	b.gate.mu.Lock()
-	defer b.gate.mu.Unlock()
-	carried := b.gate.shortest(b.length)
-	b.carriedAt = b.startedAt.Add(carried)
-	time.AfterFunc(carried, b.End)
-}
-
-// End ends a body that arrived or that will not. It may be called more than once.
-func (b *Body) End() {
-	if b == nil {
-		return
-	}
-	b.gate.mu.Lock()
-	defer b.gate.mu.Unlock()
-	b.end()
-}
-
-func (b *Body) end() {
-	g := b.gate
-	if !g.bodies[b] {
-		return
-	}
-	delete(g.bodies, b)
-	now := time.Now()
-	if b.observed {
-		g.observed--
-	} else if b.remaining() == 0 {
-		g.measure(b, now)
-	}
-	g.fill(now)
-}
-
-// measure adds the arrival of a body to the measured rate. Bodies share the link, so the
-// time of one begins with the end of the one before it.
-func (g *Gate) measure(b *Body, now time.Time) {
-	start := b.startedAt
-	if g.lastEnd.After(start) {
-		start = g.lastEnd
-	}
-	g.lastEnd = now
-	if b.length < minSampleBytes {
-		return
-	}
-	sample := g.rate
-	if elapsed := now.Sub(start).Seconds(); elapsed > 0 {
-		sample = min(float64(b.length)/elapsed, g.rate)
-	}
-	g.measured = max(g.measured+rateGain*(sample-g.measured), minRateShare*g.rate)
-}
