Hold small accounts to their limits without refusing them by chance

The rate of an account of a few requests a second is estimated from so few that its share fell below 1 now and then. Room that is large beside the rate is given out over 0.6 s, and the burst is at least 18 requests as long as the whole window has room.

--- /dev/null
+++ b/adapters/collectgrpc/collect_test.go
@@ -0,0 +1,175 @@
+package collectgrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/proto"
+
+	"fescuehoist.example/adapters/collectgrpc/collectpb"
+	"fescuehoist.example/mesh/allowance"
+	"fescuehoist.example/mesh/collect"
+	"fescuehoist.example/mesh/rollout"
+)
+
+// sampleReport returns a report of n accounts of a failure domain of 18 daemons.
+func sampleReport(n int) *collect.Report {
+	r := &collect.Report{From: "server-3", Sum: true, Daemons: 18, Present: allowance.Series{18, 18, 18, 17.5, 17}, Whole: true,
+		Releases: []rollout.Count{{Service: "lookup", Release: "v2", Class: "search", Answered: 500, Failed: 3, Total: 7 * time.Second}}}
+	for i := range n {
+		r.Accounts = append(r.Accounts, allowance.Count{Account: fmt.Sprintf("acct%03d", i), Offered: 4.5, Used: allowance.Series{4, 5, 3.5, 4, 6}})
+	}
+	return r
+}
+
+var sampleReply = collect.Reply{Fleet: true, Daemons: 72, Verified: true, Version: 9, VerificationAge: 1500*time.Millisecond + time.Microsecond,
+	Limits:     []allowance.Limit{{Account: "acct001", Share: 0.25, Room: 12.5, Rate: 467}},
+	Directions: []rollout.Direction{{Service: "lookup", Release: "v2", Share: 0.05, State: rollout.Running}}}
+
+// receiver answers all reports with sampleReply, once blocked is closed, if it is not nil.
+type receiver struct {
+	reports chan *collect.Report
+	blocked chan struct{}
+	err     error
+}
+
+func (r *receiver) Receive(report *collect.Report) (*collect.Reply, error) {
+	if r.blocked != nil {
+		<-r.blocked
+	}
+	r.reports <- report
+	reply := sampleReply
+	reply.VerificationAge -= time.Microsecond
+	return &reply, r.err
+}
+
+func start(t *testing.T, r *receiver) (*Client, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	(&Server{Receiver: r}).Register(server)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ln) }()
+	client := NewClient(insecure.NewCredentials(), &discardStats{})
+	t.Cleanup(func() {
+		client.Close()
+		server.Stop()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return client, ln.Addr().String()
+}
+
+func TestReportAndReplyArriveUnchanged(t *testing.T) {
+	r := &receiver{reports: make(chan *collect.Report, 1)}
+	client, address := start(t, r)
+	for range 2 {
+		sent := sampleReport(3)
+		reply, err := client.Report(t.Context(), address, sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(sent, <-r.reports, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+			t.Errorf("report (-sent +received):\n%s", diff)
+		}
+		if diff := cmp.Diff(&sampleReply, reply, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+			t.Errorf("reply (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// Guards against the reply to a report that timed out being taken for that to the next one:
+// its age would count from too late a time.
+func TestLateReplyIsNotTakenForNextOne(t *testing.T) {
+	r := &receiver{reports: make(chan *collect.Report, 2), blocked: make(chan struct{})}
+	client, address := start(t, r)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Report(ctx, address, sampleReport(1)); err == nil {
+		t.Fatal("report answered although the receiver is blocked")
+	}
+	close(r.blocked)
+	if _, err := client.Report(t.Context(), address, sampleReport(2)); err != nil {
+		t.Fatal(err)
+	}
+	for report := range r.reports {
+		if len(report.Accounts) == 2 {
+			break
+		}
+	}
+}
+
+func TestRefusedReportIsAnError(t *testing.T) {
+	client, address := start(t, &receiver{reports: make(chan *collect.Report, 1), err: errors.New("not collecting")})
+	if _, err := client.Report(t.Context(), address, sampleReport(1)); err == nil || !strings.Contains(err.Error(), "not collecting") {
+		t.Errorf("error %v, want that of the receiver", err)
+	}
+}
+
+func TestMalformedMessagesAreRejected(t *testing.T) {
+	reports := map[string]func(*collectpb.Report){
+		"no sender":               func(r *collectpb.Report) { r.From = "" },
+		"no daemons":              func(r *collectpb.Report) { r.Daemons = 0 },
+		"too many daemons":        func(r *collectpb.Report) { r.Daemons = 1 << 30 },
+		"missing slices":          func(r *collectpb.Report) { r.Present = r.Present[1:] },
+		"more present than there": func(r *collectpb.Report) { r.Present[0] = 2000 },
+		"missing rates":           func(r *collectpb.Report) { r.Offered = nil },
+		"missing amounts":         func(r *collectpb.Report) { r.Used = r.Used[1:] },
+		"account without a name":  func(r *collectpb.Report) { r.Accounts[0] = "" },
+		"long account name":       func(r *collectpb.Report) { r.Accounts[0] = strings.Repeat("x", 1000) },
+		"too many accounts":       func(r *collectpb.Report) { r.Accounts = make([]string, maxAccounts+1) },
+		"invalid service":         func(r *collectpb.Report) { r.Releases[0].Service = "" },
+	}
+	for name, corrupt := range reports {
+		in := encodeReport(sampleReport(2))
+		corrupt(in)
+		if _, err := decodeReport(in); err == nil {
+			t.Errorf("%s: report accepted", name)
+		}
+	}
+	replies := map[string]func(*collectpb.Reply){
+		"missing shares":  func(r *collectpb.Reply) { r.Shares = nil },
+		"rate of 0":       func(r *collectpb.Reply) { r.Rates[0] = 0 },
+		"invalid state":   func(r *collectpb.Reply) { r.Directions[0].State = 9 },
+		"invalid service": func(r *collectpb.Reply) { r.Directions[0].Service = "" },
+	}
+	for name, corrupt := range replies {
+		in := encodeReply(&sampleReply)
+		corrupt(in)
+		if _, err := decodeReply(in); err == nil {
+			t.Errorf("%s: reply accepted", name)
+		}
+	}
+}
+
+// Guards against messages that grow beyond what links between failure domains are paid for.
+func TestReportSizes(t *testing.T) {
+	whole := sampleReport(78)
+	whole.Present, whole.Releases = allowance.Series{18, 18, 18, 18, 18}, nil
+	size := proto.Size(encodeReport(whole))
+	t.Logf("whole report of 78 accounts: %d bytes", size)
+	if most := 78*17 + 32; size > most {
+		t.Errorf("report of 78 accounts has %d bytes, want at most %d", size, most)
+	}
+}
+
+type discardStats struct{ stats.Handler }
+
+func (discardStats) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context   { return ctx }
+func (discardStats) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (discardStats) HandleRPC(context.Context, stats.RPCStats)                         {}
+func (discardStats) HandleConn(context.Context, stats.ConnStats)                       {}
--- a/mesh/allowance/counter.go
+++ b/mesh/allowance/counter.go
@@ -100,13 +100,13 @@
 	}
 	l, listed := c.limits[a.Name]
 	if !listed {
-		return Limit{Share: 1, Room: a.Burst + tolerance, Rate: a.Rate}
+		return Limit{Share: 1, Room: burstOf(a), Rate: a.Rate}
 	}
 	if a.Rate < l.Rate {
 		// The collector decided by an earlier version.
 		l.Share *= a.Rate / l.Rate
 	}
-	l.Room, l.Rate = min(l.Room, a.Burst+tolerance), a.Rate
+	l.Room, l.Rate = min(l.Room, burstOf(a)), a.Rate
 	return l
 }
 
