--- a/fescuehoistd/daemon/state.go
+++ b/fescuehoistd/daemon/state.go
@@ -66,7 +66,7 @@
 		State:   d.announcer.State().String(),
 		InForce: d.configs.Snapshot().Version(), Known: d.configs.KnownVersion(),
 		Peers: d.node.PeerCount(), Running: load.Running, Queued: load.Queued, Limit: load.Limit, Link: d.link.Counts(), Idle: d.gate.Idle(),
-		Collection: d.collection.state(),
+		Collection:    d.collection.state(),
 		PlatformCalls: d.platformAdapter.platformCalls(), ControlSent: d.traffic.Sent(), ControlReceived: d.traffic.Received(),
 	}
 	for _, planned := range d.stops.List().Stops {
