Hedge slow calls that may run twice (off by default)

Cause: a call whose first server is slow for a while waits for it, although other servers of the service are idle. Operators accept a bounded share of extra work for a shorter tail.

Setting hedge.share, applied on SIGHUP; metrics of copies sent and won; from_copy in the call log. The attempts of a call are collected in failedAttempts, since two may end at once; a single attempt counts as before.

Result: with a share of 0 a call allocates as much as without hedging. Not measured on the deployments.

--- a/adapters/settings/optional_test.go
+++ b/adapters/settings/optional_test.go
@@ -15,6 +15,8 @@
 [retry]
 share = 0.1
 burst = 56
+[hedge]
+share = 0.05
 [limits]
 memory_mb = 284
 descriptors = 4100
@@ -26,7 +28,7 @@
 		t.Fatal(err)
 	}
 	if s.API != settings.Objects || s.Service != "lookup" || s.ProgressInterval != 0 ||
-		s.Retry != (settings.Retry{Share: 0.1, Burst: 56}) || s.Limits != (settings.Limits{MemoryBytes: 284 << 20, Descriptors: 4100}) {
+		s.Retry != (settings.Retry{Share: 0.1, Burst: 56}) || s.Hedge.Share != 0.05 || s.Limits != (settings.Limits{MemoryBytes: 284 << 20, Descriptors: 4100}) {
 		t.Errorf("got %+v", s)
 	}
 }
@@ -36,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.API != settings.Native || s.ProgressInterval != 50*time.Millisecond || s.Retry.Burst != 0 || s.FixedSlots {
+	if s.API != settings.Native || s.ProgressInterval != 50*time.Millisecond || s.Retry.Burst != 0 || s.Hedge.Share != 0 || s.FixedSlots {
 		t.Errorf("got %+v", s)
 	}
 }
@@ -46,6 +48,10 @@
 		"calls.progress: \"soon\"":    "[calls]\nprogress = \"soon\"",
 		"retry.share: 1.5":            "[retry]\nshare = 1.5",
 		"retry.burst: -1":             "[retry]\nburst = -1.0",
+		"hedge.share: 1.01; write":    "[hedge]\nshare = 1.01",
+		"hedge.share: -0.1; write":    "[hedge]\nshare = -0.1",
+		"hedge.share: has the wro":    "[hedge]\nshare = \"5%\"",
+		"hedge.copies: unknown ke":    "[hedge]\ncopies = 2",
 		"limits.memory_mb: 3":         "[limits]\nmemory_mb = 3",
 		"limits.descriptors: -5":      "[limits]\ndescriptors = -5",
 		"limits.size: unknown key":    "[limits]\nsize = 5",
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -46,6 +46,8 @@
 	ProgressInterval time.Duration
 	// Retry bounds the retries of all daemons together.
 	Retry Retry
+	// Hedge bounds the copies of slow calls.
+	Hedge Hedge
 	// Accounts bounds how client accounts are served.
 	Accounts Accounts
 	// Limits are the resource limits of the daemon's process.
@@ -83,6 +85,12 @@
 	Burst float64
 }
 
+// Hedge bounds the copies of slow calls.
+type Hedge struct {
+	// Share is the number of copies that each call adds to the budget; 0 means no copies.
+	Share float64
+}
+
 // Accounts bounds how client accounts are served.
 type Accounts struct {
 	// RevokeWithin is the time within which every daemon refuses a revoked API key, whether
@@ -158,6 +166,9 @@
 		Share float64 `toml:"share"`
 		Burst float64 `toml:"burst"`
 	} `toml:"retry"`
+	Hedge struct {
+		Share float64 `toml:"share"`
+	} `toml:"hedge"`
 	Accounts struct {
 		RevokeWithin string `toml:"revoke_within"`
 		Window       string `toml:"window"`
@@ -222,6 +233,7 @@
 			Share: checkNumber(f, "retry.share", in.Retry.Share, DefaultRetryShare, 1),
 			Burst: checkNumber(f, "retry.burst", in.Retry.Burst, 0, maxRetryBurst),
 		},
+		Hedge: Hedge{Share: checkNumber(f, "hedge.share", in.Hedge.Share, 0, 1)},
 		Accounts: Accounts{
 			RevokeWithin: checkDuration(f, "accounts.revoke_within", in.Accounts.RevokeWithin, 0),
 			Window:       checkDuration(f, "accounts.window", in.Accounts.Window, DefaultAccountWindow),
--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -197,6 +197,9 @@
 // Refund does nothing.
 func (InstantRetries) Refund(*call.Request) {}
 
+// Withdraw permits every copy.
+func (InstantRetries) Withdraw(*call.Request) bool { return true }
+
 // Decide retries every call whose failure and class allow it.
 func (InstantRetries) Decide(r *call.Request, f *call.Failure) retry.Decision {
 	return retry.Decision{Retry: retry.Allowed(f, r.Class.Idempotent, r.Attempt)}
--- a/fescuehoistd/daemon/call_log.go
+++ b/fescuehoistd/daemon/call_log.go
@@ -43,11 +43,15 @@
 }
 
 func (l *callLog) entry(r *call.Request, duration time.Duration) *logrus.Entry {
-	return l.logger.WithFields(logrus.Fields{
+	e := l.logger.WithFields(logrus.Fields{
 		"id": r.ID, "class": r.ClassName, "service": r.Service, "to": r.Server, "instance": r.Instance,
 		"attempts": r.Attempt, "reached": r.Reached, "took": duration.Round(100 * time.Microsecond),
 		"version": l.configs.Snapshot().Version(),
 	})
+	if r.FromCopy {
+		e = e.WithField("from_copy", true)
+	}
+	return e
 }
 
 // LogFailure logs a call that failed at the daemon beside the backend server, with the
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"fescuehoist.example/mesh/configwatch"
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/gossip"
+	"fescuehoist.example/mesh/hedge"
 	"fescuehoist.example/mesh/idempotency"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
@@ -153,9 +154,11 @@
 	quarantineTracker *quarantine.Tracker
 	inbound           *proxy.Inbound
 	outbound          *proxy.Outbound
+	hedger            *hedge.Hedger
 	draining          atomic.Bool
-	// retry holds the current retry limits, which Reload replaces.
+	// retry and hedge hold the current limits, which Reload replaces.
 	retry atomic.Pointer[settings.Retry]
+	hedge atomic.Pointer[settings.Hedge]
 }
 
 // New builds a daemon that serves on open sockets; Run starts it.
@@ -188,6 +191,7 @@
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.forwarder.OnMalformed = d.logMalformed
 	d.retry.Store(&s.Retry)
+	d.hedge.Store(&s.Hedge)
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
 	}
@@ -232,11 +236,12 @@
 	d.quarantineTracker = quarantine.NewTracker(d.cfg.Quarantine, self, d.backend,
 		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.advisories, d.handleBackendCrash)
 	d.advisories.Apply = d.quarantineTracker.ApplyAdvisory
+	d.hedger = hedge.New(hedge.Config{Share: d.hedgeShare, Retries: d.cfg.Policy.Retries, Suspects: d.quarantineTracker, Servers: d.cfg.Policy.Picker})
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
 	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
 		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin}, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
-		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
+		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle, Hedges: d.hedger,
 		Idempotency: d.idempotency, Remote: d.forwarder, Local: d.inbound, Observer: observers{d.metrics, d.meter, calls},
 	}
 	if d.cfg.Settings.API == settings.Objects {
--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -24,6 +24,10 @@
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Limit)) }},
 		{Name: "fescuehoist.backend.rate.limit", Description: "Requests in 1,000 s that the backend server takes; no point without a limit.",
 			Read: d.rateLimit},
+		{Name: "fescuehoist.hedge.copies", Description: "Copies of slow calls: those sent, and those of them that were answered first.", Monotonic: true, Label: "outcome",
+			Read: func() []telemetry.Point {
+				return []telemetry.Point{{Label: "sent", Value: d.hedger.Sent()}, {Label: "won", Value: d.hedger.Won()}}
+			}},
 	}
 }
 
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -66,13 +66,22 @@
 	}
 }
 
-// Reload applies the settings that can change while the daemon runs: the log level
-// and the retry limits. It reports whether other settings differ from those in use,
+// hedgeShare returns the share of calls that may be hedged; 0 while the daemon drains.
+func (d *Daemon) hedgeShare() float64 {
+	if d.draining.Load() {
+		return 0
+	}
+	return d.hedge.Load().Share
+}
+
+// Reload applies the settings that can change while the daemon runs: the log level, the
+// retry limits and the share of hedged calls. It reports whether other settings differ from those in use,
 // which takes a restart to apply.
 func (d *Daemon) Reload(s *settings.Settings) bool {
 	d.cfg.Log.SetLevel(s.LogLevel)
 	d.retry.Store(&s.Retry)
+	d.hedge.Store(&s.Hedge)
 	old, updated := *d.cfg.Settings, *s
-	updated.LogLevel, updated.Retry = old.LogLevel, old.Retry
+	updated.LogLevel, updated.Retry, updated.Hedge = old.LogLevel, old.Retry, old.Hedge
 	return !reflect.DeepEqual(old, updated)
 }
--- a/fescuehoistd/main.go
+++ b/fescuehoistd/main.go
@@ -40,8 +40,8 @@
 and the view of all backend servers up to date.
 
 SIGTERM drains the backend server and then ends the daemon. SIGHUP reloads the
-settings and applies the log level and the retry limits; a changed target never
-needs a signal.
+settings and applies the log level, the retry limits and the share of hedged
+calls; a changed target never needs a signal.
 Exit codes: 0 stopped as planned, 1 failure, 2 bad settings or arguments.`
 
 func main() {
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -51,6 +51,9 @@
 	Reached int
 	// Refused counts the attempts refused for lack of capacity.
 	Refused int
+	// FromCopy means that the answer came from a copy of the request that was sent while
+	// the first attempt ran.
+	FromCopy bool
 	// Server is the backend server that a daemon chose, Instance the ID of its
 	// current start.
 	Server, Instance string
--- /dev/null
+++ b/mesh/proxy/hedge_test.go
@@ -0,0 +1,449 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/hedge"
+	"fescuehoist.example/mesh/manifest"
+	"fescuehoist.example/mesh/manifest/manifesttest"
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/proxy"
+	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/route"
+)
+
+// reply is what a simulated server does with one request.
+type reply struct {
+	after  time.Duration
+	status int
+	// err, if not nil, takes the place of the answer.
+	err *call.Failure
+	// deaf means that the server's daemon does not notice a cancellation.
+	deaf bool
+}
+
+// servers simulates the backend servers of a service and the way to them.
+type servers struct {
+	// reply returns what the n-th attempt of all calls, counted from 1, comes to.
+	reply func(n int, address string) reply
+
+	mu       sync.Mutex
+	attempts []string
+	running  int
+	canceled int
+}
+
+func (s *servers) Forward(ctx context.Context, address string, _ *call.Request) (*call.Answer, error) {
+	s.mu.Lock()
+	s.attempts = append(s.attempts, address)
+	s.running++
+	r := s.reply(len(s.attempts), address)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.running--
+	}()
+	done := ctx.Done()
+	if r.deaf {
+		done = nil
+	}
+	select {
+	case <-time.After(r.after):
+	case <-done:
+		s.mu.Lock()
+		s.canceled++
+		s.mu.Unlock()
+		return nil, &call.Failure{Verdict: call.MayHaveRun, Reason: call.ReasonOf(ctx, call.Cut), Err: ctx.Err()}
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return &call.Answer{Status: r.status, Body: []byte(address)}, nil
+}
+
+// countingPicker checks that each call counted at a server is ended once.
+type countingPicker struct {
+	*route.Picker
+	mu       sync.Mutex
+	inflight int
+}
+
+func (p *countingPicker) Pick(s *route.Service, q route.Query) *member.Record {
+	r := p.Picker.Pick(s, q)
+	if r != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.inflight++
+	}
+	return r
+}
+
+func (p *countingPicker) Done(server member.ServerID, o route.Outcome) {
+	p.mu.Lock()
+	p.inflight--
+	p.mu.Unlock()
+	p.Picker.Done(server, o)
+}
+
+// hedged is an Outbound whose calls are hedged, with its surroundings.
+type hedged struct {
+	*proxy.Outbound
+	*servers
+	picker  *countingPicker
+	hedger  *hedge.Hedger
+	share   float64
+	suspect bool
+}
+
+func (h *hedged) IsSuspect(*call.Request) bool { return h.suspect }
+
+// newHedged returns an Outbound that knows a number of servers and hedges a share of calls.
+func newHedged(t testing.TB, count int, share float64, limits retry.Limits) *hedged {
+	t.Helper()
+	table := member.NewTable("entry")
+	for i := range count {
+		id := fmt.Sprintf("lookup-%d", i+1)
+		table.Merge([]member.Record{{
+			Server: member.ServerID(id), Incarnation: 1, State: member.Ready, Domain: "a", Service: "lookup", CallAddress: id, Instance: "i-" + id, Slots: 100,
+		}})
+	}
+	configs := manifest.NewStore()
+	history := manifesttest.NewHistory("edit")
+	history.Edit(manifesttest.Service("lookup", time.Second))
+	if _, err := configs.ApplyUpdate(history.Delta(0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	h := &hedged{share: share, servers: &servers{}, picker: &countingPicker{Picker: route.NewPicker("a", nil)}}
+	retries := retry.NewPolicyWithLimits(limits)
+	h.hedger = hedge.New(hedge.Config{Share: func() float64 { return h.share }, Retries: retries, Suspects: h, Servers: h.picker})
+	h.Outbound = &proxy.Outbound{
+		Self: "entry", Routes: route.NewRouter(configs, table), Picker: h.picker, Unreachable: route.NewUnreachableServers(permitAll{}),
+		Retries: retries, Throttle: permitAll{}, Hedges: h.hedger, Remote: h.servers, Observer: permitAll{},
+	}
+	return h
+}
+
+func newHedgedRequest() *call.Request {
+	r := newSearchRequest()
+	r.ClassName, r.Class.Latency = "search", 100*time.Millisecond
+	return r
+}
+
+// learn makes calls of 20 ms, so that their durations are known.
+func (h *hedged) learn(t testing.TB) {
+	t.Helper()
+	h.reply = func(int, string) reply { return reply{after: 20 * time.Millisecond, status: 200} }
+	for range 100 {
+		if _, err := h.Call(context.Background(), newHedgedRequest()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(time.Second)
+	h.attempts = nil
+}
+
+// checkEnded checks that nothing goes on after a call has ended.
+func (h *hedged) checkEnded(t *testing.T) {
+	t.Helper()
+	if h.running != 0 || h.picker.inflight != 0 {
+		t.Errorf("%d attempts still run, %d are counted as in flight; want 0", h.running, h.picker.inflight)
+	}
+}
+
+var (
+	slow    = reply{after: time.Second, status: 200}
+	fast    = reply{after: 10 * time.Millisecond, status: 200}
+	failing = reply{after: 5 * time.Millisecond, status: 500}
+	refuses = reply{after: time.Millisecond, err: call.Refuse(call.Overloaded, nil)}
+	crashes = reply{after: 5 * time.Millisecond, err: &call.Failure{Verdict: call.MayHaveRun, Reason: call.Crashed}}
+	cut     = reply{after: 5 * time.Millisecond, err: &call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut}}
+	// failsLate fails after the copy of the call was sent.
+	failsLate   = reply{after: 40 * time.Millisecond, err: &call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut}}
+	crashesLate = reply{after: 40 * time.Millisecond, err: &call.Failure{Verdict: call.MayHaveRun, Reason: call.Crashed}}
+	refusesLate = reply{after: 40 * time.Millisecond, err: call.Refuse(call.Overloaded, nil)}
+)
+
+// Guards against a wrong outcome, count or server of a call of which two attempts ran at
+// once, whichever of them ends first and however.
+func TestOutcomeOfCallWithCopy(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// replies are those of the first attempt, of the copy and of a retry.
+		replies []reply
+		// wantAnswer is the number of the attempt whose answer is returned, 0 if the call
+		// fails with want.
+		wantAnswer int
+		wantStatus int
+		want       call.Failure
+		// last is the number of the attempt that ended last, if the call fails.
+		last     int
+		attempts int
+		reached  int
+		canceled int
+	}{
+		{name: "copy is faster", replies: []reply{slow, fast}, wantAnswer: 2, attempts: 2, reached: 2, canceled: 1},
+		{name: "first attempt is faster", replies: []reply{{after: 25 * time.Millisecond, status: 200}, slow}, wantAnswer: 1, attempts: 2, reached: 2, canceled: 1},
+		{name: "first attempt's answer arrives later", replies: []reply{{after: 50 * time.Millisecond, status: 200, deaf: true}, fast}, wantAnswer: 2, attempts: 2, reached: 2},
+		{name: "copy's answer arrives later", replies: []reply{{after: 25 * time.Millisecond, status: 200}, {after: 50 * time.Millisecond, status: 200, deaf: true}}, wantAnswer: 1, attempts: 2, reached: 2},
+		{name: "copy refused", replies: []reply{slow, refuses}, wantAnswer: 1, attempts: 2, reached: 1},
+		{name: "copy cut", replies: []reply{slow, cut}, wantAnswer: 1, attempts: 2, reached: 2},
+		{name: "copy fails", replies: []reply{slow, failing}, wantAnswer: 1, attempts: 2, reached: 2},
+		{name: "copy crashes its server", replies: []reply{slow, crashes}, wantAnswer: 1, attempts: 2, reached: 2},
+		{name: "first attempt cut, copy answers", replies: []reply{failsLate, {after: 50 * time.Millisecond, status: 200}}, wantAnswer: 2, attempts: 2, reached: 2},
+		{name: "copy answers with a final error", replies: []reply{slow, {after: time.Millisecond, status: 504}}, wantAnswer: 2, wantStatus: 504, attempts: 2, reached: 2, canceled: 1},
+		{name: "both fail, retry answers", replies: []reply{failsLate, cut, fast}, wantAnswer: 3, attempts: 3, reached: 3},
+		{name: "both fail, retry fails", replies: []reply{failsLate, cut, cut}, want: call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut}, last: 3, attempts: 3, reached: 3},
+		{name: "copy answers with an error, others are cut", replies: []reply{failsLate, failing, cut}, wantAnswer: 2, wantStatus: 500, attempts: 3, reached: 3},
+		{name: "copy cut, first attempt refused", replies: []reply{refusesLate, cut, refuses}, want: call.Failure{Verdict: call.MayHaveRun, Reason: call.Cut}, last: 3, attempts: 3, reached: 1},
+		{name: "copy refused, then first attempt", replies: []reply{refusesLate, refuses}, want: call.Failure{Verdict: call.NotRun, Reason: call.Overloaded}, last: 1, attempts: 2},
+		{name: "first attempt refused, then copy", replies: []reply{refusesLate, refusesLate}, want: call.Failure{Verdict: call.NotRun, Reason: call.Overloaded}, last: 2, attempts: 2},
+		{name: "both crash their servers", replies: []reply{crashesLate, crashes}, want: call.Failure{Verdict: call.MayHaveRun, Reason: call.Crashed}, last: 1, attempts: 2, reached: 2},
+		{name: "no copy before the first failure", replies: []reply{cut, fast}, wantAnswer: 2, attempts: 2, reached: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHedged(t, 5, 0.2, retry.DefaultLimits())
+				h.learn(t)
+				h.reply = func(n int, _ string) reply { return c.replies[n-1] }
+				r := newHedgedRequest()
+				answer, err := h.Call(context.Background(), r)
+				h.checkEnded(t)
+				if len(h.attempts) != c.attempts || r.Attempt != c.attempts || r.Reached != c.reached || h.canceled != c.canceled {
+					t.Errorf("%d attempts, counted %d, reached %d, canceled %d; want %d, %d, %d", len(h.attempts), r.Attempt, r.Reached, h.canceled, c.attempts, c.reached, c.canceled)
+				}
+				if unique := slices.Compact(slices.Sorted(slices.Values(h.attempts))); len(unique) != len(h.attempts) {
+					t.Errorf("attempts at %v, want different servers", h.attempts)
+				}
+				if c.wantAnswer == 0 {
+					var f *call.Failure
+					if !errors.As(err, &f) || f.Verdict != c.want.Verdict || f.Reason != c.want.Reason {
+						t.Errorf("got %v, want %v", err, &c.want)
+					}
+					if r.Server != h.attempts[c.last-1] {
+						t.Errorf("call log names %s, want %s, where the last attempt ended", r.Server, h.attempts[c.last-1])
+					}
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				server := h.attempts[c.wantAnswer-1]
+				if string(answer.Body) != server || (c.wantStatus > 0 && answer.Status != c.wantStatus) {
+					t.Errorf("status %d of %s, want the answer of %s", answer.Status, answer.Body, server)
+				}
+				if answer.Status == 200 && (r.Server != server || r.Instance != "i-"+server) {
+					t.Errorf("call log names %s, %s; want %s", r.Server, r.Instance, server)
+				}
+				if fromCopy := c.wantAnswer == 2 && c.replies[0] != cut && c.wantStatus != 500; r.FromCopy != fromCopy {
+					t.Errorf("answered by the copy: %t, want %t", r.FromCopy, fromCopy)
+				}
+			})
+		})
+	}
+}
+
+// Guards against copies of calls that must not be sent twice, while draining, or so late
+// that the copy has no time left.
+func TestNoCopyOfCallThatMayNotHaveOne(t *testing.T) {
+	for name, change := range map[string]func(*hedged, *call.Request){
+		"not idempotent":            func(_ *hedged, r *call.Request) { r.Class.Idempotent = false },
+		"suspect of the quarantine": func(h *hedged, _ *call.Request) { h.suspect = true },
+		"off, or draining":          func(h *hedged, _ *call.Request) { h.share = 0 },
+		"large body":                func(_ *hedged, r *call.Request) { r.Body = make([]byte, 5<<10) },
+		"one server for each call":  func(_ *hedged, r *call.Request) { r.Class.Attempts = 1 },
+		"deadline too close":        func(_ *hedged, r *call.Request) { r.Class.Timeout = 35 * time.Millisecond },
+		"no other server": func(h *hedged, _ *call.Request) {
+			h.Routes = newHedged(t, 1, 0, retry.DefaultLimits()).Routes
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, r := newHedged(t, 5, 0.2, retry.DefaultLimits()), newHedgedRequest()
+				h.learn(t)
+				h.reply = func(int, string) reply { return slow }
+				change(h, r)
+				_, _ = h.Call(context.Background(), r)
+				h.checkEnded(t)
+				if len(h.attempts) != 1 || r.Attempt != 1 || h.hedger.Sent() != 0 {
+					t.Errorf("%d attempts, want no copy", len(h.attempts))
+				}
+			})
+		})
+	}
+}
+
+// load makes calls at fixed times, one every interval, and returns their sorted durations
+// and the number of attempts.
+func (h *hedged) load(calls int, interval time.Duration) (durations []time.Duration, failed int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for range calls {
+		wg.Go(func() {
+			start := time.Now()
+			_, err := h.Call(context.Background(), newHedgedRequest())
+			mu.Lock()
+			defer mu.Unlock()
+			durations = append(durations, time.Since(start))
+			if err != nil {
+				failed++
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	slices.Sort(durations)
+	return durations, failed
+}
+
+// One of 30 servers is ten times slower than the others. Guards against hedging that does
+// not help callers, or that costs the servers more than the share that was set.
+func TestHedgingLowersTailBesideSlowServer(t *testing.T) {
+	const calls, share = 6000, 0.08
+	p99 := map[float64]time.Duration{}
+	for _, s := range []float64{0, share} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHedged(t, 30, s, retry.DefaultLimits())
+			h.learn(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			h.reply = func(_ int, address string) reply {
+				d := 15*time.Millisecond + time.Duration(random.Int64N(int64(10*time.Millisecond)))
+				if address == "lookup-7" {
+					d *= 10
+				}
+				return reply{after: d, status: 200}
+			}
+			h.load(calls/4, 2*time.Millisecond)
+			time.Sleep(time.Second)
+			h.attempts = nil
+			durations, failed := h.load(calls, 2*time.Millisecond)
+			h.checkEnded(t)
+			p99[s] = durations[calls*99/100]
+			t.Logf("share %g: p50 %s, p99 %s, %d attempts, %d copies, %d won", s, durations[calls/2], p99[s], len(h.attempts), h.hedger.Sent(), h.hedger.Won())
+			if limit := calls + share*calls + retry.BudgetBurst; float64(len(h.attempts)) > limit || failed > 0 {
+				t.Errorf("%d attempts, want at most %.0f; %d calls failed", len(h.attempts), limit, failed)
+			}
+		})
+	}
+	if p99[share] > p99[0]/2 {
+		t.Errorf("p99 %s with hedging and %s without, want at most half", p99[share], p99[0])
+	}
+}
+
+// Guards against copies that add to an overload: servers refuse a part of the calls.
+func TestNoCopiesWhileServersRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHedged(t, 10, 0.2, retry.DefaultLimits())
+		h.learn(t)
+		random := rand.New(rand.NewPCG(1, 2))
+		h.reply = func(n int, _ string) reply {
+			switch {
+			case n == 1 || random.Float64() < 0.2:
+				return refuses
+			case random.Float64() < 0.3:
+				return reply{after: 200 * time.Millisecond, status: 200}
+			}
+			return reply{after: 20 * time.Millisecond, status: 200}
+		}
+		h.load(3000, 2*time.Millisecond)
+		h.checkEnded(t)
+		if h.hedger.Sent() != 0 {
+			t.Errorf("%d copies sent, want none while servers refuse calls", h.hedger.Sent())
+		}
+	})
+}
+
+// Guards against copies beyond the hedge budget or the retry budget when all calls have
+// become slow.
+func TestCopiesEndWithTheirBudget(t *testing.T) {
+	limits := func(share, burst float64) retry.Limits {
+		return retry.Limits{Share: func() float64 { return share }, Burst: func() float64 { return burst }}
+	}
+	const calls = 1000
+	for _, c := range []struct {
+		name   string
+		share  float64
+		limits retry.Limits
+		most   float64
+	}{
+		{"hedge budget", 0.05, limits(1, 1000), 0.05*(calls+100) + 2},
+		{"retry budget", 1, limits(0.03, 4), 0.03*(calls+100) + 4},
+		{"no retry budget", 1, limits(0.001, 0.5), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHedged(t, 10, c.share, c.limits)
+				h.learn(t)
+				h.reply = func(int, string) reply { return reply{after: 100 * time.Millisecond, status: 200} }
+				h.load(calls, time.Millisecond)
+				h.checkEnded(t)
+				if sent := float64(h.hedger.Sent()); sent > c.most || (c.most > 0 && sent == 0) {
+					t.Errorf("%.0f copies of %d calls, want some up to %.0f", sent, calls, c.most)
+				}
+			})
+		})
+	}
+}
+
+// instantServers answer at once.
+type instantServers struct{ answer call.Answer }
+
+func (s *instantServers) Forward(context.Context, string, *call.Request) (*call.Answer, error) {
+	return &s.answer, nil
+}
+
+// callInstantly makes one call to servers that answer at once.
+func (h *hedged) callInstantly(t testing.TB) func() {
+	h.Remote = &instantServers{call.Answer{Status: 200}}
+	r, class := newHedgedRequest(), newHedgedRequest().Class
+	return func() {
+		*r = call.Request{Service: "lookup", Class: class, ClassName: "search"}
+		if _, err := h.Call(context.Background(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a cost of hedging for those who do not ask for it.
+func TestHedgingSwitchedOffAllocatesNothing(t *testing.T) {
+	off := newHedged(t, 5, 0, retry.DefaultLimits())
+	none := newHedged(t, 5, 0, retry.DefaultLimits())
+	none.Hedges = nil
+	got, want := testing.AllocsPerRun(1000, off.callInstantly(t)), testing.AllocsPerRun(1000, none.callInstantly(t))
+	if got != want {
+		t.Errorf("%g allocations a call with a share of 0, want %g as without hedging", got, want)
+	}
+}
+
+// BenchmarkCall makes calls without hedging, with it switched off and with it on; none is
+// slow enough for a copy.
+func BenchmarkCall(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		share float64
+	}{{"none", -1}, {"off", 0}, {"on", 0.05}} {
+		b.Run(c.name, func(b *testing.B) {
+			h := newHedged(b, 5, c.share, retry.DefaultLimits())
+			if c.share < 0 {
+				h.Hedges = nil
+			}
+			if c.share > 0 {
+				h.learn(b)
+			}
+			makeCall := h.callInstantly(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				makeCall()
+			}
+		})
+	}
+}
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -49,6 +49,8 @@
 	Unreachable UnreachableServers
 	Retries     Retries
 	Throttle    Throttle
+	// Hedges is nil if no calls are hedged.
+	Hedges      Hedges
 	Idempotency Idempotency
 	Remote      Forwarder
 	Local       call.Handler
@@ -191,8 +193,7 @@
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.Deposit(r)
 	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
-	var last *call.Failure
-	var failedAnswer *call.Answer
+	var failed failedAttempts
 	for {
 		query.Elapsed = time.Since(r.Arrived)
 		server := p.pick(r.Service, query)
@@ -202,31 +203,64 @@
 			server = p.pick(r.Service, query)
 		}
 		if server == nil {
-			return answerOrFailure(failedAnswer, p.noServerLeft(r, last))
+			return failed.answerOr(p.noServerLeft(r, failed.last))
 		}
 		r.Attempt++
-		answer, err := p.attempt(ctx, server, r)
-		if err == nil && !isRetryableError(r, answer) {
-			return answer, nil
+		first, second := p.attemptHedged(ctx, server, r, query)
+		if first.isFinal(r) {
+			return first.answer, nil
 		}
-		if err == nil {
-			failedAnswer = answer
-			err = &call.Failure{Verdict: call.Ran, Reason: call.Failed}
+		failed.add(r, first)
+		if second.made() {
+			failed.add(r, second)
 		}
-		last = combine(last, asFailure(err))
-		if recordCrash(r, last) {
-			return answerOrFailure(failedAnswer, last)
+		if failed.crashedTwice {
+			return failed.answerOr(failed.last)
 		}
-		decision := p.Retries.Decide(r, last)
+		decision := p.Retries.Decide(r, failed.last)
 		if !decision.Retry || wait.For(ctx, decision.Delay) != nil {
-			return answerOrFailure(failedAnswer, last)
+			return failed.answerOr(failed.last)
+		}
+		r.NewConnection = failed.last.Reason == call.Silent
+		query.Tried = append(query.Tried, first.server)
+		if second.made() {
+			query.Tried = append(query.Tried, second.server)
 		}
-		r.NewConnection = last.Reason == call.Silent
-		query.Tried = append(query.Tried, server.Server)
 		query.NeedCapacity = decision.NeedCapacity
 	}
 }
 
+// failedAttempts is what the attempts of a call have come to, none of which gave an answer
+// that another backend server may not give.
+type failedAttempts struct {
+	// last is the failure of the last attempt, with the verdict of all attempts.
+	last *call.Failure
+	// answer is the last server error, or nil.
+	answer *call.Answer
+	// crashedTwice means that two servers crashed under the call.
+	crashedTwice bool
+}
+
+// add adds an attempt that ended after those before it.
+func (a *failedAttempts) add(r *call.Request, o ended) {
+	if o.err == nil {
+		a.answer = o.answer
+		o.err = &call.Failure{Verdict: call.Ran, Reason: call.Failed}
+	}
+	a.last = combine(a.last, asFailure(o.err))
+	if recordCrash(r, a.last) {
+		a.crashedTwice = true
+	}
+}
+
+// answerOr returns the last server error, or f if there was none.
+func (a *failedAttempts) answerOr(f *call.Failure) (*call.Answer, error) {
+	if a.answer != nil {
+		return a.answer, nil
+	}
+	return nil, f
+}
+
 // isRetryableError reports whether an answer is a server error that another
 // backend server may not return. A gateway timeout is final: the deadline has
 // passed for every server.
@@ -234,14 +268,6 @@
 	return a.Failed() && r.Class.Idempotent && a.Status != call.StatusGatewayTimeout
 }
 
-// answerOrFailure returns the answer if there is one, and f if not.
-func answerOrFailure(answer *call.Answer, f *call.Failure) (*call.Answer, error) {
-	if answer != nil {
-		return answer, nil
-	}
-	return nil, f
-}
-
 // recordCrash marks a request under which a server crashed as suspect. It
 // reports whether this was the second such crash.
 func recordCrash(r *call.Request, f *call.Failure) bool {
@@ -290,6 +316,9 @@
 	}
 	if outcome.Failure != nil && outcome.Failure.NoCapacity() {
 		r.Refused++
+		if p.Hedges != nil {
+			p.Hedges.ObserveRefusal(r.Service)
+		}
 	}
 	p.Picker.Done(server.Server, outcome)
 	return answer, err
--- a/mesh/proxy/policy.go
+++ b/mesh/proxy/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/hedge"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/quarantine"
 	"fescuehoist.example/mesh/retry"
@@ -66,6 +67,25 @@
 	// Refund returns to the budget a retry that Decide granted and that was not
 	// made.
 	Refund(r *call.Request)
+	// Withdraw takes a retry from the budget for a copy of a call, and reports whether
+	// there was one.
+	Withdraw(r *call.Request) bool
+}
+
+// Hedges decides about copies of calls whose first attempt is slow.
+type Hedges interface {
+	// Plan counts the first attempt of a call, which has a time left, and says after
+	// which time a copy is sent.
+	Plan(r *call.Request, left time.Duration) hedge.Plan
+	// Choose returns the server for the copy of a call whose first attempt went to first,
+	// or nil if no copy is sent.
+	Choose(r *call.Request, s *route.Service, q route.Query, first member.ServerID) *member.Record
+	// End ends a copy for which Choose returned a server.
+	End(r *call.Request, reached, won bool)
+	// Observe records how long the first attempt of a call took.
+	Observe(r *call.Request, took time.Duration)
+	// ObserveRefusal records that a server refused a call for lack of capacity.
+	ObserveRefusal(service string)
 }
 
 // Quarantine keeps requests that crash backend servers from running again.
--- a/mesh/quarantine/tracker.go
+++ b/mesh/quarantine/tracker.go
@@ -264,6 +264,16 @@
 	}
 }
 
+// IsSuspect reports whether a backend server crashed while it ran the request, as far as
+// this daemon knows, and the request has not ended well since.
+func (t *Tracker) IsSuspect(r *call.Request) bool {
+	fingerprint := FingerprintOf(r)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[fingerprint]
+	return s != nil && time.Now().Before(s.until)
+}
+
 // Apply applies a report. Requests that ended well here do not become suspects.
 func (t *Tracker) Apply(r *Report) {
 	t.mu.Lock()
--- a/mesh/retry/budget.go
+++ b/mesh/retry/budget.go
@@ -44,6 +44,13 @@
 	return true
 }
 
+// Tokens returns the number of retries in the budget.
+func (b *Budget) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // full reports whether the budget holds as much as it can, as a new one does.
 func (b *Budget) full() bool {
 	b.mu.Lock()
--- a/mesh/retry/retry.go
+++ b/mesh/retry/retry.go
@@ -74,15 +74,15 @@
 	}
 }
 
-// Refund returns a retry that Decide granted and that was not made.
+// Refund returns a retry that Decide or Withdraw granted and that was not made.
 func (p *Policy) Refund(r *call.Request) {
 	for _, b := range p.budgetsOf(r) {
 		b.Refund()
 	}
 }
 
-// withdraw takes a retry from the budgets of a call's service and class, or none.
-func (p *Policy) withdraw(r *call.Request) bool {
+// Withdraw takes a retry from the budgets of a call's service and class, or none.
+func (p *Policy) Withdraw(r *call.Request) bool {
 	budgets := p.budgetsOf(r)
 	for i, b := range budgets {
 		if b.Withdraw() {
@@ -98,7 +98,7 @@
 
 // Decide decides whether to retry a call whose attempts so far ended in f.
 func (p *Policy) Decide(r *call.Request, f *call.Failure) Decision {
-	if leftToOutermost(r, f) || !Allowed(f, r.Class.Idempotent, r.Attempt) || r.Reached >= maxReached(r) {
+	if leftToOutermost(r, f) || !Allowed(f, r.Class.Idempotent, r.Attempt) || r.Reached >= MaxReached(r) {
 		return Decision{}
 	}
 	if f.NoCapacity() && r.Refused >= MaxRefusals {
@@ -106,14 +106,14 @@
 	}
 	// A call that reached no backend server added no load to any, so its retry
 	// is not charged to the budget.
-	if f.ReachedServer() && !p.withdraw(r) {
+	if f.ReachedServer() && !p.Withdraw(r) {
 		return Decision{}
 	}
 	return Decision{Retry: true, Delay: backoff(r.Attempt), NeedCapacity: f.NoCapacity()}
 }
 
-// maxReached returns how many backend servers a call may reach.
-func maxReached(r *call.Request) int {
+// MaxReached returns how many backend servers a call may reach.
+func MaxReached(r *call.Request) int {
 	if r.Class.Attempts > 0 {
 		return min(r.Class.Attempts, MaxAttempts)
 	}
