Explain the choice of a server from its own code

Cause: operators cannot ask a daemon where a call would go and why.

The choice and the explanation share the functions for exclusion and cost; the choice no longer begins to keep statistics of servers that it only looks at.

--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -175,7 +175,7 @@
 
 // hasFreeSlot reports whether a call to a server is not expected to wait.
 func (p *Picker) hasFreeSlot(r *member.Record) bool {
-	calls, limit := p.statsFor(r.Server).occupancy(r.Slots, time.Now())
+	calls, limit := p.known(r.Server).occupancy(r.Slots, time.Now())
 	return calls < limit
 }
 
@@ -197,7 +197,7 @@
 		if i >= maxCapacityChecks {
 			break
 		}
-		if p.excluded(&q, r) || !p.statsFor(r.Server).mayHaveCapacity(r.Slots, now) {
+		if p.excluded(&q, r) || !p.known(r.Server).mayHaveCapacity(r.Slots, now) {
 			continue
 		}
 		if best == nil || p.cost(q, r) < p.cost(q, best) {
@@ -208,8 +208,19 @@
 }
 
 // excluded reports whether the call must not go to a server.
-func (p *Picker) excluded(q *Query, r *member.Record) bool {
-	return slices.Contains(q.Tried, r.Server) || (!q.AllowUnreachable && p.isUnreachable(r)) || p.statsFor(r.Server).isLeaving(r.Instance)
+func (p *Picker) excluded(q *Query, r *member.Record) bool { return p.exclusion(q, r) != "" }
+
+// exclusion returns why the call must not go to a server; it is empty if it may.
+func (p *Picker) exclusion(q *Query, r *member.Record) Exclusion {
+	switch {
+	case slices.Contains(q.Tried, r.Server):
+		return Tried
+	case !q.AllowUnreachable && p.isUnreachable(r):
+		return Unreachable
+	case p.known(r.Server).isLeaving(r.Instance):
+		return Leaving
+	}
+	return ""
 }
 
 // fromRandom yields every server once, starting at a random one.
@@ -253,7 +264,7 @@
 }
 
 func (s *sampler) ejected(r *member.Record) bool {
-	if !s.picker.statsFor(r.Server).ejected(s.now) {
+	if !s.picker.known(r.Server).ejected(s.now) {
 		return false
 	}
 	if !s.counted {
@@ -268,7 +279,7 @@
 func (p *Picker) mayEject(servers []*member.Record, now time.Time) bool {
 	n := 0
 	for _, r := range servers {
-		if p.statsFor(r.Server).ejected(now) {
+		if p.known(r.Server).ejected(now) {
 			n++
 		}
 	}
@@ -278,21 +289,28 @@
 // cost estimates how long a call would take at a server. The price of crossing
 // to another failure domain is expressed as time.
 func (p *Picker) cost(q Query, r *member.Record) time.Duration {
-	stats, now := p.statsFor(r.Server), time.Now()
-	calls, limit := stats.occupancy(r.Slots, now)
-	serviceTime := stats.serviceTimes[q.Class]
-	cost := serviceTime
+	e := p.estimate(&q, r, time.Now())
+	return e.Cost()
+}
+
+// estimate returns the cost of a call at a server by its parts.
+func (p *Picker) estimate(q *Query, r *member.Record, now time.Time) (e Estimate) {
+	stats := p.known(r.Server)
+	e.Calls, e.Limit = stats.occupancy(r.Slots, now)
+	e.ServiceTime = stats.serviceTimes[q.Class]
+	serviceTime := e.ServiceTime
+	e.Run = serviceTime
 	if serviceTime == 0 {
-		serviceTime, cost = defaultServiceTime, initialServiceTime
+		serviceTime, e.Run = defaultServiceTime, initialServiceTime
 	}
-	cost += time.Duration(queueWait(calls, limit) * float64(serviceTime))
+	e.Wait = time.Duration(queueWait(e.Calls, e.Limit) * float64(serviceTime))
 	if r.Domain != p.domain {
-		cost += p.crossDomainCost(q)
+		e.Crossing = p.crossDomainCost(*q)
 	}
 	if r.Health == member.Suspected || now.Sub(stats.refusedAt) < RefusalLifetime {
-		cost += serviceTime
+		e.Doubt = serviceTime
 	}
-	return cost
+	return e
 }
 
 // queueWait estimates how long a call waits at a server, in service times.
@@ -343,6 +361,18 @@
 	p.meanSizes[outcome.Class] = mean + sizeGain*(float64(outcome.Size)-mean)
 }
 
+// unknownServer holds the statistics of a server to which no call went.
+var unknownServer = &serverStats{}
+
+// known returns the statistics of a server for reading; it does not begin to keep any.
+func (p *Picker) known(server member.ServerID) *serverStats {
+	if stats := p.stats[server]; stats != nil {
+		return stats
+	}
+	return unknownServer
+}
+
+// statsFor returns the statistics of a server, and begins to keep them.
 func (p *Picker) statsFor(server member.ServerID) *serverStats {
 	stats := p.stats[server]
 	if stats == nil {
