Add fescuehoist place: where a request would go, and why

Cause: the cause of a placement could only be guessed from logs of calls that were made.

Change: GET /v1/placement on the admin address, and the command that asks it. proxy.Explainer follows the order of Outbound and asks the same components: class, account, destinations with their shares, throttle, retry budgets, hedge, and the choice with the inputs of each server's cost. Throttle.Allow, Checker.Authorize and Hedger share their decisions with the explanations. Bad input is answered with 400 and names what was expected and found; the command ends with exit code 2 then.

Result: tests compare the explanation with what calls meet, and check that it changes neither tokens nor counts nor estimates. The allowance of an account is shown and not evaluated.

--- a/adapters/adminhttp/admin.go
+++ b/adapters/adminhttp/admin.go
@@ -38,6 +38,8 @@
 	State func() any
 	// Ready reports whether the daemon can route calls.
 	Ready func() bool
+	// Placer answers where a request would go.
+	Placer Placer
 }
 
 // announcement is the body of PUT /v1/backend.
@@ -96,6 +98,8 @@
 		metrics(c)
 	case "GET /v1/state":
 		s.writeState(c)
+	case "GET " + PlacementPath:
+		s.handlePlacement(c)
 	case "PUT /v1/backend":
 		s.handleAnnouncement(c)
 	default:
--- a/fescuehoist/main.go
+++ b/fescuehoist/main.go
@@ -29,6 +29,7 @@
 	Forecast forecastCommand `cmd:"" help:"Forecast which classes will miss their targets, and which clients to notify."`
 	Stop     stopCommand     `cmd:"" help:"Plan, list and cancel stops of backend servers."`
 	Explain  explainCommand  `cmd:"" help:"Print the log lines of one request from the logs of several daemons, ordered by time, with the state that each daemon had logged."`
+	Place    placeCommand    `cmd:"" help:"Ask a daemon where a request would go now, and why, without sending it."`
 	Demo     demoCommand     `cmd:"" help:"Run a mesh in this process, change it while calls run, and report the results."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
--- a/fescuehoist/status.go
+++ b/fescuehoist/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -62,23 +63,37 @@
 
 // printDaemonState prints the JSON state from one daemon's admin address.
 func (c *statusCommand) printDaemonState(ctx context.Context, out *output) error {
+	body, err := getFromDaemon(ctx, c.Daemon, "/v1/state")
+	if err != nil {
+		return err
+	}
+	_, err = out.Write(body)
+	return err
+}
+
+// getFromDaemon returns the body that a daemon's admin address answers with. An answer
+// that the request is wrong gives errInput with its text.
+func getFromDaemon(ctx context.Context, address, uri string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	pool := httpconn.NewPool(c.Daemon, nil)
+	pool := httpconn.NewPool(address, nil)
 	defer pool.Close()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("/v1/state")
-	req.SetHost(c.Daemon)
+	req.SetRequestURI(uri)
+	req.SetHost(address)
 	if err := pool.Do(ctx, req, resp); err != nil {
-		return fmt.Errorf("daemon %s: %w", c.Daemon, err)
+		return nil, fmt.Errorf("daemon %s: %w", address, err)
 	}
-	if code := resp.StatusCode(); code != fasthttp.StatusOK {
-		return fmt.Errorf("daemon %s answered with status %d, want 200", c.Daemon, code)
+	switch code := resp.StatusCode(); code {
+	case fasthttp.StatusOK:
+		return bytes.Clone(resp.Body()), nil
+	case fasthttp.StatusBadRequest:
+		return nil, fmt.Errorf("%w: %s", errInput, bytes.TrimSpace(resp.Body()))
+	default:
+		return nil, fmt.Errorf("daemon %s answered with status %d, want 200", address, code)
 	}
-	_, err := out.Write(resp.Body())
-	return err
 }
 
 // printJSON prints v as indented JSON.
--- a/fescuehoistd/daemon/admin_test.go
+++ b/fescuehoistd/daemon/admin_test.go
@@ -44,7 +44,10 @@
 		{"/metrics", fasthttp.StatusOK, []string{
 			`fescuehoist_version{kind="in-force"} 0`, `fescuehoist_members{state="starting"} 1`, "fescuehoist_peers 0",
 			`fescuehoist_control_bytes_total{direction="sent"} 0`, "fescuehoist_platform_calls_total", "fescuehoist_backend_calls_queued 0",
+			`fescuehoist_hedge_copies_total{outcome="sent"} 0`, `fescuehoist_hedge_copies_total{outcome="won"} 0`,
 		}},
+		{"/v1/placement?method=GET&host=lookup&path=/", fasthttp.StatusOK, []string{`"reason": "unconfigured"`}},
+		{"/v1/placement?method=GET&host=lookup&path=x", fasthttp.StatusBadRequest, []string{"path: expected a path that begins with /"}},
 		{"/absent", fasthttp.StatusNotFound, nil},
 	} {
 		status, body, err := fasthttp.Get(nil, "http://"+listeners.Admin.Addr().String()+page.path)
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// explainer returns what explains where calls would go. Components that take the place of
+// the default ones may be without an explanation.
+func (d *Daemon) explainer() *proxy.Explainer {
+	e := &proxy.Explainer{Outbound: d.outbound, Hedges: d.hedger}
+	e.Accounts, _ = d.outbound.Accounts.(proxy.AccountExplainer)
+	e.Throttle, _ = d.cfg.Policy.Throttle.(proxy.ThrottleExplainer)
+	e.Retries, _ = d.cfg.Policy.Retries.(proxy.RetryExplainer)
+	e.Picker, _ = d.cfg.Policy.Picker.(proxy.PickExplainer)
+	return e
+}
+
 // hedgeShare returns the share of calls that may be hedged; 0 while the daemon drains.
 func (d *Daemon) hedgeShare() float64 {
 	if d.draining.Load() {
--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -8,6 +8,7 @@
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/route"
+	"fescuehoist.example/mesh/target"
 )
 
 var (
@@ -40,17 +41,37 @@
 func (c *Checker) Authorize(r *call.Request, t *route.Table) *call.Failure {
 	key, presented := r.KeyDigest, r.HasKey
 	r.KeyDigest, r.HasKey = [len(r.KeyDigest)]byte{}, false
-	accounts := t.Accounts()
-	if accounts.Len() == 0 || r.Class.Public {
+	if !needsKey(r, t) {
 		return nil
 	}
 	if !presented {
 		return call.Refuse(call.Unauthorized, errMissingKey)
 	}
+	return c.assign(r, t.Accounts().ByKey(key))
+}
+
+// AuthorizeAs decides as Authorize does about a call whose caller presents a key of the
+// named account, or none if the name is empty.
+func (c *Checker) AuthorizeAs(r *call.Request, t *route.Table, name string) *call.Failure {
+	if !needsKey(r, t) {
+		return nil
+	}
+	if name == "" {
+		return call.Refuse(call.Unauthorized, errMissingKey)
+	}
+	return c.assign(r, t.Accounts().ByName(name))
+}
+
+// needsKey reports whether a classified call needs the key of an account.
+func needsKey(r *call.Request, t *route.Table) bool {
+	return t.Accounts().Len() > 0 && !r.Class.Public
+}
+
+// assign sets the account of a call, which is nil if none holds its key.
+func (c *Checker) assign(r *call.Request, account *target.Account) *call.Failure {
 	if !c.verified() {
 		return call.Refuse(call.Unconfigured, errUnverified)
 	}
-	account := accounts.ByKey(key)
 	if account == nil {
 		return call.Refuse(call.Unauthorized, errUnknownKey)
 	}
--- a/mesh/admit/throttle.go
+++ b/mesh/admit/throttle.go
@@ -54,11 +54,34 @@
 	if c == nil {
 		return true
 	}
-	now := time.Now()
+	c.count(time.Now())
+	return rand.Float64() < c.allowedShare()
+}
+
+// AllowedShare returns the share of calls, 0 to 1, that Allow would let through now. It
+// counts no call.
+func (t *Throttle) AllowedShare(service, class, client string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.flows[flowKey{service, class, bucketOf(client)}]
+	if c == nil {
+		return 1
+	}
+	next := *c
+	next.count(time.Now())
+	return next.allowedShare()
+}
+
+// count counts one call.
+func (c *flowCounts) count(now time.Time) {
 	c.decay(now)
 	c.calls++
+}
+
+// allowedShare returns the share of calls that are let through.
+func (c *flowCounts) allowedShare() float64 {
 	excess := c.calls - acceptMultiplier*c.admitted - minCalls
-	return excess <= 0 || rand.Float64() > excess/c.calls
+	return 1 - max(excess, 0)/c.calls
 }
 
 // Done records whether a server admitted a call that Allow let through.
--- a/mesh/admit/throttle_test.go
+++ b/mesh/admit/throttle_test.go
@@ -69,3 +69,37 @@
 		}
 	}
 }
+
+// Guards against an explanation of the throttle that differs from its decisions, or counts
+// calls itself.
+func TestAllowedShareIsThatOfAllow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		throttle := NewThrottle()
+		if got := throttle.AllowedShare("lookup", "search", "a"); got != 1 {
+			t.Errorf("share %g without refusals, want 1", got)
+		}
+		for i := range 400 {
+			if throttle.Allow("lookup", "search", "a") {
+				throttle.Done("lookup", "search", "a", i%4 == 0)
+			}
+		}
+		want := throttle.AllowedShare("lookup", "search", "a")
+		if got := throttle.AllowedShare("lookup", "search", "a"); got != want || want <= 0 || want >= 1 {
+			t.Errorf("share %g, then %g; want the same, between 0 and 1", want, got)
+		}
+		const calls = 10
+		allowed := 0
+		for range 100 {
+			before := *throttle.flows[flowKey{"lookup", "search", bucketOf("a")}]
+			for range calls {
+				if throttle.Allow("lookup", "search", "a") {
+					allowed++
+				}
+				*throttle.flows[flowKey{"lookup", "search", bucketOf("a")}] = before
+			}
+		}
+		if got := float64(allowed) / (100 * calls); got < want-0.1 || got > want+0.1 {
+			t.Errorf("%.2f of the calls let through, want about %.2f", got, want)
+		}
+	})
+}
--- a/mesh/hedge/hedge.go
+++ b/mesh/hedge/hedge.go
@@ -143,7 +143,7 @@
 	case h.cfg.Suspects.IsSuspect(r):
 		return 0, Suspect
 	case c.budget.Tokens() < 1:
-		return delay, BudgetExhausted
+		return 0, BudgetExhausted
 	}
 	return delay, ""
 }
@@ -191,8 +191,7 @@
 		h.refund(r)
 		return nil
 	}
-	q.Tried, q.NeedCapacity = []member.ServerID{first}, true
-	server := h.cfg.Servers.Pick(s, q)
+	server := h.cfg.Servers.Pick(s, QueryForCopy(q, first))
 	if server == nil {
 		h.refund(r)
 		h.cfg.Retries.Refund(r)
@@ -202,6 +201,13 @@
 	return server
 }
 
+// QueryForCopy returns the query for the server of a copy, given that of the first attempt,
+// which went to first.
+func QueryForCopy(q route.Query, first member.ServerID) route.Query {
+	q.Tried, q.NeedCapacity = []member.ServerID{first}, true
+	return q
+}
+
 // End ends a copy for which Choose returned a server. reached means that it may have
 // reached that server, won that its answer is the answer of the call.
 func (h *Hedger) End(r *call.Request, reached, won bool) {
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -168,12 +168,7 @@
 // key gets here only after its replicas reported no earlier copy, so a NotRun
 // verdict holds for all copies.
 func (p *Outbound) sendThrottled(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	client := r.Client
-	if r.Account != "" {
-		// The calls of one account at one daemon are mostly too few to tell whether
-		// servers refuse them, and allowances bound the large ones.
-		client = ""
-	}
+	client := throttledClient(r)
 	if !p.Throttle.Allow(r.Service, r.ClassName, client) {
 		return nil, call.Refuse(call.Overloaded, errThrottled)
 	}
@@ -182,6 +177,16 @@
 	return answer, err
 }
 
+// throttledClient returns the client whose calls the throttle counts together. The calls of
+// one account at one daemon are mostly too few to tell whether servers refuse them, and
+// allowances bound the large ones.
+func throttledClient(r *call.Request) string {
+	if r.Account != "" {
+		return ""
+	}
+	return r.Client
+}
+
 // isOverloaded reports whether a call failed with reason Overloaded.
 func isOverloaded(err error) bool {
 	return err != nil && asFailure(err).Reason == call.Overloaded
@@ -192,7 +197,7 @@
 // succeeds.
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.Deposit(r)
-	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
+	query := queryFor(r)
 	var failed failedAttempts
 	for {
 		query.Elapsed = time.Since(r.Arrived)
@@ -261,6 +266,11 @@
 	return nil, f
 }
 
+// queryFor returns the query for the first server of a call.
+func queryFor(r *call.Request) route.Query {
+	return route.Query{Class: r.ClassName, Latency: r.Class.Latency}
+}
+
 // isRetryableError reports whether an answer is a server error that another
 // backend server may not return. A gateway timeout is final: the deadline has
 // passed for every server.
--- a/mesh/retry/retry.go
+++ b/mesh/retry/retry.go
@@ -96,6 +96,21 @@
 	return true
 }
 
+// Available returns the retries in the budgets of a call's service and class. It changes
+// nothing.
+func (p *Policy) Available(r *call.Request) (service, class float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.available(budgetKey{service: r.Service}), p.available(budgetKey{r.Service, r.ClassName})
+}
+
+func (p *Policy) available(key budgetKey) float64 {
+	if b := p.budgets[key]; b != nil {
+		return b.Tokens()
+	}
+	return p.limits.Burst()
+}
+
 // Decide decides whether to retry a call whose attempts so far ended in f.
 func (p *Policy) Decide(r *call.Request, f *call.Failure) Decision {
 	if leftToOutermost(r, f) || !Allowed(f, r.Class.Idempotent, r.Attempt) || r.Reached >= MaxReached(r) {
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -64,6 +64,29 @@
 	return service
 }
 
+// Share is a part of a class's calls.
+type Share struct {
+	Service string
+	// Of is the share of the calls, 0 to 1.
+	Of float64
+}
+
+// Shares returns the services that Destination chooses from, with their shares.
+func (c *Class) Shares(service string) []Share {
+	if len(c.Parts) == 0 {
+		return []Share{{Service: service, Of: 1}}
+	}
+	total := 0
+	for _, p := range c.Parts {
+		total += p.Weight
+	}
+	shares := make([]Share, len(c.Parts))
+	for i, p := range c.Parts {
+		shares[i] = Share{Service: p.Service, Of: float64(p.Weight) / float64(max(total, 1))}
+	}
+	return shares
+}
+
 // RoutesTo reports whether calls of the class may go to the service, given the
 // service that declares the class.
 func (c *Class) RoutesTo(declared, service string) bool {
--- a/mesh/target/target_test.go
+++ b/mesh/target/target_test.go
@@ -124,3 +124,23 @@
 		}
 	}
 }
+
+// Guards against shares that differ from what Destination draws.
+func TestSharesAreThoseOfDestination(t *testing.T) {
+	for _, c := range []target.Class{
+		{},
+		{Parts: []target.Part{{Service: "a", Weight: 1}}},
+		{Parts: []target.Part{{Service: "a", Weight: 3}, {Service: "b", Weight: 0}, {Service: "c", Weight: 5}}},
+	} {
+		const draws = 8000
+		got := map[string]float64{}
+		for i := range draws {
+			got[c.Destination("own", float64(i)/draws)] += 1.0 / draws
+		}
+		for _, share := range c.Shares("own") {
+			if diff := got[share.Service] - share.Of; diff > 0.001 || diff < -0.001 {
+				t.Errorf("%s gets %.4f of the calls, want %.4f", share.Service, got[share.Service], share.Of)
+			}
+		}
+	}
+}
