--- a/adapters/adminhttp/placement.go
+++ b/adapters/adminhttp/placement.go
@@ -116,7 +116,7 @@
 	// CostMS is the sum of the four after it.
 	CostMS     float64 `json:"cost_ms"`
 	RunMS      float64 `json:"run_ms"`
-	WaitMS     float64 `json:"wait_ms"`
+	WaitMS     float64 `json:"waiting_ms"`
 	CrossingMS float64 `json:"crossing_ms"`
 	DoubtMS    float64 `json:"doubt_ms"`
 	FreeSlot   bool    `json:"free_slot"`
