Check the explanation of a placement at a running daemon

Cause: the parts of fescuehoist place were tested apart only. Change: the hedged search in a fleet also asks where it would go.

--- a/bench/fleet/hedge_test.go
+++ b/bench/fleet/hedge_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"fescuehoist.example/adapters/adminhttp"
 	"fescuehoist.example/bench/fleet"
 	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/mesh/call"
@@ -40,6 +44,7 @@
 	}
 	time.Sleep(1100 * time.Millisecond)
 	search("learned", "/search")
+	expectCopy(t, entry, stuckPath)
 	search("stuck", stuckPath)
 	if n := f.Executions()["stuck"]; n != 2 {
 		t.Errorf("the search ran at %d servers, want 2", n)
@@ -48,3 +53,26 @@
 		t.Errorf("the canceled attempt still runs at its server: %v", err)
 	}
 }
+
+// expectCopy checks that a daemon explains where a search would go, and that a copy would
+// be sent to another server.
+func expectCopy(t *testing.T, m *fleet.Member, path string) {
+	t.Helper()
+	query := url.Values{adminhttp.ParamMethod: {"GET"}, adminhttp.ParamHost: {"lookup"}, adminhttp.ParamPath: {path}}
+	resp, err := http.Get("http://" + m.Admin + adminhttp.PlacementPath + "?" + query.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var p adminhttp.Placement
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || len(p.Destinations) != 1 {
+		t.Fatalf("placement %+v, error %v; want one destination", p, err)
+	}
+	to := p.Destinations[0]
+	if p.Class.Name != "search" || to.Refusal != nil || to.Chosen == "" || to.HedgeDelayMS == 0 || to.HedgeServer == "" || to.HedgeServer == to.Chosen {
+		t.Errorf("placement %+v, want a server and another one for the copy", to)
+	}
+	if len(to.Candidates) != 5 {
+		t.Errorf("%d candidates, want the 5 servers of lookup", len(to.Candidates))
+	}
+}
