Test random outcomes of two attempts at once

Cause: the table of outcomes has the cases that were thought of. Change: 400 calls whose attempts end at random times in random ways, some after they were canceled; verdict, counts, server and answer are checked against the attempts.

--- a/mesh/proxy/hedge_test.go
+++ b/mesh/proxy/hedge_test.go
@@ -38,11 +38,26 @@
 
 	mu       sync.Mutex
 	attempts []string
+	// outcomes holds the failures of the attempts in the order of their ends; an answer
+	// counts as one that has run.
+	outcomes []*call.Failure
 	running  int
 	canceled int
 }
 
 func (s *servers) Forward(ctx context.Context, address string, _ *call.Request) (*call.Answer, error) {
+	answer, err := s.forward(ctx, address)
+	f := &call.Failure{Verdict: call.Ran}
+	if err != nil {
+		errors.As(err, &f)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, f)
+	return answer, err
+}
+
+func (s *servers) forward(ctx context.Context, address string) (*call.Answer, error) {
 	s.mu.Lock()
 	s.attempts = append(s.attempts, address)
 	s.running++
@@ -252,6 +267,76 @@
 	}
 }
 
+// Guards against a verdict, count or answer that does not follow from the attempts, for
+// random outcomes and times of attempts of which two may run at once.
+func TestRandomOutcomesOfCallsWithCopies(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	kinds := []reply{slow, fast, failing, refuses, crashes, cut,
+		{err: call.Refuse(call.Unreachable, nil)}, {err: call.Refuse(call.Draining, nil)}, {err: call.Refuse(call.Shed, nil)}, {status: 504},
+		{err: &call.Failure{Verdict: call.MayHaveRun, Reason: call.Silent}}}
+	copies := 0
+	for range 400 {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHedged(t, 12, 0.2, retry.DefaultLimits())
+			h.learn(t)
+			h.reply = func(int, string) reply {
+				r := kinds[random.IntN(len(kinds))]
+				r.after = time.Duration(random.Int64N(int64(60 * time.Millisecond)))
+				r.deaf = random.IntN(8) == 0
+				return r
+			}
+			h.outcomes = nil
+			r := newHedgedRequest()
+			r.Class.Timeout = 100 * time.Millisecond
+			answer, err := h.Call(context.Background(), r)
+			h.checkEnded(t)
+			h.checkCounts(t, r)
+			copies += int(h.hedger.Sent())
+			if err == nil {
+				if answer.Status == 200 && string(answer.Body) != r.Server {
+					t.Errorf("answer of %s, call log names %s", answer.Body, r.Server)
+				}
+				return
+			}
+			var f *call.Failure
+			if worst := worstVerdict(h.outcomes); !errors.As(err, &f) || f.Verdict != worst || r.FromCopy {
+				t.Errorf("got %v, answered by the copy: %t; want verdict %s, the worst of %v, and no answer", err, r.FromCopy, worst, h.outcomes)
+			}
+		})
+	}
+	if copies < 100 {
+		t.Errorf("%d of 400 calls had a copy, want at least 100 for the test to say something", copies)
+	}
+}
+
+// checkCounts checks the counts of a request against the attempts that were made.
+func (h *hedged) checkCounts(t *testing.T, r *call.Request) {
+	t.Helper()
+	reached, refused := 0, 0
+	for _, f := range h.outcomes {
+		if f.ReachedServer() {
+			reached++
+		}
+		if f.NoCapacity() {
+			refused++
+		}
+	}
+	if r.Attempt != len(h.attempts) || r.Reached != reached || r.Refused != refused {
+		t.Errorf("attempts %d, reached %d, refused %d; want %d, %d, %d", r.Attempt, r.Reached, r.Refused, len(h.attempts), reached, refused)
+	}
+	if reached > retry.MaxAttempts {
+		t.Errorf("%d servers reached, want at most MaxAttempts", reached)
+	}
+}
+
+func worstVerdict(outcomes []*call.Failure) call.Verdict {
+	worst := call.NotRun
+	for _, f := range outcomes {
+		worst = max(worst, f.Verdict)
+	}
+	return worst
+}
+
 // Guards against copies of calls that must not be sent twice, while draining, or so late
 // that the copy has no time left.
 func TestNoCopyOfCallThatMayNotHaveOne(t *testing.T) {
