--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -69,13 +69,33 @@
 	}
 }
 
-// Reload applies the settings that can change while the daemon runs: the log level
-// and the retry limits. It reports whether other settings differ from those in use,
+// explainer returns what explains where calls would go. Components that take the place of
+// the default ones may be without an explanation.
+func (d *Daemon) explainer() *proxy.Explainer {
+	e := &proxy.Explainer{Outbound: d.outbound, Hedges: d.hedger}
+	e.Accounts, _ = d.outbound.Accounts.(proxy.AccountExplainer)
+	e.Throttle, _ = d.cfg.Policy.Throttle.(proxy.ThrottleExplainer)
+	e.Retries, _ = d.cfg.Policy.Retries.(proxy.RetryExplainer)
+	e.Picker, _ = d.cfg.Policy.Picker.(proxy.PickExplainer)
+	return e
+}
+
+// hedgeShare returns the share of calls that may be hedged; 0 while the daemon drains.
+func (d *Daemon) hedgeShare() float64 {
+	if d.draining.Load() {
+		return 0
+	}
+	return d.hedge.Load().Share
+}
+
+// Reload applies the settings that can change while the daemon runs: the log level, the
+// retry limits and the share of hedged calls. It reports whether other settings differ from those in use,
 // which takes a restart to apply.
 func (d *Daemon) Reload(s *settings.Settings) bool {
 	d.cfg.Log.SetLevel(s.LogLevel)
 	d.retry.Store(&s.Retry)
+	d.hedge.Store(&s.Hedge)
 	old, updated := *d.cfg.Settings, *s
-	updated.LogLevel, updated.Retry = old.LogLevel, old.Retry
+	updated.LogLevel, updated.Retry, updated.Hedge = old.LogLevel, old.Retry, old.Hedge
 	return !reflect.DeepEqual(old, updated)
 }
--- a/mesh/route/link.go
+++ b/mesh/route/link.go
@@ -26,7 +26,7 @@
 	if !p.usesLink(q, r) {
 		return 0
 	}
-	return max(p.statsFor(r.Server).linkFreeAt.Sub(now), 0) + bodyTime(q, r)
+	return max(p.known(r.Server).linkFreeAt.Sub(now), 0) + bodyTime(q, r)
 }
 
 // arrivesInTime reports whether a server is expected to meet the target of a call with a
