--- a/adapters/adminhttp/placement.go
+++ b/adapters/adminhttp/placement.go
@@ -66,7 +66,7 @@
 type PlacementAccount struct {
 	Name  string  `json:"name"`
 	Rank  int     `json:"rank,omitempty"`
-	Rate  float64 `json:"rate_per_s,omitempty"`
+	Rate  float64 `json:"rate,omitempty"`
 	Burst float64 `json:"burst,omitempty"`
 }
 
