--- a/adapters/peergrpc/server.go
+++ b/adapters/peergrpc/server.go
@@ -53,10 +53,12 @@
 	for _, service := range services {
 		service.Register(server)
 	}
+	closable := newClosableListener(ln)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return server.Serve(ln) })
+	g.Go(func() error { return server.Serve(closable) })
 	g.Go(func() error {
 		<-ctx.Done()
+		closable.CloseConns()
 		server.Stop()
 		return nil
 	})
