--- a/mesh/collect/book.go
+++ b/mesh/collect/book.go
@@ -24,7 +24,7 @@
 	at       time.Duration
 	daemons  int
 	present  allowance.Series
-	accounts map[string]entry
+	accounts map[string]*entry
 	releases []rollout.Count
 }
 
@@ -46,11 +46,11 @@
 		b.senders[r.From] = s
 	}
 	if r.Whole || s.accounts == nil {
-		s.accounts = make(map[string]entry, len(r.Accounts))
+		s.accounts = make(map[string]*entry, len(r.Accounts))
 	}
 	s.at, s.daemons, s.present, s.releases = at, r.Daemons, r.Present, r.Releases
 	for i := range r.Accounts {
-		s.accounts[r.Accounts[i].Account] = entry{at: at, count: r.Accounts[i]}
+		s.accounts[r.Accounts[i].Account] = &entry{at: at, count: r.Accounts[i]}
 		b.changed[r.Accounts[i].Account] = true
 	}
 }
@@ -103,15 +103,20 @@
 		present := s.present.Aged(at-s.at, b.window)
 		t.coverage.Present.Add(&present)
 		for name, e := range s.accounts {
+			n := t.accounts[name]
+			if n == nil {
+				n = &allowance.Count{Account: name}
+				t.accounts[name] = n
+			}
+			if at == e.at {
+				n.Add(&e.count)
+				continue
+			}
 			c := e.count.Aged(at-e.at, b.window)
 			if !recent {
 				c.Offered = 0
 			}
-			if known := t.accounts[name]; known != nil {
-				known.Add(&c)
-				continue
-			}
-			t.accounts[name] = &c
+			n.Add(&c)
 		}
 	}
 }
--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -55,16 +55,24 @@
 	Releases Releases
 	Judge    Judge
 
-	// attempts, reportedTo, reportedAt and wholeAt belong to the task of Run.
-	attempts map[member.ServerID]*attempts
+	// The fields up to recording belong to the task of Run. view is that from which roles
+	// were determined at rolesAt.
+	view            *member.View
+	rolesAt         time.Time
+	attempts        map[member.ServerID]*attempts
+	attemptsChanged bool
+	skipLoggedAt    time.Time
 	// reported names the daemon that has all counts up to the last report.
 	reported            reported
 	reportedAt, wholeAt time.Time
 	// recording means that the book daemons has all counts of this daemon.
 	recording bool
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// roles are written by the task of Run only.
 	roles roles
+	// fleetSize is the number of all daemons that may be running.
+	fleetSize int
 	// daemons holds the reports of daemons including this one, sums those of
 	// failure domains.
 	daemons, sums *book
@@ -140,7 +148,7 @@
 
 // stop forgets the collectors, so that the next report is a whole one.
 func (c *Collector) stop() {
-	c.reported, c.recording = reported{}, false
+	c.reported, c.recording, c.view = reported{}, false, nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.daemons, c.sums = newBook(c.cfg.Window), newBook(c.cfg.Window)
@@ -149,9 +157,7 @@
 
 // exchange makes one report as the role of this daemon demands, and applies the reply.
 func (c *Collector) exchange(ctx context.Context, interval time.Duration) {
-	c.counter.SetFleetSize(c.FleetSize())
-	r := c.chooseRoles()
-	c.setRoles(r)
+	r := c.updateRoles()
 	now := c.configs.Now()
 	if r.domain != nil && !c.collects(now) {
 		c.recording = false
@@ -227,7 +233,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	c.recordAttempt(to.Server, err == nil)
+	c.recordAttempt(to.Server, err)
 	c.countReport(err == nil)
 	if err != nil {
 		c.reported = reported{}
@@ -307,7 +313,7 @@
 }
 
 // setRoles records the collectors in use and logs a change.
-func (c *Collector) setRoles(r roles) {
+func (c *Collector) setRoles(r roles, fleetSize int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, after := c.nameOf(c.roles.domain), c.nameOf(r.domain)
@@ -320,5 +326,5 @@
 	if r.fleet == nil && !c.isFleet {
 		c.fleetSince = c.configs.Now()
 	}
-	c.roles, c.isFleet = r, r.fleet == nil
+	c.roles, c.isFleet, c.fleetSize = r, r.fleet == nil, fleetSize
 }
--- a/mesh/collect/decide.go
+++ b/mesh/collect/decide.go
@@ -19,7 +19,7 @@
 	// on within a failure domain.
 	forwardLifetime = 400 * time.Millisecond
 	// decisionInterval is the shortest time between two decisions on all counts.
-	decisionInterval = 40 * time.Millisecond
+	decisionInterval = 50 * time.Millisecond
 )
 
 // redecide makes the decisions of the fleet's collector again if this daemon is that and
@@ -47,7 +47,9 @@
 // decide returns the limits for the daemons in a sum.
 func (c *Collector) decide(t *total) *Reply {
 	reply := &Reply{Daemons: t.coverage.Daemons}
-	t.coverage.All = max(c.FleetSize(), 1)
+	c.mu.Lock()
+	t.coverage.All = c.fleetSize
+	c.mu.Unlock()
 	accounts := c.configs.Snapshot().Accounts()
 	for name, n := range t.accounts {
 		a := accounts.ByName(name)
--- a/mesh/collect/roles.go
+++ b/mesh/collect/roles.go
@@ -11,6 +11,11 @@
 	// collector is used for skipTime.
 	failuresToSkip = 2
 	skipTime       = 5 * time.Second
+	// rolesInterval bounds the time for which a skipped collector, or a daemon that was
+	// lost a minute ago, is left out of account for too long.
+	rolesInterval = time.Second
+	// skipLogInterval is the shortest time between two log lines on skipped collectors.
+	skipLogInterval = 5 * time.Second
 )
 
 // roles says which daemons collect, as far as this daemon knows. Each is nil if it is this
@@ -23,14 +28,28 @@
 	skipped time.Time
 }
 
+// updateRoles determines the collectors and the size of the fleet again, if the members or
+// the skipped collectors have changed, or after rolesInterval.
+func (c *Collector) updateRoles() roles {
+	view, now := c.members.View(), time.Now()
+	if view == c.view && !c.attemptsChanged && now.Sub(c.rolesAt) < rolesInterval {
+		return c.roles
+	}
+	c.view, c.rolesAt, c.attemptsChanged = view, now, false
+	r := c.chooseRoles(view, now)
+	size := c.FleetSize()
+	c.counter.SetFleetSize(size)
+	c.setRoles(r, size)
+	return r
+}
+
 // chooseRoles determines the collectors: the first live daemons of the failure domain and
-// of the fleet in the order of member.Precedes that were not skipped.
-func (c *Collector) chooseRoles() roles {
+// of the fleet in the order of member.Precedes that are not skipped.
+func (c *Collector) chooseRoles(view *member.View, now time.Time) roles {
 	own, _ := c.members.Get(c.self)
 	own.Server = c.self
 	domain, fleet := &own, &own
-	now := time.Now()
-	for _, m := range c.members.View().All() {
+	for _, m := range view.All() {
 		if m.Server == c.self || m.Terminal() || m.Health != member.Alive || c.isSkipped(m.Server, now) {
 			continue
 		}
@@ -57,8 +76,8 @@
 }
 
 // recordAttempt records whether a collector answered a report.
-func (c *Collector) recordAttempt(id member.ServerID, answered bool) {
-	if answered {
+func (c *Collector) recordAttempt(id member.ServerID, err error) {
+	if err == nil {
 		delete(c.attempts, id)
 		return
 	}
@@ -69,6 +88,12 @@
 	}
 	a.failed++
 	if a.failed >= failuresToSkip {
-		a.failed, a.skipped = 0, time.Now().Add(skipTime)
+		now := time.Now()
+		a.failed, a.skipped = 0, now.Add(skipTime)
+		c.attemptsChanged = true
+		if now.Sub(c.skipLoggedAt) >= skipLogInterval {
+			c.skipLoggedAt = now
+			c.logger.Warnf("server %q did not answer %d reports, using the next collector for %s: %v", id, failuresToSkip, skipTime, err)
+		}
 	}
 }
--- a/mesh/configwatch/fleet_test.go
+++ b/mesh/configwatch/fleet_test.go
@@ -15,6 +15,7 @@
 	"fescuehoist.example/mesh/gossip/gossiptest"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/target"
 )
 
 // Bounds of the users' platform, in the time of a bubble.
@@ -141,16 +142,24 @@
 	net     *gossiptest.Network
 	source  *source
 	daemons []*fleetDaemon
+	cfg     configwatch.Config
 }
 
 // runWatchingFleet runs f with count daemons in three failure domains, all of which
 // have version 1. It uses one processor: the race detector of Go 1.26 crashes when
 // two of them run timers of one bubble.
 func runWatchingFleet(t *testing.T, count int, f func(*watchingFleet)) {
+	t.Helper()
+	runWatchingFleetWith(t, count, func(*configwatch.Config) {}, f)
+}
+
+// runWatchingFleetWith is runWatchingFleet with settings changed by tune.
+func runWatchingFleetWith(t *testing.T, count int, tune func(*configwatch.Config), f func(*watchingFleet)) {
 	t.Helper()
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
-		fl := &watchingFleet{t: t, net: gossiptest.New(), source: newSource()}
+		fl := &watchingFleet{t: t, net: gossiptest.New(), source: newSource(), cfg: configwatch.DefaultConfig()}
+		tune(&fl.cfg)
 		fl.source.update(func() { fl.source.version = 1 })
 		ctx, cancel := context.WithCancel(context.Background())
 		var tasks sync.WaitGroup
@@ -180,7 +189,7 @@
 	seeds := []string{"server-0", "server-1", "server-2"}
 	d.node = gossip.NewNode(gossip.DefaultConfig(), id, d.own.Domain, seeds, f.net.Dialer(string(id)), table, d.configs, nopDebugLogger{})
 	d.node.Announce(d.own)
-	watcher := configwatch.New(configwatch.DefaultConfig(), id, d.own.Domain, d.source, table, d.configs, d, discardLogger{})
+	watcher := configwatch.New(f.cfg, id, d.own.Domain, d.source, table, d.configs, d, discardLogger{})
 	watcher.Neighborhood = neighborhood(count/3 - 1)
 	f.daemons = append(f.daemons, d)
 	tasks.Go(func() { _ = d.node.Run(ctx) })
@@ -314,3 +323,32 @@
 		}
 	})
 }
+
+// Guards against daemons that refuse all keys of client accounts although they reach the
+// source, since they reach no collector, and against a source that gets a call from each of
+// them several times a second.
+func TestDaemonsWithoutCollectorVerifyConfigurationThemselves(t *testing.T) {
+	const verifyAge = 2 * time.Second
+	runWatchingFleetWith(t, 9, func(cfg *configwatch.Config) { cfg.VerifyAge = verifyAge }, func(f *watchingFleet) {
+		f.source.update(func() { f.source.version, f.source.accounts = 2, []target.Account{{Name: "a"}} })
+		time.Sleep(3 * time.Second)
+		before := make([]int, len(f.daemons))
+		for i, d := range f.daemons {
+			before[i] = d.source.callCount()
+		}
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, d := range f.daemons {
+				if _, age, known := d.configs.VerificationAge(); !known || age > 2*verifyAge+time.Second {
+					t.Fatalf("%s: verification known: %t, age %s; want at most %s", d.id, known, age, 2*verifyAge+time.Second)
+				}
+			}
+		}
+		for i, d := range f.daemons {
+			// The confirming reader makes up to 2 calls a second.
+			if calls := d.source.callCount() - before[i]; calls > 30 {
+				t.Errorf("%s made %d calls in 10 s, want at most 30", d.id, calls)
+			}
+		}
+	})
+}
--- a/mesh/configwatch/watcher_test.go
+++ b/mesh/configwatch/watcher_test.go
@@ -25,6 +25,7 @@
 	down      bool
 	compacted bool
 	malformed bool
+	accounts  []target.Account
 	changed   chan struct{}
 	reads     int
 }
@@ -47,6 +48,7 @@
 	return &configwatch.Configuration{
 		Version:  manifest.Version(s.version),
 		Services: []target.Service{{Name: "lookup", Classes: []target.Class{class}}},
+		Accounts: s.accounts,
 	}, configwatch.Revision(s.version), nil
 }
 
