Measure the messages of collection; repeat whole reports every 5 s

A collector that loses reports ends the stream, after which the next report is a whole one, so repeating them every second cost bytes for nothing.

--- a/adapters/collectgrpc/collect_test.go
+++ b/adapters/collectgrpc/collect_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -47,13 +48,15 @@
 	if r.blocked != nil {
 		<-r.blocked
 	}
-	r.reports <- report
+	if r.reports != nil {
+		r.reports <- report
+	}
 	reply := sampleReply
 	reply.VerificationAge -= time.Microsecond
 	return &reply, r.err
 }
 
-func start(t *testing.T, r *receiver) (*Client, string) {
+func start(t testing.TB, r *receiver) (*Client, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -158,12 +161,16 @@
 
 // Guards against messages that grow beyond what links between failure domains are paid for.
 func TestReportSizes(t *testing.T) {
-	whole := sampleReport(78)
-	whole.Present, whole.Releases = allowance.Series{18, 18, 18, 18, 18}, nil
-	size := proto.Size(encodeReport(whole))
-	t.Logf("whole report of 78 accounts: %d bytes", size)
-	if most := 78*17 + 32; size > most {
-		t.Errorf("report of 78 accounts has %d bytes, want at most %d", size, most)
+	for _, accounts := range []int{0, 2, 20, 78, 1000} {
+		report := sampleReport(accounts)
+		report.Present, report.Releases = allowance.Series{18, 18, 18, 18, 18}, nil
+		reply := sampleReply
+		reply.Limits, reply.Directions = slices.Repeat(sampleReply.Limits, accounts), nil
+		size, replySize := proto.Size(encodeReport(report)), proto.Size(encodeReply(&reply))
+		t.Logf("%d accounts: report %d bytes, reply %d bytes", accounts, size, replySize)
+		if most := accounts*17 + 32; size > most || replySize > most {
+			t.Errorf("report of %d accounts has %d bytes, reply %d, want at most %d", accounts, size, replySize, most)
+		}
 	}
 }
 
@@ -173,3 +180,14 @@
 func (discardStats) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 func (discardStats) HandleRPC(context.Context, stats.RPCStats)                         {}
 func (discardStats) HandleConn(context.Context, stats.ConnStats)                       {}
+
+// BenchmarkExchange measures both sides of a report of two accounts.
+func BenchmarkExchange(b *testing.B) {
+	client, address := start(b, &receiver{})
+	report := sampleReport(2)
+	for b.Loop() {
+		if _, err := client.Report(b.Context(), address, report); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -33,7 +33,7 @@
 func DefaultConfig(window time.Duration) Config {
 	return Config{
 		Interval: 100 * time.Millisecond, SumInterval: 200 * time.Millisecond, IdleInterval: 500 * time.Millisecond,
-		Timeout: 200 * time.Millisecond, WholeInterval: time.Second, Window: window,
+		Timeout: 200 * time.Millisecond, WholeInterval: 5 * time.Second, Window: window,
 	}
 }
 
