--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -84,7 +84,9 @@
 	// decided is the reply of the fleet's collector, or its own decision at this one.
 	decided   *Reply
 	decidedAt time.Duration
-	limited   limitedLog
+	// deciding means that a task is making a decision for the fleet.
+	deciding bool
+	limited  limitedLog
 	// answered and failed count the reports of this daemon.
 	answered, failed uint64
 }
--- a/mesh/collect/decide.go
+++ b/mesh/collect/decide.go
@@ -26,11 +26,15 @@
 // the latest ones leave out reports of some time.
 func (c *Collector) redecide(now time.Duration) {
 	c.mu.Lock()
-	if !c.isFleet || now-max(c.fleetSince, c.summingSince) < settleTime || (c.decided != nil && now-c.decidedAt < decisionInterval) {
+	due := c.decided == nil || now-c.decidedAt >= decisionInterval
+	if !c.isFleet || c.deciding || !due || now-max(c.fleetSince, c.summingSince) < settleTime {
 		c.mu.Unlock()
 		return
 	}
+	c.deciding = true
 	t := sum(now, c.daemons, c.sums)
+	c.daemons.takeChanged()
+	c.sums.takeChanged()
 	c.mu.Unlock()
 	reply := c.decide(t)
 	reply.Fleet = true
@@ -40,7 +44,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.decided, c.decidedAt = reply, now
+	c.decided, c.decidedAt, c.deciding = reply, now, false
 	c.limited.record(reply.Limits)
 }
 
@@ -71,11 +75,10 @@
 	}
 	now := c.configs.Now()
 	var reply Reply
+	c.record(r, now)
 	if r.Sum {
-		c.record(c.sums, &c.summingSince, r, now)
 		reply = *c.sumReply(now)
 	} else {
-		c.record(c.daemons, &c.collectingSince, r, now)
 		reply = *c.ownReply(now)
 	}
 	if v, age, known := c.configs.VerificationAge(); known {
@@ -84,11 +87,15 @@
 	return &reply, nil
 }
 
-// record adds a report to a book. The time since which reports arrive starts again after a
-// time without any.
-func (c *Collector) record(b *book, since *time.Duration, r *Report, now time.Duration) {
+// record adds a report to its book. The time since which reports arrive starts again after
+// a time without any.
+func (c *Collector) record(r *Report, now time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	b, since := c.daemons, &c.collectingSince
+	if r.Sum {
+		b, since = c.sums, &c.summingSince
+	}
 	if b.inTouch(now, c.self) == 0 {
 		*since = now
 	}
@@ -102,7 +109,7 @@
 	if r := c.fleetDecision(now); r != nil {
 		return r
 	}
-	return c.decidePart(now, &c.collectingSince, c.daemons)
+	return c.decidePart(now, false)
 }
 
 // sumReply returns the decision for the failure domains that report to this daemon. If it
@@ -112,7 +119,7 @@
 	if r := c.fleetDecision(now); r != nil && c.collectsForFleet() {
 		return r
 	}
-	return c.decidePart(now, &c.summingSince, c.sums)
+	return c.decidePart(now, true)
 }
 
 // fleetDecision returns the decision of the fleet's collector, or nil if it is not recent.
@@ -131,10 +138,15 @@
 	return c.isFleet
 }
 
-// decidePart decides for the daemons in a book, once these had time to report.
-func (c *Collector) decidePart(now time.Duration, since *time.Duration, b *book) *Reply {
+// decidePart decides for the daemons of the own failure domain, or for the failure domains
+// that report to this daemon, once these had time to report.
+func (c *Collector) decidePart(now time.Duration, domains bool) *Reply {
 	c.mu.Lock()
-	if now-*since < settleTime {
+	b, since := c.daemons, c.collectingSince
+	if domains {
+		b, since = c.sums, c.summingSince
+	}
+	if now-since < settleTime {
 		c.mu.Unlock()
 		return &Reply{Undecided: true}
 	}
--- a/mesh/collect/fleet_test.go
+++ b/mesh/collect/fleet_test.go
@@ -95,7 +95,8 @@
 	cfg := collect.DefaultConfig(window)
 	cfg.VerifyAccounts = true
 	p.collector = collect.New(cfg, p.id, fmt.Sprint("domain-", p.index%4), p.members, p.configs, p.counter, &link{f, p}, discard{})
-	p.collector.FleetSize = func() int { return p.members.Size(time.Minute) }
+	members := p.members
+	p.collector.FleetSize = func() int { return members.Size(time.Minute) }
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop, p.up = cancel, true
 	collector := p.collector
--- a/mesh/collect/ports.go
+++ b/mesh/collect/ports.go
@@ -13,7 +13,7 @@
 }
 
 // Releases counts the calls of this daemon to the releases of a service, and applies the
-// directions of the fleet's collector.
+// directions of the fleet's collector. Active may be called concurrently with the others.
 type Releases interface {
 	// Active reports whether there is anything to count, and returns a channel that is
 	// closed when that may have changed. It must be true at every daemon while there is a
@@ -27,7 +27,8 @@
 	Apply(directions []rollout.Direction)
 }
 
-// Judge decides on the rollouts while this daemon is the fleet's collector.
+// Judge decides on the rollouts while this daemon is the fleet's collector. One method is
+// called at a time, several times a second, by changing tasks.
 type Judge interface {
 	// Observe takes the counts of all daemons in touch, summed by service, release and
 	// class. Counts of a daemon that is lost disappear from the sums.
