Judge rollouts and plan their steps; apply directions in the choice of servers

A controller on the fleet's collector follows the orders, compares the release with the others class by class, and issues directions: a canary, a probe whose servers are loaded as in full service, then all traffic until the other servers refuse calls and are idle. A follower at each daemon counts the calls to its own server, holds the newest directions, and lets servers of the wrong release refuse calls. Routes split the servers of a service by release. Not wired in yet.

--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -21,6 +21,7 @@
 	errThrottled       = errors.New("throttled: the servers refuse most calls of this class and client")
 	errMisdirected     = errors.New("the call is addressed to another backend server or service")
 	errStopping        = errors.New("the daemon stops before the call is sure to end")
+	errReleased        = errors.New("a rollout leaves this backend server without calls")
 	errNoServer        = errors.New("no backend server of the service accepts calls")
 )
 
@@ -33,15 +34,24 @@
 
 // Inbound runs calls on this daemon's backend server.
 type Inbound struct {
-	Host       Host
-	Routes     *route.Router
-	Gate       Gate
+	Host   Host
+	Routes *route.Router
+	Gate   Gate
+	// Releases is nil if there are no rollouts.
+	Releases   Releases
 	Quarantine Quarantine
 	Backend    call.Handler
 	// CallLog receives the calls that failed here; it may be nil.
 	CallLog CallLog
 }
 
+// Releases tells which releases of a service take calls.
+type Releases interface {
+	// Refuses reports whether the backend server on this host takes no calls because of
+	// its release.
+	Refuses() bool
+}
+
 // CallLog logs calls to this daemon's backend server.
 type CallLog interface {
 	// LogFailure logs a failed call with the load at its failure.
@@ -67,6 +77,9 @@
 	if !p.Host.Serves(r.Server, r.Service) {
 		return nil, call.Refuse(call.Misdirected, errMisdirected)
 	}
+	if p.Releases != nil && p.Releases.Refuses() {
+		return nil, call.Refuse(call.Draining, errReleased)
+	}
 	ticket, err := p.Quarantine.Enter(ctx, r)
 	if err != nil {
 		return nil, err
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -190,7 +190,7 @@
 // succeeds.
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.Deposit(r)
-	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency}
+	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency, Draw: rand.Float64()}
 	var last *call.Failure
 	var failedAnswer *call.Answer
 	for {
--- /dev/null
+++ b/mesh/rollout/controller.go
@@ -0,0 +1,403 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"fescuehoist.example/mesh/member"
+)
+
+const (
+	// idleTimeout is how long after the last counts a controller forgets the orders: another
+	// daemon is the fleet's collector then.
+	idleTimeout = 2 * time.Second
+	// adoptTimeout is how long a controller that finds a running order waits for daemons
+	// that know its number and how long it has been running.
+	adoptTimeout = 1500 * time.Millisecond
+	// storeLifetime is how long after a response the store counts as reachable.
+	storeLifetime = 2 * time.Second
+)
+
+// Fleet tells a controller about the services and their servers.
+type Fleet interface {
+	// Servers returns the records of the servers of a service.
+	Servers(service string) []*member.Record
+	// Known reports whether there is a service of this name.
+	Known(service string) bool
+	// LongestTimeout returns the longest time that a call to a service may take.
+	LongestTimeout(service string) time.Duration
+}
+
+// Logger receives the log messages of a Controller.
+type Logger interface {
+	Infof(format string, args ...any)
+	Warnf(format string, args ...any)
+}
+
+// Config holds the settings of a Controller.
+type Config struct {
+	Limits Limits
+	// WatchTimeout is how long a call to the store waits for a change, CallTimeout how long
+	// any call may take beyond that.
+	WatchTimeout, CallTimeout time.Duration
+	// RetryBase and RetryMax bound the pause after a failed call.
+	RetryBase, RetryMax time.Duration
+}
+
+// DefaultConfig returns the default settings for the given limits.
+func DefaultConfig(l Limits) Config {
+	return Config{
+		Limits: l, WatchTimeout: 30 * time.Second, CallTimeout: time.Second,
+		RetryBase: 100 * time.Millisecond, RetryMax: 2 * time.Second,
+	}
+}
+
+// Controller decides how far each rollout goes. It works while it receives counts, which
+// only the fleet's collector does. It is safe for concurrent use.
+type Controller struct {
+	cfg    Config
+	orders Orders
+	fleet  Fleet
+	logger Logger
+	now    Clock
+
+	mu sync.Mutex
+	// known means that all orders in the store were read since the controller became
+	// active.
+	known    bool
+	rollouts map[string]*controlled
+	// refused holds the orders that are not valid, by name.
+	refused map[string]Order
+	// active is closed while counts arrive, deactivate stops the calls to the store.
+	active     chan struct{}
+	deactivate *time.Timer
+	// unwritten has an element when a status has to be written.
+	unwritten chan struct{}
+}
+
+// controlled is the rollout of one service.
+type controlled struct {
+	order Order
+	// number is that of the order in directions; 0 while it is not known.
+	number uint64
+	// adoptBy is when a number is assigned if no daemon knows one.
+	adoptBy   time.Duration
+	state     State
+	startedAt time.Duration
+	progress  *progress
+	step      step
+	verdict   verdict
+	// written is the state that the store has, checkedAt when it last responded to a write.
+	written   State
+	checkedAt time.Duration
+	// check asks for a write that shows whether the store is reachable.
+	check bool
+	// complete means that the rollout is completed once the store has accepted it.
+	complete bool
+	reason   string
+}
+
+// NewController returns a controller; Run lets it read and write the store.
+func NewController(cfg Config, orders Orders, fleet Fleet, logger Logger, now Clock) *Controller {
+	return &Controller{
+		cfg: cfg, orders: orders, fleet: fleet, logger: logger, now: now,
+		rollouts: map[string]*controlled{}, refused: map[string]Order{},
+		active: make(chan struct{}), unwritten: make(chan struct{}, 1),
+	}
+}
+
+// Observe takes the sums of the counts of all daemons and decides on the next steps.
+func (c *Controller) Observe(counts []Count) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activate()
+	c.retryRefused()
+	for _, r := range c.rollouts {
+		c.advance(r, countsOf(counts, r.order.Service))
+	}
+}
+
+// countsOf returns the counts of one service.
+func countsOf(counts []Count, service string) []Count {
+	var own []Count
+	for _, n := range counts {
+		if n.Service == service {
+			own = append(own, n)
+		}
+	}
+	return own
+}
+
+// Directions returns the directions for all services, or none until all orders are known.
+func (c *Controller) Directions() []Direction {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		return nil
+	}
+	list := []Direction{{}}
+	for _, r := range c.rollouts {
+		if r.number > 0 {
+			list = append(list, r.direction())
+		}
+	}
+	return list
+}
+
+func (r *controlled) direction() Direction {
+	d := Direction{Service: r.order.Service, Release: r.order.Release, State: r.state, Order: r.number}
+	if r.state == Running {
+		d.Share, d.Servers = r.step.share, r.step.servers
+	}
+	return d
+}
+
+// advance decides on the next step of one rollout.
+func (c *Controller) advance(r *controlled, counts []Count) {
+	now := c.now()
+	if r.number == 0 && !c.adopt(r, counts, now) {
+		return
+	}
+	counts = slices.DeleteFunc(counts, func(n Count) bool { return n.Order != r.number })
+	for i := range counts {
+		r.startedAt = min(r.startedAt, now-counts[i].Heard)
+		if told := counts[i].State; told > r.state {
+			// Another controller has ended it. It may not have been able to write that yet.
+			c.end(r, told, "other daemons were told so")
+		}
+	}
+	if r.state != Running {
+		return
+	}
+	r.progress.observe(now, counts)
+	r.verdict = r.progress.verdict()
+	if r.verdict.bad {
+		c.end(r, RolledBack, r.verdict.reason)
+		return
+	}
+	c.takeStep(r, now)
+}
+
+// adopt finds out the number and the age of an order that another controller has begun.
+// It reports whether the order has a number.
+func (c *Controller) adopt(r *controlled, counts []Count, now time.Duration) bool {
+	for i := range counts {
+		if n := &counts[i]; n.Target == r.order.Release && n.Order <= r.order.Revision {
+			r.number = max(r.number, n.Order)
+		}
+	}
+	if r.number == 0 && now < r.adoptBy {
+		return false
+	}
+	if r.number == 0 {
+		r.number = r.order.Revision
+	}
+	c.logger.Infof("service %s: going on with order %d for release %s, which the store has as %s", r.order.Service, r.number, r.order.Release, r.written)
+	return true
+}
+
+func (c *Controller) takeStep(r *controlled, now time.Duration) {
+	servers := c.fleet.Servers(r.order.Service)
+	s := r.progress.situation(servers)
+	s.elapsed, s.duration, s.longest = now-r.startedAt, r.order.Duration, c.fleet.LongestTimeout(r.order.Service)
+	s.doubtful, s.slightlyDoubtful = r.verdict.doubtful, r.verdict.slightlyDoubtful
+	s.storeReachable = now-r.checkedAt < storeLifetime
+	if s.expired() && r.step.phase != full {
+		c.end(r, RolledBack, fmt.Sprintf("not completed within the time limit of %s, %d servers of the release are ready; %s",
+			r.order.Duration, s.servers, cmp.Or(r.verdict.reason, "no sign of a fault")))
+		return
+	}
+	next := s.next(r.step)
+	if next.phase != r.step.phase {
+		c.logger.Infof("service %s: release %s enters phase %s after %s, previously %s: share %.3f on %d servers, %d ready with %d slots, others with %d slots; %.0f requests, %.0f of them to the release, allowance %.0f, %.1f requests a second, %.1f running",
+			r.order.Service, r.order.Release, next.phase, s.elapsed.Round(time.Millisecond), r.step.phase, next.share, next.servers,
+			s.servers, s.slots, s.otherSlots, s.requests, s.exposed, s.allowance(), s.rate, s.busy)
+	}
+	r.step = next
+	if r.step.phase == probe && !s.storeReachable {
+		r.check = true
+		c.wakeWriter()
+	}
+	switch {
+	case r.step.phase != full:
+	case s.doubtful && s.spent():
+		c.end(r, RolledBack, fmt.Sprintf("in doubt when it has got as many requests as a bad release may, %.0f; %s", s.allowance(), r.verdict.reason))
+	case !s.doubtful && s.proven(r.step) && r.progress.oldServersIdle(servers):
+		r.complete = true
+		c.wakeWriter()
+	}
+}
+
+// end ends a rollout in a state.
+func (c *Controller) end(r *controlled, s State, reason string) {
+	r.state, r.reason, r.complete = s, reason, false
+	log := c.logger.Infof
+	if s == RolledBack {
+		log = c.logger.Warnf
+	}
+	log("service %s: release %s %s in phase %s after %s, order %d: %s; %.0f requests, %.0f of them to the release",
+		r.order.Service, r.order.Release, s, r.step.phase, (c.now() - r.startedAt).Round(time.Millisecond), r.number, reason,
+		r.progress.requests, r.progress.exposed)
+	c.wakeWriter()
+}
+
+func (c *Controller) wakeWriter() {
+	select {
+	case c.unwritten <- struct{}{}:
+	default:
+	}
+}
+
+// apply takes an order as the store has it.
+func (c *Controller) apply(o Order) {
+	r := c.rolloutNamed(o.Name)
+	if o.Err == nil && !o.Removed && !c.fleet.Known(o.Service) {
+		o.Err = fmt.Errorf("expected a known service, found %.80q", o.Service)
+	}
+	switch {
+	case o.Removed:
+		c.remove(o, r)
+	case o.Err != nil:
+		c.refuse(o)
+		if r != nil {
+			r.order.Revision = max(r.order.Revision, o.Revision)
+		}
+	default:
+		delete(c.refused, o.Name)
+		c.accept(o)
+	}
+}
+
+func (c *Controller) rolloutNamed(name string) *controlled {
+	for _, r := range c.rollouts {
+		if r.order.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (c *Controller) refuse(o Order) {
+	if known, refused := c.refused[o.Name]; !refused || known.Revision != o.Revision {
+		c.logger.Warnf("order %.80q of revision %d refused, nothing changes: %v", o.Name, o.Revision, o.Err)
+	}
+	c.refused[o.Name] = o
+}
+
+// retryRefused takes the orders again whose service was not known.
+func (c *Controller) retryRefused() {
+	for name, o := range c.refused {
+		if o.Service != "" && o.Duration > 0 && c.fleet.Known(o.Service) {
+			delete(c.refused, name)
+			o.Err = nil
+			c.accept(o)
+		}
+	}
+}
+
+// remove takes back a running order whose object was deleted. Directions of a completed or
+// rolled back one stay.
+func (c *Controller) remove(o Order, r *controlled) {
+	delete(c.refused, o.Name)
+	if r != nil && r.state == Running && o.Revision > r.order.Revision {
+		r.written = RolledBack
+		c.end(r, RolledBack, "the order was deleted")
+	}
+}
+
+// accept takes a valid order: a new one, or the one that is known with a new status.
+func (c *Controller) accept(o Order) {
+	r := c.rollouts[o.Service]
+	if r == nil || r.replacedBy(&o) {
+		if r == nil || o.Revision > r.order.Revision {
+			c.begin(o, r)
+		}
+		return
+	}
+	if o.Revision <= r.order.Revision {
+		return
+	}
+	r.order = o
+	r.written = max(r.written, o.Status)
+	if o.Status > r.state || (o.Status.Final() && !r.state.Final()) {
+		c.end(r, o.Status, "the store has it")
+	}
+}
+
+// replacedBy reports whether a stored order is another one than that of the rollout. A
+// status for the release stays with the order; an order that changes after its end was
+// known to be stored has been given again.
+func (r *controlled) replacedBy(o *Order) bool {
+	switch {
+	case o.Name != r.order.Name || o.Release != r.order.Release || o.Duration != r.order.Duration:
+		return true
+	case o.Revision <= r.order.Revision:
+		return false
+	case o.Status == 0:
+		return r.written != 0
+	}
+	return r.written.Final()
+}
+
+func (c *Controller) begin(o Order, replaced *controlled) {
+	now := c.now()
+	r := &controlled{order: o, state: Running, startedAt: now, progress: newProgress(o.Release, c.cfg.Limits), written: o.Status}
+	takenOver := o.Status != 0 && (replaced == nil || replaced.order.Release != o.Release)
+	switch {
+	case takenOver && o.Status.Final():
+		r.state, r.number = o.Status, o.Revision
+	case takenOver:
+		r.adoptBy = now + adoptTimeout
+	default:
+		// The status may be left from an earlier order for the same release.
+		r.number, r.written = o.Revision, 0
+		c.logger.Infof("service %s: order %d for release %s, time limit %s", o.Service, r.number, o.Release, o.Duration)
+	}
+	c.rollouts[o.Service] = r
+	c.wakeWriter()
+}
+
+// Status describes one rollout, or an order that was refused.
+type Status struct {
+	Service string  `json:"service"`
+	Release string  `json:"release"`
+	State   string  `json:"state"`
+	Phase   string  `json:"phase,omitempty"`
+	Share   float64 `json:"share"`
+	// Requests and Exposed count the requests since the order, and those of them that the
+	// release got.
+	Requests float64 `json:"requests"`
+	Exposed  float64 `json:"exposed"`
+	// Reason says why the rollout ended, or waits, or why the order was refused.
+	Reason string `json:"reason,omitempty"`
+	// Unwritten means that the store does not have the state yet.
+	Unwritten bool `json:"unwritten,omitempty"`
+}
+
+// Status returns the rollouts and the refused orders that this controller knows, sorted by
+// service.
+func (c *Controller) Status() []Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []Status
+	for _, r := range c.rollouts {
+		s := Status{
+			Service: r.order.Service, Release: r.order.Release, State: r.state.String(), Reason: cmp.Or(r.reason, r.verdict.reason),
+			Requests: r.progress.requests, Exposed: r.progress.exposed, Unwritten: r.written != r.state,
+		}
+		if d := r.direction(); r.state == Running {
+			s.Phase, s.Share = r.step.phase.String(), d.Share
+		}
+		all = append(all, s)
+	}
+	for _, o := range c.refused {
+		all = append(all, Status{Service: cmp.Or(o.Service, o.Name), Release: o.Release, State: "refused", Reason: o.Err.Error()})
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.State, b.State))
+	})
+	return all
+}
--- a/mesh/rollout/count.go
+++ b/mesh/rollout/count.go
@@ -11,12 +11,16 @@
 // servers themselves; otherwise it describes the calls of one class that they ran.
 type Count struct {
 	Service, Release, Class string
-	// Order is the order that the daemons have heard of.
-	Order uint64
+	// Order is the order that the daemons have heard of, Target its release.
+	Order  uint64
+	Target string
 
 	// Servers is the number of servers, Idle the number of those that refuse requests
 	// because of the rollout and run none any more.
 	Servers, Idle int
+	// Active is the number of servers that answered lately, Failing the number of those
+	// with answers that failed.
+	Active, Failing int
 	// State is the highest state that the daemons were told.
 	State State
 	// Heard is how long ago the first of the daemons heard of the order.
@@ -32,9 +36,6 @@
 	// spread of the run times.
 	Timed              uint64
 	LogSum, LogSquares float64
-	// Active is the number of servers that answered lately, Failing the number of those
-	// whose answers failed lately.
-	Active, Failing int
 }
 
 type countKey struct {
--- /dev/null
+++ b/mesh/rollout/plan.go
@@ -0,0 +1,211 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// Limits bound what a bad release may get.
+type Limits struct {
+	// Share is the share of the requests to a service, from the order to its time limit,
+	// that a bad release may get, plus Slack requests.
+	Share, Slack float64
+	// Within is the time after the 50th bad answer within which the release gets its last
+	// request.
+	Within time.Duration
+}
+
+const (
+	// rateCaution is the share of the present rate at which later requests are counted on.
+	rateCaution = 0.9
+	// canaryPart and probePart are the shares of the allowed exposure that may be used by
+	// the end of the canary and of the probe. The rest is for the time that it takes to
+	// find out in full service that the release is bad.
+	canaryPart = 0.2
+	probePart  = 0.5
+	// maxCanaryShare bounds the canary; initialShare is used while the rate is unknown.
+	maxCanaryShare = 0.05
+	initialShare   = 0.02
+	minCanaryTime  = time.Second
+	// A probe takes probeTimeShare of the time limit, within minProbeTime and maxProbeTime.
+	// One second holds the way of directions and counts and half a second of answers.
+	probeTimeShare = 0.15
+	minProbeTime   = 1200 * time.Millisecond
+	maxProbeTime   = 3 * time.Second
+	// reserveTime is the time from the direction of all traffic to the end, without that
+	// of running calls; maxLongest is the most that is planned for those. Both together
+	// take maxReserveShare of the time limit at the most.
+	reserveTime     = 1500 * time.Millisecond
+	maxLongest      = 2 * time.Second
+	maxReserveShare = 0.4
+	// A release is in full service for minFullTime to maxFullTime before it is completed,
+	// and less if the time limit is not more than writeTime away. endTime is the time until
+	// it gets no more requests after the decision to roll back.
+	minFullTime = closeDelay
+	maxFullTime = 2 * time.Second
+	writeTime   = time.Second
+	endTime     = 300 * time.Millisecond
+	// carriedLoad is the share of the slots of the release that the present load may take.
+	carriedLoad = 0.7
+	// equalSlots is the share of the other servers' slots at which the release is taken to
+	// carry what they do.
+	equalSlots = 0.9
+	// overtime is how long after the time limit a rollout may still be completed.
+	overtime = 10 * time.Second
+	// The share changes only by more than these factors, so that daemons need not rebuild
+	// their routes for each report.
+	shareDecrease, shareIncrease = 0.75, 1.4
+)
+
+// phase is a part of a running rollout.
+type phase uint8
+
+const (
+	// waiting: no server of the release is ready.
+	waiting phase = iota
+	// canary: the release gets few requests.
+	canary
+	// probe: few of its servers are loaded as in full service.
+	probe
+	// full: the release gets all requests.
+	full
+)
+
+func (p phase) String() string {
+	return [...]string{"waiting", "canary", "probe", "full"}[p]
+}
+
+// step is what the directions of a running rollout say.
+type step struct {
+	phase   phase
+	share   float64
+	servers int
+	// since is how long the rollout had been running when the phase began.
+	since time.Duration
+}
+
+// situation is what the next step depends on.
+type situation struct {
+	limits Limits
+	// elapsed is the time since the order, duration its time limit, longest the longest
+	// timeout of a call.
+	elapsed, duration, longest time.Duration
+	// requests is the number of requests to the service since the order, exposed that of
+	// those which the release got, rate the number of requests a second now.
+	requests, exposed, rate float64
+	// busy is the mean number of calls that run at the servers.
+	busy float64
+	// servers and slots are those of the release which are ready, otherSlots those of the
+	// other servers.
+	servers, slots, otherSlots int
+	doubtful, slightlyDoubtful bool
+	// storeReachable means that the store answered lately.
+	storeReachable bool
+}
+
+// allowance returns the number of requests that the release may have got at the time
+// limit if it is bad.
+func (s *situation) allowance() float64 {
+	left := max(s.duration-s.elapsed, 0).Seconds()
+	return s.limits.Share*(s.requests+rateCaution*s.rate*left) + rateCaution*s.limits.Slack
+}
+
+func (s *situation) fullAt() time.Duration {
+	reserve := min(s.longest, maxLongest) + reserveTime
+	return s.duration - min(reserve, time.Duration(maxReserveShare*float64(s.duration)))
+}
+
+func (s *situation) probeTime() time.Duration {
+	return min(max(time.Duration(probeTimeShare*float64(s.duration)), minProbeTime), maxProbeTime)
+}
+
+// carries reports whether the servers of the release can take all requests.
+func (s *situation) carries() bool {
+	return float64(s.slots) >= equalSlots*float64(s.otherSlots) || s.busy <= carriedLoad*float64(s.slots)
+}
+
+// expired reports whether a rollout that has not come to full service can no longer be
+// completed. One in good order may wait for servers or the store.
+func (s *situation) expired() bool {
+	return s.elapsed >= s.duration && (s.doubtful || s.elapsed >= s.duration+overtime)
+}
+
+// proven reports whether a release without signs of a fault has been in full service for
+// long enough: until the allowance is nearly used up, or the time limit is near.
+func (s *situation) proven(now step) bool {
+	in := s.elapsed - now.since
+	if in < minFullTime || s.elapsed >= s.duration-writeTime {
+		return in >= minFullTime
+	}
+	return !s.slightlyDoubtful && (in >= maxFullTime || s.spent())
+}
+
+// spent reports whether the release may get no more requests if it may be bad.
+func (s *situation) spent() bool { return s.exposed+s.rate*endTime.Seconds() >= s.allowance() }
+
+// next returns the step that follows a step.
+func (s *situation) next(now step) step {
+	p := s.nextPhase(now)
+	if p != now.phase {
+		now = step{phase: p, since: s.elapsed}
+	}
+	share, servers := s.shareIn(p)
+	if now.share == 0 || share < shareDecrease*now.share || share > shareIncrease*now.share || servers != now.servers {
+		now.share, now.servers = share, servers
+	}
+	return now
+}
+
+func (s *situation) nextPhase(now step) phase {
+	in := s.elapsed - now.since
+	switch {
+	case s.servers == 0:
+		return waiting
+	case now.phase == waiting:
+		return canary
+	case now.phase == canary && in >= minCanaryTime && s.elapsed >= s.fullAt()-s.probeTime() && !s.doubtful:
+		return probe
+	case now.phase == probe && in >= min(s.probeTime(), max(s.fullAt()-now.since, minProbeTime)) && !s.doubtful && s.storeReachable && s.carries():
+		return full
+	}
+	return now.phase
+}
+
+// shareIn returns the share of the requests in a phase, and the number of servers that
+// get them.
+func (s *situation) shareIn(p phase) (float64, int) {
+	switch p {
+	case canary:
+		share := s.affordable(canaryPart, max(s.fullAt()-s.probeTime()-s.elapsed, minCanaryTime), maxCanaryShare)
+		return share, min(max(int(math.Round(share*float64(s.servers))), 2), s.servers)
+	case probe:
+		servers := min(2, max(s.servers/2, 1))
+		wanted := float64(servers) / float64(s.servers)
+		share := s.affordable(probePart, max(s.fullAt()-s.elapsed, minProbeTime), wanted)
+		if share <= wanted/2 {
+			servers = 1
+		}
+		return min(share, s.carriedShare()), servers
+	case full:
+		return 1, 0
+	}
+	return 0, 0
+}
+
+// carriedShare returns the share of the requests that all servers of the release can take.
+func (s *situation) carriedShare() float64 {
+	if s.carries() || s.busy == 0 {
+		return 1
+	}
+	return carriedLoad * float64(s.slots) / s.busy
+}
+
+// affordable returns the share of the requests that uses up a part of the allowance in a
+// time, up to a maximum.
+func (s *situation) affordable(part float64, in time.Duration, maximum float64) float64 {
+	if s.rate == 0 {
+		return min(initialShare, maximum)
+	}
+	left := part*s.allowance() - s.exposed
+	return min(max(left/(s.rate*in.Seconds()), 0), maximum)
+}
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -92,6 +92,9 @@
 	// class and Elapsed the part of it that has passed.
 	Class            string
 	Latency, Elapsed time.Duration
+	// Draw is a random number from 0 to 1 that is the same for all attempts of a call. It
+	// decides whether a release that is being rolled out gets the call.
+	Draw float64
 	// Tried lists the servers that the call was already sent to.
 	Tried []member.ServerID
 	// NeedCapacity restricts the choice to servers that may have a free slot.
@@ -125,7 +128,11 @@
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	chosen := p.choose(s.Servers, q)
+	first, second := s.candidates(q.Draw)
+	chosen := p.choose(first, q)
+	if chosen == nil && len(second) > 0 {
+		chosen = p.choose(second, q)
+	}
 	if chosen != nil {
 		stats := p.statsFor(chosen.Server)
 		stats.inflight++
--- /dev/null
+++ b/mesh/route/split.go
@@ -0,0 +1,114 @@
+package route
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/rollout"
+)
+
+// split divides the servers of a service for which there is an order.
+type split struct {
+	active *rollout.Active
+	// release holds the servers of the release, in an order that is the same at all
+	// daemons; others holds those of other releases.
+	release, others []*member.Record
+	// alone means that there are no servers but those of the release and those of one
+	// which must be avoided.
+	alone bool
+}
+
+func newSplit(active *rollout.Active, servers []*member.Record) *split {
+	s := &split{active: active}
+	avoided := false
+	for _, r := range servers {
+		switch {
+		case r.Release == active.Release:
+			s.release = append(s.release, r)
+		case active.Avoid != "" && r.Release == active.Avoid:
+			avoided = true
+		default:
+			s.others = append(s.others, r)
+		}
+	}
+	s.alone = avoided && len(s.others) == 0
+	slices.SortFunc(s.release, func(a, b *member.Record) int {
+		if xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server)) {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// candidates returns the servers for a call whose draw is a random number from 0 to 1, and
+// those to use if none of them can take it.
+func (s *split) candidates(draw float64) (first, second []*member.Record) {
+	share := s.active.CurrentShare()
+	if s.alone && s.active.State == rollout.Running {
+		share = 1
+	}
+	if draw >= share {
+		return s.others, nil
+	}
+	if s.active.State != rollout.Running || share >= 1 {
+		return s.release, nil
+	}
+	n := len(s.release)
+	if s.active.Servers > 0 {
+		n = min(n, s.active.Servers)
+	}
+	return s.release[:n], s.others
+}
+
+// active returns the direction that the route applies, or nil.
+func (s *Service) active() *rollout.Active {
+	if s.split == nil {
+		return nil
+	}
+	return s.split.active
+}
+
+// candidates returns the servers for a call, and those to use if none of them can take it.
+func (s *Service) candidates(draw float64) (first, second []*member.Record) {
+	if s.split == nil {
+		return s.Servers, nil
+	}
+	return s.split.candidates(draw)
+}
+
+// holdBack leaves the releases out that appeared beside others so lately that there may be
+// an order for them which this daemon has not heard of. Where there is one release, or a
+// direction, nothing is left out.
+func (s *Service) holdBack(previous *Service, directions *rollout.Directions) {
+	appeared := map[string]time.Duration{}
+	if previous != nil {
+		appeared = previous.appeared
+	}
+	s.appeared = make(map[string]time.Duration, 1)
+	now := directions.Now()
+	for _, r := range s.Servers {
+		if at, known := appeared[r.Release]; known {
+			s.appeared[r.Release] = at
+		} else {
+			s.appeared[r.Release] = now
+		}
+	}
+	if s.split != nil || len(s.appeared) < 2 {
+		return
+	}
+	isNew := maps.Clone(s.appeared)
+	maps.DeleteFunc(isNew, func(_ string, at time.Duration) bool { return directions.Settled(at) })
+	if len(isNew) == 0 {
+		return
+	}
+	s.held = true
+	s.Servers = slices.DeleteFunc(s.Servers, func(r *member.Record) bool {
+		_, found := isNew[r.Release]
+		return found
+	})
+}
--- a/mesh/route/table.go
+++ b/mesh/route/table.go
@@ -3,8 +3,11 @@
 package route
 
 import (
+	"time"
+
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -13,6 +16,10 @@
 type Table struct {
 	snapshot *manifest.Snapshot
 	services map[string]*Service
+	// directions is nil if there are no rollouts.
+	directions *rollout.Directions
+	// held means that some service holds back a release.
+	held bool
 }
 
 // Service is the route of one service.
@@ -26,20 +33,26 @@
 	Servers []*member.Record
 	// records are the records of the view from which Servers was selected.
 	records []*member.Record
+	// split divides the servers by release; nil without an order for the service.
+	split *split
+	// appeared holds when each release was first seen in the service. held means that a
+	// release is left out of Servers until it is known whether there is an order for it.
+	appeared map[string]time.Duration
+	held     bool
 }
 
 // next returns the routing table for a snapshot and a view. Services whose
 // configuration and records are unchanged are shared with t.
-func (t *Table) next(snapshot *manifest.Snapshot, view *member.View) *Table {
-	table := &Table{snapshot: snapshot, services: make(map[string]*Service, snapshot.Len())}
+func (t *Table) next(snapshot *manifest.Snapshot, view *member.View, directions *rollout.Directions) *Table {
+	table := &Table{snapshot: snapshot, services: make(map[string]*Service, snapshot.Len()), directions: directions}
 	snapshot.Each(func(config *target.Service) {
-		table.services[config.Name] = t.reuse(config.Name, snapshot, view)
+		table.add(config.Name, t, view)
 	})
 	snapshot.Each(func(config *target.Service) {
 		for i := range config.Classes {
 			for _, part := range config.Classes[i].Parts {
 				if table.services[part.Service] == nil {
-					table.services[part.Service] = t.reuse(part.Service, snapshot, view)
+					table.add(part.Service, t, view)
 				}
 			}
 		}
@@ -47,24 +60,38 @@
 	return table
 }
 
-// reuse returns the route of a service: that of t if configuration and records
-// are unchanged, else a new one.
-func (t *Table) reuse(name string, snapshot *manifest.Snapshot, view *member.View) *Service {
-	config, records := snapshot.Service(name), view.Service(name)
-	s := t.services[name]
-	if s == nil || s.Config != config || !sameSlice(s.records, records) {
-		return newService(config, snapshot.Index(name), records)
+// add adds the route of a service: that of the previous table if configuration, records
+// and direction are unchanged, else a new one.
+func (t *Table) add(name string, previous *Table, view *member.View) {
+	config, records := t.snapshot.Service(name), view.Service(name)
+	s := previous.services[name]
+	if s == nil || s.held || s.Config != config || !sameSlice(s.records, records) || s.active() != t.activeFor(name) {
+		s = newService(config, t.snapshot.Index(name), records, t.activeFor(name), s, t.directions)
 	}
-	return s
+	t.services[name] = s
+	t.held = t.held || s.held
 }
 
-func newService(config *target.Service, index *target.Index, records []*member.Record) *Service {
+func (t *Table) activeFor(service string) *rollout.Active {
+	if t.directions == nil {
+		return nil
+	}
+	return t.directions.Of(service)
+}
+
+func newService(config *target.Service, index *target.Index, records []*member.Record, active *rollout.Active, previous *Service, directions *rollout.Directions) *Service {
 	s := &Service{Config: config, Index: index, records: records}
 	for _, r := range records {
 		if r.Routable() {
 			s.Servers = append(s.Servers, r)
 		}
 	}
+	if active != nil {
+		s.split = newSplit(active, s.Servers)
+	}
+	if directions != nil {
+		s.holdBack(previous, directions)
+	}
 	return s
 }
 
