Wire rollouts into the daemon and collection

Counts and directions travel in the reports and replies of collection, with ages that begin before the report was sent.

A server that has said that it is idle keeps refusing calls for 4 s, whatever another controller says: under load several daemons took themselves for the fleet's collector and one of them completed a rollout while directions of another one let old servers run calls again. A final state that the store has is not written again.

--- a/adapters/collectgrpc/codec.go
+++ b/adapters/collectgrpc/codec.go
@@ -10,7 +10,6 @@
 	"fescuehoist.example/mesh/collect"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
-	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -50,9 +49,7 @@
 		}
 	}
 	for i := range r.Releases {
-		c := &r.Releases[i]
-		out.Releases = append(out.Releases, &collectpb.Release{Service: c.Service, Release: c.Release, Class: c.Class,
-			Answered: c.Answered, Failed: c.Failed, TotalMicros: uint64(max(c.Total.Microseconds(), 0))})
+		out.Releases = append(out.Releases, encodeCount(&r.Releases[i]))
 	}
 	return out
 }
@@ -90,11 +87,11 @@
 		r.Accounts = append(r.Accounts, c)
 	}
 	for _, c := range in.GetReleases() {
-		if !target.ValidName(c.GetService()) || !target.ValidName(c.GetClass()) || len(c.GetRelease()) > maxName {
-			return nil, fmt.Errorf("counts of service %.80q, class %.80q, release %.80q; want valid names", c.GetService(), c.GetClass(), c.GetRelease())
+		count, err := decodeCount(c)
+		if err != nil {
+			return nil, err
 		}
-		r.Releases = append(r.Releases, rollout.Count{Service: c.GetService(), Release: c.GetRelease(), Class: c.GetClass(),
-			Answered: c.GetAnswered(), Failed: c.GetFailed(), Total: micros(c.GetTotalMicros())})
+		r.Releases = append(r.Releases, count)
 	}
 	return r, nil
 }
@@ -149,8 +146,7 @@
 		out.Rates = append(out.Rates, float32(l.Rate))
 	}
 	for _, d := range r.Directions {
-		out.Directions = append(out.Directions, &collectpb.Direction{Service: d.Service, Release: d.Release,
-			Share: uint32(round(d.Share, tenThousandths)), State: uint32(d.State)})
+		out.Directions = append(out.Directions, encodeDirection(&d))
 	}
 	return out
 }
@@ -175,12 +171,11 @@
 			Room: float64(min(in.GetRooms()[i], maxAmount)) / tenths, Rate: rate})
 	}
 	for _, d := range in.GetDirections() {
-		if !target.ValidName(d.GetService()) || len(d.GetRelease()) > maxName || d.GetState() > uint32(rollout.RolledBack) {
-			return nil, fmt.Errorf("direction for service %.80q, release %.80q, state %d; want valid names and a state of at most %d",
-				d.GetService(), d.GetRelease(), d.GetState(), rollout.RolledBack)
+		direction, err := decodeDirection(d)
+		if err != nil {
+			return nil, err
 		}
-		r.Directions = append(r.Directions, rollout.Direction{Service: d.GetService(), Release: d.GetRelease(),
-			Share: fraction(d.GetShare()), State: rollout.State(d.GetState())})
+		r.Directions = append(r.Directions, direction)
 	}
 	return r, nil
 }
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -48,6 +48,8 @@
 	Retry Retry
 	// Accounts bounds how client accounts are served.
 	Accounts Accounts
+	// Rollouts bounds what bad releases get; without it no orders are followed.
+	Rollouts Rollouts
 	// Limits are the resource limits of the daemon's process.
 	Limits Limits
 	// TLS defines which connections use TLS.
@@ -93,6 +95,19 @@
 	Window time.Duration
 }
 
+// Rollouts bounds the requests that a bad release of a service gets while it is rolled out.
+type Rollouts struct {
+	// ExposureShare is the share of the requests to the service that it gets; 0 means that
+	// no orders of rollouts are followed. ExposureSlack is a number of requests beyond that.
+	ExposureShare, ExposureSlack float64
+	// RollbackWithin is the time after the 50th bad answer within which it gets its last
+	// request.
+	RollbackWithin time.Duration
+}
+
+// Enabled reports whether orders of rollouts are followed.
+func (r *Rollouts) Enabled() bool { return r.ExposureShare > 0 }
+
 // Limits are the resource limits of the daemon's process; 0 means none.
 type Limits struct {
 	// MemoryBytes is the maximum memory, in bytes; 0 means DefaultMemoryBytes.
@@ -117,6 +132,9 @@
 	DefaultProgressInterval = 50 * time.Millisecond
 	DefaultRetryShare       = 0.08
 	DefaultAccountWindow    = 5 * time.Second
+	DefaultExposureSlack    = 50
+	DefaultRollbackWithin   = 5 * time.Second
+	maxExposureSlack        = 1e6
 	maxRetryBurst           = 100_000
 	minMemoryMB             = 32
 	// DefaultMemoryBytes is the memory that the process may take without a setting.
@@ -162,6 +180,11 @@
 		RevokeWithin string `toml:"revoke_within"`
 		Window       string `toml:"window"`
 	} `toml:"accounts"`
+	Rollouts struct {
+		ExposureShare  float64 `toml:"exposure_share"`
+		ExposureSlack  float64 `toml:"exposure_slack"`
+		RollbackWithin string  `toml:"rollback_within"`
+	} `toml:"rollouts"`
 	Limits struct {
 		MemoryMB    int     `toml:"memory_mb"`
 		Descriptors int     `toml:"descriptors"`
@@ -226,6 +249,11 @@
 			RevokeWithin: checkDuration(f, "accounts.revoke_within", in.Accounts.RevokeWithin, 0),
 			Window:       checkDuration(f, "accounts.window", in.Accounts.Window, DefaultAccountWindow),
 		},
+		Rollouts: Rollouts{
+			ExposureShare:  checkNumber(f, "rollouts.exposure_share", in.Rollouts.ExposureShare, 0, 1),
+			ExposureSlack:  checkNumber(f, "rollouts.exposure_slack", in.Rollouts.ExposureSlack, DefaultExposureSlack, maxExposureSlack),
+			RollbackWithin: checkDuration(f, "rollouts.rollback_within", in.Rollouts.RollbackWithin, DefaultRollbackWithin),
+		},
 		Limits: Limits{
 			MemoryBytes: int64(checkCount(f, "limits.memory_mb", in.Limits.MemoryMB, minMemoryMB)) << 20,
 			Descriptors: checkCount(f, "limits.descriptors", in.Limits.Descriptors, minDescriptors),
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -149,6 +149,7 @@
 	meter             *status.Meter
 	stops             *stop.Executor
 	collection        *collection
+	rollouts          *rollouts
 	replicas          *idempotency.Replicas
 	ledger            *idempotency.Ledger
 	idempotency       *idempotency.Runner
@@ -220,9 +221,10 @@
 	d.buildCollection(self)
 	if s.API == settings.Objects {
 		d.platformAdapter = newObjectPlatform(d)
-		return
+	} else {
+		d.platformAdapter = newNativePlatform(d)
 	}
-	d.platformAdapter = newNativePlatform(d)
+	d.buildRollouts(self)
 }
 
 func (d *Daemon) buildCalls(self member.ServerID) {
@@ -246,6 +248,9 @@
 	if d.cfg.Settings.API == settings.Objects {
 		d.outbound.Configs = d.configs
 	}
+	if d.rollouts != nil {
+		d.followRollouts()
+	}
 }
 
 // handleBackendCrash announces that the backend server is down, so that it gets no
@@ -302,6 +307,9 @@
 	})
 	g.Go(func() error { return d.router.Run(controlCtx) })
 	g.Go(func() error { return d.collection.collector.Run(controlCtx) })
+	if d.rollouts != nil {
+		g.Go(func() error { return d.rollouts.controller.Run(controlCtx) })
+	}
 	g.Go(func() error { return d.cfg.Policy.Unreachable.Run(controlCtx, d.forwarder) })
 	g.Go(func() error { return d.replicas.Run(controlCtx, d.idempotency.ReplicateTo) })
 	g.Go(func() error {
--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -11,7 +11,7 @@
 
 // registerMetrics registers the metrics of the daemon beside those of the calls.
 func (d *Daemon) registerMetrics() error {
-	return d.metrics.Register(slices.Concat(d.loadMetrics(), d.controlMetrics(), d.collection.metrics(), d.platformAdapter.metrics())...)
+	return d.metrics.Register(slices.Concat(d.loadMetrics(), d.controlMetrics(), d.collection.metrics(), d.rollouts.metrics(), d.platformAdapter.metrics())...)
 }
 
 func (d *Daemon) loadMetrics() []telemetry.Metric {
--- a/fescuehoistd/daemon/native_platform.go
+++ b/fescuehoistd/daemon/native_platform.go
@@ -14,6 +14,7 @@
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/reader"
+	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/mesh/status"
 )
 
@@ -54,6 +55,8 @@
 // registered returns the number of seeds and this daemon.
 func (n *nativePlatform) registered() int { return 1 + len(n.d.cfg.Settings.Seeds) }
 
+func (n *nativePlatform) orders() rollout.Orders { return nil }
+
 func (n *nativePlatform) services() []peergrpc.Service {
 	return []peergrpc.Service{&statusgrpc.Server{Receiver: n.collector}}
 }
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -14,6 +14,7 @@
 	"fescuehoist.example/mesh/configwatch"
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/platform"
 )
 
@@ -76,6 +77,8 @@
 
 func (o *objectPlatform) services() []peergrpc.Service { return nil }
 
+func (o *objectPlatform) orders() rollout.Orders { return &platform.Rollouts{Store: o.store} }
+
 func (o *objectPlatform) joinQuorum() int { return 0 }
 
 func (o *objectPlatform) drainDelay() time.Duration { return drainDelayPeriod }
--- a/fescuehoistd/daemon/platform_adapter.go
+++ b/fescuehoistd/daemon/platform_adapter.go
@@ -9,6 +9,7 @@
 	"fescuehoist.example/adapters/callhttp"
 	"fescuehoist.example/adapters/peergrpc"
 	"fescuehoist.example/adapters/telemetry"
+	"fescuehoist.example/mesh/rollout"
 )
 
 // platformAdapter is the part of a daemon that depends on the platform on which it
@@ -33,6 +34,8 @@
 	// killsAfterDrainTimeout reports whether the platform kills a process that has
 	// not ended within the drain timeout.
 	killsAfterDrainTimeout() bool
+	// orders returns the orders of rollouts, or nil if the platform has none.
+	orders() rollout.Orders
 	metrics() []telemetry.Metric
 	// platformCalls returns the number of calls made to the platform.
 	platformCalls() uint64
--- a/fescuehoistd/daemon/state.go
+++ b/fescuehoistd/daemon/state.go
@@ -27,6 +27,8 @@
 	Stops []Stop `json:"stops"`
 	// Collection is nil while nothing is collected.
 	Collection *Collection `json:"collection,omitempty"`
+	// Rollouts is nil if the daemon follows no rollouts.
+	Rollouts *Rollouts `json:"rollouts,omitempty"`
 	// PlatformCalls, ControlSent and ControlReceived (bytes) count from the
 	// daemon's start.
 	PlatformCalls   uint64 `json:"platform_calls"`
@@ -61,7 +63,7 @@
 		Server: d.cfg.Settings.Server, Domain: d.cfg.Settings.Domain,
 		State:   d.announcer.State().String(),
 		InForce: d.configs.Snapshot().Version(), Known: d.configs.KnownVersion(),
-		Peers: d.node.PeerCount(), Running: load.Running, Queued: load.Queued, Limit: load.Limit, Idle: d.gate.Idle(), Collection: d.collection.state(),
+		Peers: d.node.PeerCount(), Running: load.Running, Queued: load.Queued, Limit: load.Limit, Idle: d.gate.Idle(), Collection: d.collection.state(), Rollouts: d.rollouts.state(),
 		PlatformCalls: d.platformAdapter.platformCalls(), ControlSent: d.traffic.Sent(), ControlReceived: d.traffic.Received(),
 	}
 	for _, planned := range d.stops.List().Stops {
--- a/mesh/collect/book.go
+++ b/mesh/collect/book.go
@@ -123,29 +123,10 @@
 		b.expire(now)
 		t.add(b, now)
 	}
-	t.releases = mergeReleases(t.releases)
+	t.releases = rollout.Merge(t.releases)
 	return t
 }
 
-// mergeReleases adds up the counts of the same service, release and class.
-func mergeReleases(counts []rollout.Count) []rollout.Count {
-	type key struct{ service, release, class string }
-	index := make(map[key]int, len(counts))
-	var merged []rollout.Count
-	for _, c := range counts {
-		k := key{c.Service, c.Release, c.Class}
-		i, known := index[k]
-		if !known {
-			index[k] = len(merged)
-			merged = append(merged, c)
-			continue
-		}
-		m := &merged[i]
-		m.Answered, m.Failed, m.Total = m.Answered+c.Answered, m.Failed+c.Failed, m.Total+c.Total
-	}
-	return merged
-}
-
 // report returns the sum as the report of a failure domain. Unless whole is set, it holds
 // only the accounts in changed.
 func (t *total) report(from member.ServerID, whole bool, changed map[string]bool) *Report {
--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -8,6 +8,7 @@
 	"fescuehoist.example/mesh/allowance"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/mesh/wait"
 )
 
@@ -132,6 +133,9 @@
 	switch {
 	case accounts.HasLimited():
 		return c.cfg.Interval, changed
+	case c.Releases != nil:
+		// Only a reply tells that there is an order.
+		return c.cfg.SumInterval, changed
 	case c.cfg.VerifyAccounts && accounts.Len() > 0:
 		return c.cfg.IdleInterval, changed
 	}
@@ -276,7 +280,7 @@
 	}
 	c.counter.Apply(r.Limits, at)
 	if r.Fleet && c.Releases != nil {
-		c.Releases.Apply(r.Directions)
+		c.Releases.Apply(rollout.Aged(r.Directions, c.configs.Now()-at))
 	}
 }
 
--- a/mesh/collect/decide.go
+++ b/mesh/collect/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/allowance"
+	"fescuehoist.example/mesh/rollout"
 )
 
 // ErrNotCollecting means that a daemon cannot decide, since the configuration that it
@@ -115,7 +116,9 @@
 	if c.decided == nil || !c.decided.Fleet || now-c.decidedAt >= forwardLifetime {
 		return nil
 	}
-	return c.decided
+	reply := *c.decided
+	reply.Directions = rollout.Aged(reply.Directions, now-c.decidedAt)
+	return &reply
 }
 
 func (c *Collector) collectsForFleet() bool {
--- a/mesh/collect/ports.go
+++ b/mesh/collect/ports.go
@@ -15,9 +15,8 @@
 // Releases counts the calls of this daemon to the releases of a service, and applies the
 // directions of the fleet's collector.
 type Releases interface {
-	// Active reports whether there is anything to count, and returns a channel that is
-	// closed when that may have changed. It must be true at every daemon while there is a
-	// rollout: a daemon for which it is false sends no reports and gets no directions.
+	// Active reports whether a rollout is running, so that reports have to be frequent, and
+	// returns a channel that is closed when that may have changed.
 	Active() (active bool, changed <-chan struct{})
 	// Counts returns the counts of this daemon since it heard of the orders.
 	Counts() []rollout.Count
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -91,6 +91,13 @@
 		f.Load = p.Gate.LoadFor(r.Class)
 		return nil, f
 	}
+	if p.Releases != nil && p.Releases.Refuses() {
+		// The rollout went on while the call waited.
+		refused := call.Refuse(call.Draining, errReleased)
+		done(refused)
+		ticket.Release()
+		return nil, refused
+	}
 	answer, err := p.Backend.Call(ctx, r)
 	done(err)
 	if err := ticket.End(ctx, err); err != nil {
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -360,6 +360,9 @@
 	c.wakeWriter()
 }
 
+// Refused is the state of an order that is not valid, in a Status.
+const Refused = "refused"
+
 // Status describes one rollout, or an order that was refused.
 type Status struct {
 	Service string  `json:"service"`
@@ -394,7 +397,7 @@
 		all = append(all, s)
 	}
 	for _, o := range c.refused {
-		all = append(all, Status{Service: cmp.Or(o.Service, o.Name), Release: o.Release, State: "refused", Reason: o.Err.Error()})
+		all = append(all, Status{Service: cmp.Or(o.Service, o.Name), Release: o.Release, State: Refused, Reason: o.Err.Error()})
 	}
 	slices.SortFunc(all, func(a, b Status) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.State, b.State))
--- a/mesh/rollout/follower.go
+++ b/mesh/rollout/follower.go
@@ -1,6 +1,9 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,9 +19,10 @@
 	// the refusal of requests by servers of other releases. Daemons that are told later
 	// would otherwise have their requests refused.
 	closeDelay = 300 * time.Millisecond
-	// reopenAfter is how long those servers refuse requests without further directions.
-	// It is longer than a controller takes to write that the rollout is completed.
-	reopenAfter = 3 * time.Second
+	// reopenAfter is how long those servers refuse requests after the latest such direction,
+	// whatever other controllers say of the same order. A controller may use a report that
+	// they are idle for 2 s, and then take 1 s to write that the rollout is completed.
+	reopenAfter = 4 * time.Second
 	// settleTime is the longest time for which a release that is new to a service is held
 	// back until directions issued after its appearance arrive.
 	settleTime = 1500 * time.Millisecond
@@ -60,10 +64,11 @@
 	// Avoid is the release of an order that this one replaced before it was completed. It
 	// gets no requests; empty if there is none.
 	Avoid string
-	// fullSince is when the daemon was first told to send all requests to the release.
-	fullSince time.Duration
-	issuedAt  *atomic.Int64
-	now       Clock
+	// fullSince is when the daemon was first told to send all requests to the release,
+	// fullAt when the latest such direction of this order was issued; 0 before one.
+	fullSince, fullAt time.Duration
+	issuedAt          *atomic.Int64
+	now               Clock
 }
 
 // NewFollower returns a follower without directions. own returns the record of the server
@@ -84,6 +89,15 @@
 	return f.changed
 }
 
+// Active reports whether a rollout is running, and returns the channel of Changed.
+func (f *Follower) Active() (active bool, changed <-chan struct{}) {
+	changed = f.Changed()
+	for _, a := range f.Current().byService {
+		active = active || a.State == Running
+	}
+	return active, changed
+}
+
 // Apply takes a list of directions. A list that is not marked as complete, or that was
 // issued before the newest one, is ignored. A direction stays until a later order replaces
 // it, since a controller may know fewer orders than its predecessor.
@@ -106,7 +120,7 @@
 			continue
 		}
 		held := next.byService[d.Service]
-		if held != nil && !d.supersedes(&held.Direction) {
+		if held != nil && (!d.supersedes(&held.Direction) || held.outranks(&d)) {
 			continue
 		}
 		at := f.now() - d.Age
@@ -139,11 +153,11 @@
 func (f *Follower) activate(d Direction, held *Active, at time.Duration) *Active {
 	a := &Active{Direction: d, issuedAt: &atomic.Int64{}, now: f.now}
 	a.issuedAt.Store(int64(at))
-	if d.Full() {
+	if held != nil && held.Order == d.Order && at-held.lastFull() < reopenAfter {
+		a.fullSince, a.fullAt = held.fullSince, held.lastFull()
+	}
+	if d.Full() && a.fullAt == 0 {
 		a.fullSince = f.now()
-		if held != nil && held.Full() && held.Order == d.Order {
-			a.fullSince = held.fullSince
-		}
 	}
 	if held != nil && held.Release != d.Release && held.State != Completed {
 		a.Avoid = held.Release
@@ -176,23 +190,28 @@
 	return d.Order > held.Order || (d.Order == held.Order && d.State >= held.State)
 }
 
-// Directions returns the directions with their ages, to be passed on to other daemons.
-func (f *Follower) Directions() []Direction {
-	confirmed := f.confirmedAt.Load()
-	if confirmed == 0 {
-		return nil
-	}
-	list := []Direction{{Age: f.now() - time.Duration(confirmed)}}
-	for _, a := range f.Current().byService {
-		d := a.Direction
-		d.Age = a.age()
-		list = append(list, d)
+// Of returns the direction for a service, or nil.
+func (d *Directions) Of(service string) *Active { return d.byService[service] }
+
+// outranks reports whether a direction stays in force beside a later one of another
+// controller, which knows less of the same order.
+func (a *Active) outranks(d *Direction) bool {
+	return a.Full() && d.State == Running && !d.Full() && a.Order == d.Order && a.age() < DirectionLifetime
+}
+
+// lastFull returns when the latest direction was issued that sends all requests to the
+// release; 0 before one.
+func (a *Active) lastFull() time.Duration {
+	if a.Full() {
+		return time.Duration(a.issuedAt.Load())
 	}
-	return list
+	return a.fullAt
 }
 
-// Of returns the direction for a service, or nil.
-func (d *Directions) Of(service string) *Active { return d.byService[service] }
+// All returns the directions for all services, sorted by service.
+func (d *Directions) All() []*Active {
+	return slices.SortedFunc(maps.Values(d.byService), func(a, b *Active) int { return cmp.Compare(a.Service, b.Service) })
+}
 
 // Settled reports whether a release that appeared in a service at a time of the clock may
 // be used: directions issued later have arrived, or none did for settleTime.
@@ -226,7 +245,8 @@
 	case RolledBack:
 		return release == a.Release
 	}
-	return release != a.Release && a.Full() && a.now()-a.fullSince >= closeDelay && a.age() < reopenAfter
+	full := a.lastFull()
+	return release != a.Release && full > 0 && a.now()-a.fullSince >= closeDelay && a.now()-full < reopenAfter
 }
 
 // Refuses reports whether the server beside the daemon refuses requests because of a
@@ -260,7 +280,7 @@
 	}
 	server := Count{Service: own.Service, Release: own.Release, Order: a.Order, Target: a.Release, Servers: 1, State: a.State, Heard: f.now() - c.heardAt}
 	server.Active, server.Failing = c.recent(own.Release, f.now())
-	if a.refuses(own.Release) && !own.Terminal() && f.load() == 0 {
+	if a.refuses(own.Release) && a.Full() && a.age() < DirectionLifetime && !own.Terminal() && f.load() == 0 {
 		server.Idle = 1
 	}
 	counts := []Count{server}
--- a/mesh/rollout/rollout.go
+++ b/mesh/rollout/rollout.go
@@ -93,5 +93,18 @@
 	Age time.Duration
 }
 
+// Aged returns directions that are older by a time.
+func Aged(directions []Direction, by time.Duration) []Direction {
+	if directions == nil {
+		return nil
+	}
+	aged := make([]Direction, len(directions))
+	for i, d := range directions {
+		d.Age += by
+		aged[i] = d
+	}
+	return aged
+}
+
 // Full reports whether all requests go to the release while the rollout is running.
 func (d *Direction) Full() bool { return d.State == Running && d.Share >= 1 }
--- a/mesh/rollout/watch.go
+++ b/mesh/rollout/watch.go
@@ -181,13 +181,19 @@
 	defer c.mu.Unlock()
 	var all []*controlled
 	for _, r := range c.rollouts {
-		if r.number > 0 && (r.check || r.wanted() != r.written) {
+		if r.mustWrite() {
 			all = append(all, r)
 		}
 	}
 	return all
 }
 
+// mustWrite reports whether the state has to be written. A final state that the store has
+// is never written again, since a change of the order after it means a new order.
+func (r *controlled) mustWrite() bool {
+	return r.number > 0 && !r.written.Final() && (r.check || r.wanted() != r.written)
+}
+
 // wanted returns the state that the store should have.
 func (r *controlled) wanted() State {
 	if r.complete {
@@ -200,8 +206,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	c.mu.Lock()
-	order, state := r.order, r.wanted()
+	order, state, must := r.order, r.wanted(), r.mustWrite()
 	c.mu.Unlock()
+	if !must {
+		return true
+	}
 	revision, err := c.orders.WriteStatus(ctx, order, state)
 	if errors.Is(err, ErrChanged) {
 		// The watch may be waiting on a connection that stopped responding.
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -128,7 +128,7 @@
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first, second := s.candidates(q.Draw)
+	first, second := s.candidates(&q)
 	chosen := p.choose(first, q)
 	if chosen == nil && len(second) > 0 {
 		chosen = p.choose(second, q)
--- a/mesh/route/split.go
+++ b/mesh/route/split.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,14 +46,14 @@
 	return s
 }
 
-// candidates returns the servers for a call whose draw is a random number from 0 to 1, and
-// those to use if none of them can take it.
-func (s *split) candidates(draw float64) (first, second []*member.Record) {
+// candidates returns the servers for a call, and those to use if none of them can take it.
+// Retries do not go to a release that is not proven.
+func (s *split) candidates(q *Query) (first, second []*member.Record) {
 	share := s.active.CurrentShare()
 	if s.alone && s.active.State == rollout.Running {
 		share = 1
 	}
-	if draw >= share {
+	if q.Draw >= share || (len(q.Tried) > 0 && share < 1) {
 		return s.others, nil
 	}
 	if s.active.State != rollout.Running || share >= 1 {
@@ -74,16 +75,31 @@
 }
 
 // candidates returns the servers for a call, and those to use if none of them can take it.
-func (s *Service) candidates(draw float64) (first, second []*member.Record) {
+func (s *Service) candidates(q *Query) (first, second []*member.Record) {
 	if s.split == nil {
 		return s.Servers, nil
 	}
-	return s.split.candidates(draw)
+	return s.split.candidates(q)
+}
+
+// aloneTime is how long a release must have been the only one before others are new beside
+// it. A starting daemon receives the records of all servers in less time.
+const aloneTime = 500 * time.Millisecond
+
+// usedAlone returns the release that was there for aloneTime before any other, if there is
+// one.
+func usedAlone(appeared map[string]time.Duration) string {
+	byAge := slices.SortedFunc(maps.Keys(appeared), func(a, b string) int { return cmp.Compare(appeared[a], appeared[b]) })
+	if appeared[byAge[1]]-appeared[byAge[0]] < aloneTime {
+		return ""
+	}
+	return byAge[0]
 }
 
 // holdBack leaves the releases out that appeared beside others so lately that there may be
 // an order for them which this daemon has not heard of. Where there is one release, or a
-// direction, nothing is left out.
+// direction, nothing is left out. A starting daemon may so be without servers of a service
+// with several releases, until the first directions come or a time without any has passed.
 func (s *Service) holdBack(previous *Service, directions *rollout.Directions) {
 	appeared := map[string]time.Duration{}
 	if previous != nil {
@@ -103,6 +119,9 @@
 	}
 	isNew := maps.Clone(s.appeared)
 	maps.DeleteFunc(isNew, func(_ string, at time.Duration) bool { return directions.Settled(at) })
+	if len(isNew) == len(s.appeared) {
+		delete(isNew, usedAlone(s.appeared))
+	}
 	if len(isNew) == 0 {
 		return
 	}
