--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -46,6 +46,8 @@
 			"backend.drain_timeout: \"90h\"; write a duration from 100ms to 1h0m0s", "listen.callers: \"localhost:7100\"; write an IP address", "log.level: \"loud\"; write debug"}},
 		{"key declared twice", []string{`domain = "cairo-a"`, "domain = \"cairo-a\"\ndomain = \"cairo-b\""}, []string{"f:6: domain: "}},
 		{"list instead of table", []string{"[server]", "[[server]]"}, []string{"f:3: server", "write its name in single brackets"}},
+		{"rollouts out of range", []string{"[log]", "[rollouts]\nexposure_share = 2\nexposure_slack = -1\nrollback_within = \"1ms\"\n[log]"}, []string{
+			"rollouts.exposure_share: 2; write a number above 0 and up to 1", "rollouts.exposure_slack: -1", `rollouts.rollback_within: "1ms"; write a duration`}},
 		{"no tls", []string{`daemons = "tls"`, "", `callers = "plain"`, "", `platform = "tls"`, ""}, []string{
 			`tls.daemons: ""; write "tls" to protect`, `tls.callers: `, `tls.platform: `}},
 		{"no key files", []string{"\ncertificate", "\n#", "\nkey", "\n#", "\nauthority", "\n#", "\nplatform_authority", "\n#"}, []string{
--- a/mesh/rollout/progress.go
+++ b/mesh/rollout/progress.go
@@ -12,8 +12,8 @@
 	longWindow  = 3 * time.Second
 	shortWindow = time.Second
 	// priorAnswers is the number of answers as which the failures of the other releases
-	// since the order count beside those of the last second; newClassAnswers is the number
-	// of answers without a failure that are assumed before the first one.
+	// since the order count beside those of the last second. One failure in newClassAnswers
+	// answers is assumed before the first one, as a rate estimated from none is too low.
 	priorAnswers    = 10
 	newClassAnswers = 25
 	// minOthers is the number of answers of other releases in the last second below which
@@ -118,7 +118,7 @@
 		if len(p.samples) > 0 {
 			recent = c.others.minus(p.before(s.at - shortWindow).classes[class].others)
 		}
-		share := (c.others.failed + 0.5) / (c.others.answered + newClassAnswers)
+		share := (c.others.failed + 1) / (c.others.answered + newClassAnswers)
 		share = (recent.failed + priorAnswers*share) / (recent.answered + priorAnswers)
 		if recent.answered < minOthers {
 			share = max(share, unknownShare)
