Read the orders again when a release appears beside others

A watch of the store on a connection that stopped responding hides an order for half a minute. Its release would then be used like any other. The controller lists the orders once for each service that has servers of several releases for the first time, and confirms nothing to the daemons until it has.

--- a/fescuehoistd/daemon/rollouts.go
+++ b/fescuehoistd/daemon/rollouts.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fescuehoist.example/adapters/boottime"
@@ -62,6 +64,22 @@
 	return f.members.View().Service(service)
 }
 
+// Mixed returns the services that have servers of several releases.
+func (f *rolloutFleet) Mixed() []string {
+	first, mixed := map[string]string{}, map[string]bool{}
+	for _, r := range f.members.View().All() {
+		if !r.Routable() {
+			continue
+		}
+		if release, known := first[r.Service]; !known {
+			first[r.Service] = r.Release
+		} else if release != r.Release {
+			mixed[r.Service] = true
+		}
+	}
+	return slices.Collect(maps.Keys(mixed))
+}
+
 // Known reports whether a class routes to a service or a server announces it.
 func (f *rolloutFleet) Known(service string) bool {
 	return f.LongestTimeout(service) > 0 || len(f.Servers(service)) > 0
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -27,6 +27,8 @@
 	Servers(service string) []*member.Record
 	// Known reports whether there is a service of this name.
 	Known(service string) bool
+	// Mixed returns the services that have servers of several releases.
+	Mixed() []string
 	// LongestTimeout returns the longest time that a call to a service may take.
 	LongestTimeout(service string) time.Duration
 }
@@ -69,6 +71,10 @@
 	// active.
 	known    bool
 	rollouts map[string]*controlled
+	// mixed holds the services with several releases, and whether the orders were read since
+	// they were first seen so. A watch whose connection stopped responding hides orders for
+	// half a minute.
+	mixed map[string]bool
 	// refused holds the orders that are not valid, by name.
 	refused map[string]Order
 	// active is closed while counts arrive, deactivate stops the calls to the store.
@@ -76,6 +82,8 @@
 	deactivate *time.Timer
 	// unwritten has an element when a status has to be written.
 	unwritten chan struct{}
+	// unread has an element when the orders have to be read again.
+	unread chan struct{}
 }
 
 // controlled is the rollout of one service.
@@ -104,8 +112,8 @@
 func NewController(cfg Config, orders Orders, fleet Fleet, logger Logger, now Clock) *Controller {
 	return &Controller{
 		cfg: cfg, orders: orders, fleet: fleet, logger: logger, now: now,
-		rollouts: map[string]*controlled{}, refused: map[string]Order{},
-		active: make(chan struct{}), unwritten: make(chan struct{}, 1),
+		rollouts: map[string]*controlled{}, refused: map[string]Order{}, mixed: map[string]bool{},
+		active: make(chan struct{}), unwritten: make(chan struct{}, 1), unread: make(chan struct{}, 1),
 	}
 }
 
@@ -115,11 +123,24 @@
 	defer c.mu.Unlock()
 	c.activate()
 	c.retryRefused()
+	c.checkMixed()
 	for _, r := range c.rollouts {
 		c.advance(r, countsOf(counts, r.order.Service))
 	}
 }
 
+// checkMixed has the orders read again when a service appears with several releases.
+func (c *Controller) checkMixed() {
+	mixed := map[string]bool{}
+	for _, service := range c.fleet.Mixed() {
+		mixed[service] = c.mixed[service] || c.rollouts[service] != nil
+		if !mixed[service] {
+			signal(c.unread)
+		}
+	}
+	c.mixed = mixed
+}
+
 // countsOf returns the counts of one service.
 func countsOf(counts []Count, service string) []Count {
 	var own []Count
@@ -138,7 +159,12 @@
 	if !c.known {
 		return nil
 	}
-	list := []Direction{{}}
+	list := []Direction{{Share: 1}}
+	for _, read := range c.mixed {
+		if !read {
+			list[0].Share = 0
+		}
+	}
 	for _, r := range c.rollouts {
 		if r.number > 0 {
 			list = append(list, r.direction())
@@ -244,9 +270,12 @@
 	c.wakeWriter()
 }
 
-func (c *Controller) wakeWriter() {
+func (c *Controller) wakeWriter() { signal(c.unwritten) }
+
+// signal puts an element into a channel unless it has one.
+func signal(to chan<- struct{}) {
 	select {
-	case c.unwritten <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
--- a/mesh/rollout/controller_test.go
+++ b/mesh/rollout/controller_test.go
@@ -239,3 +239,24 @@
 		}
 	})
 }
+
+// Guards against an order that is not seen for half a minute, in which its release is used
+// like any other, because the watch is lost on its way.
+func TestOrderIsFoundWhenItsServersAppearThoughWatchIsLost(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.run(time.Second)
+		f.orders.deaf = true
+		f.order("v2")
+		f.run(time.Second)
+		appeared := f.now()
+		f.mixed = true
+		f.control.Observe(nil)
+		if list := f.control.Directions(); len(list) != 1 || list[0].Share != 0 {
+			f.t.Errorf("directions %+v before the orders were read, want a list that confirms nothing", list)
+		}
+		f.run(2 * tick)
+		if !f.servers[0].Current().Settled(appeared) || f.servers[0].Current().Of("lookup") == nil {
+			f.t.Error("no direction after the servers appeared")
+		}
+	})
+}
--- a/mesh/rollout/fleet_test.go
+++ b/mesh/rollout/fleet_test.go
@@ -26,6 +26,8 @@
 	order    map[string]Order
 	changed  chan struct{}
 	down     bool
+	// deaf means that watches do not respond.
+	deaf     bool
 	statuses []State
 }
 
@@ -92,7 +94,10 @@
 		if down {
 			return nil, 0, errDown
 		}
-		if len(all) > 0 {
+		s.mu.Lock()
+		deaf := s.deaf
+		s.mu.Unlock()
+		if len(all) > 0 && !deaf {
 			return all, at, nil
 		}
 		select {
@@ -139,6 +144,8 @@
 	servers []*server
 	control *Controller
 	rate    float64
+	// mixed means that servers of v2 are there.
+	mixed bool
 	// answer returns the run time of a call and whether it fails.
 	answer func(release, class string, at time.Duration, load float64) (time.Duration, bool)
 	// exposed and bad count the calls to v2 and their bad answers; lost counts the calls
@@ -188,6 +195,13 @@
 	return all
 }
 
+func (f *fleet) Mixed() []string {
+	if f.mixed {
+		return []string{"lookup"}
+	}
+	return nil
+}
+
 func (f *fleet) Known(service string) bool           { return service == "lookup" }
 func (f *fleet) LongestTimeout(string) time.Duration { return 800 * time.Millisecond }
 func (f *fleet) healthy(string, string, time.Duration, float64) (time.Duration, bool) {
--- a/mesh/rollout/follower.go
+++ b/mesh/rollout/follower.go
@@ -44,12 +44,15 @@
 	load Load
 
 	directions atomic.Pointer[Directions]
-	// confirmedAt is when the newest complete list of directions was issued; 0 before one.
+	// confirmedAt is when the newest list of directions was issued by a controller that knew
+	// all orders; 0 before one.
 	confirmedAt atomic.Int64
 
-	mu      sync.Mutex
-	changed chan struct{}
-	counter *counter
+	mu sync.Mutex
+	// listedAt is when the newest complete list was issued.
+	listedAt time.Duration
+	changed  chan struct{}
+	counter  *counter
 }
 
 // Directions is an immutable set of directions; only the age of its members changes.
@@ -104,11 +107,18 @@
 func (f *Follower) Apply(list []Direction) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	issued, complete := f.issueTime(list)
-	if !complete || issued <= time.Duration(f.confirmedAt.Load()) {
+	marker := slices.IndexFunc(list, func(d Direction) bool { return d.Service == "" })
+	if marker < 0 {
 		return
 	}
-	f.confirmedAt.Store(int64(issued))
+	issued := f.now() - list[marker].Age
+	if issued <= f.listedAt {
+		return
+	}
+	f.listedAt = issued
+	if list[marker].Share >= 1 {
+		f.confirmedAt.Store(int64(issued))
+	}
 	current := f.Current()
 	next := &Directions{byService: make(map[string]*Active, len(list)), follower: f}
 	for service, a := range current.byService {
@@ -140,16 +150,6 @@
 	f.followOwnServer()
 }
 
-// issueTime returns when a list was issued, and whether it is marked as complete.
-func (f *Follower) issueTime(list []Direction) (time.Duration, bool) {
-	for _, d := range list {
-		if d.Service == "" {
-			return f.now() - d.Age, true
-		}
-	}
-	return 0, false
-}
-
 func (f *Follower) activate(d Direction, held *Active, at time.Duration) *Active {
 	a := &Active{Direction: d, issuedAt: &atomic.Int64{}, now: f.now}
 	a.issuedAt.Store(int64(at))
--- a/mesh/rollout/rollout.go
+++ b/mesh/rollout/rollout.go
@@ -77,7 +77,8 @@
 }
 
 // Direction says which servers of a service the daemons use. One without a service marks a
-// list of directions as complete: its sender knows all orders.
+// list of directions as complete: its sender has read all orders. With a share of 1 it has
+// read them since the last release appeared beside others.
 type Direction struct {
 	Service, Release string
 	// Share is the share of the requests that go to servers of the release, 0 to 1; the
--- a/mesh/rollout/watch.go
+++ b/mesh/rollout/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,6 +59,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { c.watch(ctx); return nil })
 	g.Go(func() error { c.write(ctx); return nil })
+	g.Go(func() error { c.reread(ctx); return nil })
 	_ = g.Wait()
 	c.logger.Infof("no longer controlling rollouts")
 	c.mu.Lock()
@@ -65,6 +68,7 @@
 	c.deactivate, c.known, c.active = nil, false, make(chan struct{})
 	clear(c.rollouts)
 	clear(c.refused)
+	clear(c.mixed)
 }
 
 func (c *Controller) newBackOff() *backoff.ExponentialBackOff {
@@ -121,12 +125,16 @@
 func (c *Controller) list(ctx context.Context) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
+	before := c.mixedServices()
 	orders, at, err := c.orders.List(ctx)
 	if err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, service := range before {
+		c.mixed[service] = true
+	}
 	listed := map[string]bool{}
 	for _, o := range orders {
 		listed[o.Name] = true
@@ -147,6 +155,30 @@
 	return max(at, 1), nil
 }
 
+// mixedServices returns the services with several releases that the controller knows.
+func (c *Controller) mixedServices() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.mixed))
+}
+
+// reread reads all orders when a service appears with several releases, until ctx ends.
+func (c *Controller) reread(ctx context.Context) {
+	delay := c.newBackOff()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.unread:
+		}
+		if _, err := c.list(ctx); err == nil {
+			delay.Reset()
+			continue
+		}
+		_ = wait.For(ctx, delay.NextBackOff())
+	}
+}
+
 // write stores the states of the rollouts until ctx ends.
 func (c *Controller) write(ctx context.Context) {
 	delay := c.newBackOff()
--- a/mesh/route/split_test.go
+++ b/mesh/route/split_test.go
@@ -114,7 +114,7 @@
 	f.add("v2", 1)
 	f.expect(t, "a daemon that has just started", "none")
 	f.now += time.Millisecond
-	f.follower.Apply([]rollout.Direction{{}})
+	f.follower.Apply([]rollout.Direction{{Share: 1}})
 	f.expect(t, "no order", "v1", "v2")
 	f.add("v3", 1)
 	f.expect(t, "a release that has just appeared", "v1", "v2")
