--- a/adapters/collectgrpc/collect_test.go
+++ b/adapters/collectgrpc/collect_test.go
@@ -35,9 +35,10 @@
 
 var sampleReply = collect.Reply{Fleet: true, Daemons: 72, Verified: true, Version: 9, VerificationAge: 1500*time.Millisecond + time.Microsecond,
 	Limits:     []allowance.Limit{{Account: "acct001", Share: 0.25, Room: 12.5, Rate: 467}},
-	Directions: []rollout.Direction{{Service: "lookup", Release: "v2", Share: 0.05, State: rollout.Running}}}
+	Directions: []rollout.Direction{{Service: "lookup", Release: "v2", Share: 0.05, State: rollout.Running,
+		Age: time.Second + time.Microsecond}}}
 
-// receiver answers all reports with sampleReply, once blocked is closed, if it is not nil.
+// receiver answers all reports with sampleReply, whose ages are rounded up on the way, once blocked is closed, if it is not nil.
 type receiver struct {
 	reports chan *collect.Report
 	blocked chan struct{}
@@ -53,6 +54,8 @@
 	}
 	reply := sampleReply
 	reply.VerificationAge -= time.Microsecond
+	reply.Directions = slices.Clone(reply.Directions)
+	reply.Directions[0].Age -= time.Microsecond
 	return &reply, r.err
 }
 
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -269,7 +269,7 @@
 
 // queryFor returns the query for the first server of a call.
 func queryFor(r *call.Request) route.Query {
-	return route.Query{Class: r.ClassName, Latency: r.Class.Latency, Body: len(r.Body)}
+	return route.Query{Class: r.ClassName, Latency: r.Class.Latency, Body: len(r.Body), Draw: rand.Float64()}
 }
 
 // isRetryableError reports whether an answer is a server error that another
--- a/mesh/route/explain.go
+++ b/mesh/route/explain.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"fescuehoist.example/mesh/member"
@@ -97,12 +98,13 @@
 	return e
 }
 
-// draw makes one choice. It holds the lock only for that, so that calls do not wait for an
+// draw makes one choice, as for a call of its own where a release gets a share of them. It holds the lock only for that, so that calls do not wait for an
 // explanation.
 func (p *Picker) draw(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.choose(s.Servers, q)
+	q.Draw = rand.Float64()
+	return p.chooseFor(s, q)
 }
 
 func (p *Picker) candidate(s *sampler, r *member.Record) Candidate {
--- a/mesh/route/explain_test.go
+++ b/mesh/route/explain_test.go
@@ -29,7 +29,7 @@
 		records = append(records, r)
 	}
 	p := NewPicker("0", func(r *member.Record) bool { return r.Server == "unreachable" })
-	s := newService(nil, nil, records)
+	s := newService(nil, nil, records, nil, nil, nil)
 	load := func(running, queued int, service time.Duration) Outcome {
 		return Outcome{Class: "search", Size: 2048, Load: call.Load{Running: running, Queued: queued, Limit: 10, ServiceTime: service}}
 	}
@@ -138,7 +138,7 @@
 }
 
 func TestExplainServiceWithoutServers(t *testing.T) {
-	e := NewPicker("0", nil).Explain(newService(nil, nil, nil), searchQuery)
+	e := NewPicker("0", nil).Explain(newService(nil, nil, nil, nil, nil, nil), searchQuery)
 	if e.Chosen != nil || len(e.Candidates) != 0 {
 		t.Errorf("got %+v, want no candidates and no choice", e)
 	}
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -98,6 +98,9 @@
 	Latency, Elapsed time.Duration
 	// Body is the size of the body in bytes.
 	Body int
+	// Draw is a random number from 0 to 1 that is the same for all attempts of a call. It
+	// decides whether a release that is being rolled out gets the call.
+	Draw float64
 	// Tried lists the servers that the call was already sent to.
 	Tried []member.ServerID
 	// NeedCapacity restricts the choice to servers that may have a free slot.
@@ -134,7 +137,7 @@
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	chosen := p.choose(s.Servers, q)
+	chosen := p.chooseFor(s, q)
 	if chosen != nil {
 		stats := p.statsFor(chosen.Server)
 		stats.inflight++
@@ -144,6 +147,15 @@
 	return chosen
 }
 
+// chooseFor chooses among the servers of a service that the call may go to.
+func (p *Picker) chooseFor(s *Service, q Query) *member.Record {
+	first, second := s.candidates(&q)
+	if chosen := p.choose(first, q); chosen != nil || len(second) == 0 {
+		return chosen
+	}
+	return p.choose(second, q)
+}
+
 func (p *Picker) choose(servers []*member.Record, q Query) *member.Record {
 	if q.NeedCapacity {
 		return p.pickWithCapacity(servers, q)
