--- a/fescuehoistd/daemon/rollout_test.go
+++ b/fescuehoistd/daemon/rollout_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -53,20 +52,17 @@
 
 // order writes an order for v2.
 func (f *rolloutFleet) order() {
-	f.store.Put("rollouts", "lookup", map[string]any{"service": "lookup", "target_version": "v2", "duration_s": rolloutLimit.Seconds()})
+	f.store.OrderRollout("lookup", "v2", rolloutLimit)
 }
 
 // status returns the state that the store has for v2.
 func (f *rolloutFleet) status(t *testing.T) string {
-	o, _ := f.store.Get("rollouts", "lookup")
-	var status struct {
-		State   string `json:"state"`
-		Version string `json:"target_version"`
+	t.Helper()
+	state, err := f.store.RolloutState("lookup", "v2")
+	if err != nil {
+		t.Fatal(err)
 	}
-	if len(o.Status) > 0 && (json.Unmarshal(o.Status, &status) != nil || status.Version != "v2") {
-		t.Fatalf("status %s, want one for v2", o.Status)
-	}
-	return status.State
+	return state
 }
 
 // call sends about 80 requests a second through all daemons until stopCalls. Each must get
