--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -53,6 +53,8 @@
 	// sent.
 	progressInterval time.Duration
 	draining         atomic.Bool
+	// stopping is set before the idle connections are closed.
+	stopping atomic.Bool
 	// onAcceptError is called for each failed Accept; it may be nil.
 	onAcceptError func(error)
 	// bodies is nil if the bodies of requests have no bound.
@@ -169,6 +171,7 @@
 // closeIdle closes the connections without a request in progress.
 func (s *Server) closeIdle() {
 	s.draining.Store(true)
+	s.stopping.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -152,3 +152,38 @@
 		}
 	})
 }
+
+// Guards against a stop that waits for the idle timeout: a connection whose answer was
+// written, but which does not wait for the next request yet, was neither idle nor in use.
+func TestServerStopDoesNotWaitForConnectionThatWasJustAnswered(t *testing.T) {
+	for range 300 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		server := NewServer(echoHandler{}, 0)
+		done := make(chan error, 1)
+		go func() { done <- server.Run(ctx, ln) }()
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Fatal(err)
+			}
+		case <-time.After(IdleTimeout / 2):
+			t.Fatal("the server still runs half the idle timeout after its end")
+		}
+		_ = c.Close()
+	}
+}
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -211,6 +211,11 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.reading = false
+	// A connection that was answered, but not yet idle, when the idle ones were closed must
+	// not wait for another request.
+	if n.server.stopping.Load() && len(n.queue) == 0 {
+		n.closing = true
+	}
 	if n.closing {
 		return false
 	}
