Count registered daemons only where the members are not known yet

Entries of daemons that are gone stay in the registry for minutes; a collector that had just started would have lowered all limits by them for its first minute.

--- a/fescuehoistd/daemon/collection.go
+++ b/fescuehoistd/daemon/collection.go
@@ -19,6 +19,10 @@
 	// lostWithin is the time for which daemons that failed still count in the fleet, since
 	// they may be cut off and serve callers.
 	lostWithin = time.Minute
+	// joinPeriod is the time after the start for which the members that are known may be
+	// only a few of the fleet. A daemon without peers may know none for longer. Otherwise
+	// the registered daemons do not count, since some may be gone for many minutes.
+	joinPeriod = 5 * time.Second
 	// maxStateAccounts bounds the limited accounts on the state page.
 	maxStateAccounts = 100
 )
@@ -43,7 +47,7 @@
 	started := time.Now()
 	c.collector.FleetSize = func() int {
 		size := d.members.Size(lostWithin)
-		if time.Since(started) < lostWithin {
+		if time.Since(started) < joinPeriod || d.node.PeerCount() == 0 {
 			size = max(size, d.platformAdapter.registered())
 		}
 		return size
