--- a/fescuehoistd/daemon/collection_test.go
+++ b/fescuehoistd/daemon/collection_test.go
@@ -121,6 +121,13 @@
 		t.Errorf("%d requests ran within a window, want at most %d", most, limit)
 	}
 	survivor := hosts[0]
+	logged := 0
+	for _, h := range hosts {
+		logged += len(h.log.lines("alpha", "exceeds its 8 requests a second"))
+	}
+	if logged < 1 || logged > 3 {
+		t.Errorf("%d log lines say that the account exceeds its limit, want 1 for each collector", logged)
+	}
 	if lines := survivor.log.lines("key-alpha"); len(lines) > 0 {
 		t.Errorf("a key is in the log: %s", lines[0])
 	}
