Plan rollouts by the time that it takes to find a bad release; describe them

What is kept back for full service now follows from the rate, the length of the probe from what is left, and the completion waits while there is slight doubt.

--- a/mesh/rollout/plan.go
+++ b/mesh/rollout/plan.go
@@ -18,20 +18,23 @@
 const (
 	// rateCaution is the share of the present rate at which later requests are counted on.
 	rateCaution = 0.9
-	// canaryPart and probePart are the shares of the allowed exposure that may be used by
-	// the end of the canary and of the probe. The rest is for the time that it takes to
-	// find out in full service that the release is bad.
-	canaryPart = 0.2
-	probePart  = 0.5
+	// What the release gets in detectionTime, in which it is found out to be bad in full
+	// service, is kept back of the allowed exposure until then, within the shares
+	// minProbePart and maxProbePart of it; canaryPart of the rest is for the canary.
+	detectionTime = 800 * time.Millisecond
+	minProbePart  = 0.4
+	maxProbePart  = 0.8
+	canaryPart    = 0.4
 	// maxCanaryShare bounds the canary; initialShare is used while the rate is unknown.
 	maxCanaryShare = 0.05
 	initialShare   = 0.02
 	minCanaryTime  = time.Second
-	// A probe takes probeTimeShare of the time limit, within minProbeTime and maxProbeTime.
-	// One second holds the way of directions and counts and half a second of answers.
-	probeTimeShare = 0.15
-	minProbeTime   = 1200 * time.Millisecond
-	maxProbeTime   = 3 * time.Second
+	// A probe takes minProbeTime to maxProbeTime, and maxProbeTimeShare of the time limit at
+	// most. The least time holds the way of directions and counts and half a second of
+	// answers.
+	minProbeTime      = 1200 * time.Millisecond
+	maxProbeTime      = 3 * time.Second
+	maxProbeTimeShare = 0.2
 	// reserveTime is the time from the direction of all traffic to the end, without that
 	// of running calls; maxLongest is the most that is planned for those. Both together
 	// take maxReserveShare of the time limit at the most.
@@ -39,12 +42,12 @@
 	maxLongest      = 2 * time.Second
 	maxReserveShare = 0.4
 	// A release is in full service for minFullTime to maxFullTime before it is completed,
-	// and less if the time limit is not more than writeTime away. endTime is the time until
-	// it gets no more requests after the decision to roll back.
+	// and less if the time limit is not more than writeTime away. endTime is the
+	// age of the counts and the time until directions arrive.
 	minFullTime = closeDelay
 	maxFullTime = 2 * time.Second
 	writeTime   = time.Second
-	endTime     = 300 * time.Millisecond
+	endTime     = 600 * time.Millisecond
 	// carriedLoad is the share of the slots of the release that the present load may take.
 	carriedLoad = 0.7
 	// equalSlots is the share of the other servers' slots at which the release is taken to
@@ -115,8 +118,25 @@
 	return s.duration - min(reserve, time.Duration(maxReserveShare*float64(s.duration)))
 }
 
+// probe returns the number of servers that take part in the probe, and how long these may
+// be loaded as in full service.
+func (s *situation) probe() (servers int, d time.Duration) {
+	longest := min(max(time.Duration(maxProbeTimeShare*float64(s.duration)), minProbeTime), maxProbeTime)
+	servers = min(2, max(s.servers/2, 1))
+	if s.rate == 0 {
+		return servers, longest
+	}
+	perServer := s.rate / float64(max(s.servers, 1))
+	affordable := time.Duration((1 - canaryPart) * s.beforeFull() / perServer * float64(time.Second))
+	if affordable/time.Duration(servers) < minProbeTime {
+		servers = 1
+	}
+	return servers, min(max(affordable/time.Duration(servers), minProbeTime), longest)
+}
+
 func (s *situation) probeTime() time.Duration {
-	return min(max(time.Duration(probeTimeShare*float64(s.duration)), minProbeTime), maxProbeTime)
+	_, d := s.probe()
+	return d
 }
 
 // carries reports whether the servers of the release can take all requests.
@@ -176,15 +196,11 @@
 func (s *situation) shareIn(p phase) (float64, int) {
 	switch p {
 	case canary:
-		share := s.affordable(canaryPart, max(s.fullAt()-s.probeTime()-s.elapsed, minCanaryTime), maxCanaryShare)
+		share := s.affordable(canaryPart*s.beforeFull(), max(s.fullAt()-s.probeTime()-s.elapsed, minCanaryTime), maxCanaryShare)
 		return share, min(max(int(math.Round(share*float64(s.servers))), 2), s.servers)
 	case probe:
-		servers := min(2, max(s.servers/2, 1))
-		wanted := float64(servers) / float64(s.servers)
-		share := s.affordable(probePart, max(s.fullAt()-s.elapsed, minProbeTime), wanted)
-		if share <= wanted/2 {
-			servers = 1
-		}
+		servers, _ := s.probe()
+		share := s.affordable(s.beforeFull(), max(s.fullAt()-s.elapsed, minProbeTime), float64(servers)/float64(s.servers))
 		return min(share, s.carriedShare()), servers
 	case full:
 		return 1, 0
@@ -200,12 +216,18 @@
 	return carriedLoad * float64(s.slots) / s.busy
 }
 
-// affordable returns the share of the requests that uses up a part of the allowance in a
-// time, up to a maximum.
-func (s *situation) affordable(part float64, in time.Duration, maximum float64) float64 {
+// beforeFull returns the number of requests that the release may have got when full
+// service begins.
+func (s *situation) beforeFull() float64 {
+	a := s.allowance()
+	return min(max(a-s.rate*detectionTime.Seconds(), minProbePart*a), maxProbePart*a)
+}
+
+// affordable returns the share of the requests with which the release will have got a
+// number of them after a time, up to a maximum.
+func (s *situation) affordable(requests float64, in time.Duration, maximum float64) float64 {
 	if s.rate == 0 {
 		return min(initialShare, maximum)
 	}
-	left := part*s.allowance() - s.exposed
-	return min(max(left/(s.rate*in.Seconds()), 0), maximum)
+	return min(max((requests-s.exposed)/(s.rate*in.Seconds()), 0), maximum)
 }
