--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -49,6 +49,18 @@
 	// AllowCloseDelimited accepts an answer without a declared length, whose
 	// body ends with the connection.
 	AllowCloseDelimited bool
+	// AskFirst sends the head of the request alone, with "Expect: 100-continue", and
+	// the body once the server has asked for it. Until then the request has not run.
+	AskFirst bool
+	// AskTimeout replaces InactivityTimeout until the server asks for the body, if that
+	// is 0: a request that has not run may be sent elsewhere.
+	AskTimeout time.Duration
+	// BeforeBody is called when the server has asked for the body, and may wait. If it
+	// returns an error, the body is not sent and the exchange fails with that error,
+	// which must be a *call.Failure with verdict NotRun. It may be nil.
+	BeforeBody func() error
+	// onContinue is called for each interim answer that asks for the body.
+	onContinue func()
 }
 
 // ErrOtherRequest is the error of Options.Check for an answer to an earlier
@@ -85,8 +97,9 @@
 		return call.Refuse(call.ReasonOf(ctx, call.Unreachable), err)
 	}
 	c.written.Store(0)
+	c.headBytes = 0
 	c.received = false
-	startInactivityTimer(c, o.InactivityTimeout)
+	startInactivityTimer(c, o.headTimeout())
 	stop := context.AfterFunc(ctx, c.interrupt)
 	err = roundTrip(c, req, resp, &o)
 	c.answer.release()
@@ -98,6 +111,10 @@
 	}
 	_ = c.Close()
 	p.reportMalformed(err)
+	var unsent *call.Failure
+	if errors.As(err, &unsent) {
+		return unsent
+	}
 	f := &call.Failure{Verdict: verdictOf(c), Reason: call.ReasonOf(ctx, call.Cut), Err: err}
 	if (inactive || errors.Is(err, syscall.ETIMEDOUT)) && ctx.Err() == nil {
 		f.Reason = call.Silent
@@ -116,7 +133,7 @@
 }
 
 func verdictOf(c *conn) call.Verdict {
-	if c.written.Load() == 0 {
+	if c.written.Load() <= c.headBytes {
 		return call.NotRun
 	}
 	return call.MayHaveRun
@@ -128,6 +145,9 @@
 const largeBodySize = 16 << 10
 
 func roundTrip(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+	if o.AskFirst {
+		return roundTripAsked(c, req, resp, o)
+	}
 	if len(req.Body()) <= largeBodySize {
 		if err := send(c, req); err != nil {
 			return err
@@ -136,18 +156,37 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(c, req) }()
-	err := readAnswer(c, req, resp, o)
-	select {
-	case sendErr := <-sent:
-		if err == nil {
-			err = sendErr
+	return endSending(c, resp, sent, readAnswer(c, req, resp, o))
+}
+
+// sendGrace is how long the sending of a body may go on after its answer. The answer may
+// arrive before the sending goroutine has returned from its last write; the connection
+// would be closed for nothing then.
+const sendGrace = 20 * time.Millisecond
+
+// endSending ends an exchange whose answer was read, or not with err, while the request
+// was being sent.
+func endSending(c *conn, resp *fasthttp.Response, sent <-chan error, err error) error {
+	if err == nil {
+		grace := time.NewTimer(sendGrace)
+		defer grace.Stop()
+		select {
+		case sendErr := <-sent:
+			if sendErr != nil {
+				// The answer is whole; the server closed without reading the request.
+				resp.SetConnectionClose()
+			}
+			return nil
+		case <-grace.C:
 		}
-	default:
-		// The server would read the rest of the body as part of this request, so
-		// the connection cannot be reused.
-		resp.SetConnectionClose()
-		_ = c.Close()
-		<-sent
+	}
+	// The server would read the rest of the body as part of this request, so the
+	// connection cannot be reused.
+	resp.SetConnectionClose()
+	_ = c.Close()
+	var unsent *call.Failure
+	if sendErr := <-sent; err != nil && errors.As(sendErr, &unsent) {
+		return unsent
 	}
 	return err
 }
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -29,7 +29,9 @@
 	"fescuehoist.example/mesh/configwatch"
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/gossip"
+	"fescuehoist.example/mesh/hedge"
 	"fescuehoist.example/mesh/idempotency"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
@@ -134,13 +136,15 @@
 	listeners *Listeners
 	transport *transport
 
-	members           *member.Table
-	advisories        *advisory.Book
-	configs           *manifest.Store
-	node              *gossip.Node
-	platformAdapter   platformAdapter
-	router            *route.Router
-	gate              Gate
+	members         *member.Table
+	advisories      *advisory.Book
+	configs         *manifest.Store
+	node            *gossip.Node
+	platformAdapter platformAdapter
+	router          *route.Router
+	gate            Gate
+	// link bounds the bodies on their way to this host, uplink those that leave it.
+	link, uplink      *link.Gate
 	backend           *backendhttp.Client
 	announcer         *announce.Announcer
 	forwarder         *callhttp.Forwarder
@@ -156,9 +160,11 @@
 	quarantineTracker *quarantine.Tracker
 	inbound           *proxy.Inbound
 	outbound          *proxy.Outbound
+	hedger            *hedge.Hedger
 	draining          atomic.Bool
-	// retry holds the current retry limits, which Reload replaces.
+	// retry and hedge hold the current limits, which Reload replaces.
 	retry atomic.Pointer[settings.Retry]
+	hedge atomic.Pointer[settings.Hedge]
 }
 
 // New builds a daemon that serves on open sockets; Run starts it.
@@ -181,16 +187,19 @@
 		advisories: advisory.NewBook(),
 		configs:    manifest.NewStore(),
 		gate:       cfg.Policy.Gate,
+		link:       link.NewGate(s.Limits.LinkMbps),
+		uplink:     link.NewGate(s.Limits.LinkMbps),
 		backend:    &backendhttp.Client{},
 		forwarder:  callhttp.NewForwarder(transport.dialCalls),
 		traffic:    &peergrpc.Traffic{},
 	}
 	d.configs.SetClock(boottime.Now)
-	d.forwarder.Mesh = s.Mesh
+	d.forwarder.Mesh, d.forwarder.Uplink = s.Mesh, d.uplink
 	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
 	d.forwarder.OnMalformed = d.logMalformed
 	d.retry.Store(&s.Retry)
+	d.hedge.Store(&s.Hedge)
 	if s.Retry.Burst > 0 {
 		d.cfg.Policy.Retries = retry.NewPolicyWithLimits(d.retryLimits())
 	}
@@ -237,12 +246,13 @@
 	d.quarantineTracker = quarantine.NewTracker(d.cfg.Quarantine, self, d.backend,
 		&quarantine.Broadcaster{Self: self, Table: d.members, Link: d.forwarder}, d.advisories, d.handleBackendCrash)
 	d.advisories.Apply = d.quarantineTracker.ApplyAdvisory
+	d.hedger = hedge.New(hedge.Config{Share: d.hedgeShare, Retries: d.cfg.Policy.Retries, Suspects: d.quarantineTracker, Servers: d.cfg.Policy.Picker})
 	calls := &callLog{logger: d.partLogger("call"), configs: d.configs}
-	d.inbound = &proxy.Inbound{CallLog: calls, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
+	d.inbound = &proxy.Inbound{CallLog: calls, Link: d.link, Host: d.announcer, Routes: d.router, Gate: d.gate, Quarantine: d.quarantineTracker, Backend: &status.TimedHandler{Handler: d.backend, Meter: d.meter}}
 	d.outbound = &proxy.Outbound{
 		Self: self, Routes: d.router, Accounts: &account.Checker{Configs: d.configs, RevokeWithin: d.cfg.Settings.Accounts.RevokeWithin},
 		Allowances: d.collection.counter, Picker: d.cfg.Policy.Picker, Unreachable: d.cfg.Policy.Unreachable,
-		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle,
+		Retries: d.cfg.Policy.Retries, Throttle: d.cfg.Policy.Throttle, Hedges: d.hedger,
 		Idempotency: d.idempotency, Remote: d.forwarder, Local: d.inbound, Observer: observers{d.metrics, d.meter, calls},
 	}
 	if d.cfg.Settings.API == settings.Objects {
@@ -397,14 +407,14 @@
 // callerServer returns the server for calls from callers.
 func (d *Daemon) callerServer() *httpconn.Server {
 	s := d.cfg.Settings
-	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers", callerIdleAge)
+	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service, Bodies: d.inbound}, 0, "callers", callerIdleAge)
 }
 
 // daemonServer returns the server for calls from other daemons.
 func (d *Daemon) daemonServer() *httpconn.Server {
 	s := d.cfg.Settings
 	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
+	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control, Bodies: d.inbound}, s.ProgressInterval, "calls", daemonIdleAge)
 }
 
 // The connections of callers and those of other daemons may each use one part in
@@ -461,6 +471,7 @@
 		Announcer: d.announcer,
 		Metrics:   d.metrics.Handler(),
 		State:     func() any { return d.State() },
+		Placer:    d.explainer(),
 		Ready:     func() bool { return d.configs.Snapshot().Version() > 0 && !d.draining.Load() },
 	}
 }
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -9,6 +9,7 @@
 	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/retry"
 	"fescuehoist.example/mesh/route"
@@ -46,8 +47,10 @@
 		gate = admit.NewFixedGate()
 	}
 	unreachable := route.NewUnreachableServers(partLogger(log, s, "route"))
+	picker := route.NewPicker(s.Domain, unreachable.Contains)
+	picker.Self = member.ServerID(s.Server)
 	return Policy{
-		Gate: gate, Picker: route.NewPicker(s.Domain, unreachable.Contains), Unreachable: unreachable,
+		Gate: gate, Picker: picker, Unreachable: unreachable,
 		Retries: retry.NewPolicy(), Throttle: admit.NewThrottle(),
 	}
 }
@@ -66,13 +69,33 @@
 	}
 }
 
-// Reload applies the settings that can change while the daemon runs: the log level
-// and the retry limits. It reports whether other settings differ from those in use,
+// explainer returns what explains where calls would go. Components that take the place of
+// the default ones may be without an explanation.
+func (d *Daemon) explainer() *proxy.Explainer {
+	e := &proxy.Explainer{Outbound: d.outbound, Hedges: d.hedger}
+	e.Accounts, _ = d.outbound.Accounts.(proxy.AccountExplainer)
+	e.Throttle, _ = d.cfg.Policy.Throttle.(proxy.ThrottleExplainer)
+	e.Retries, _ = d.cfg.Policy.Retries.(proxy.RetryExplainer)
+	e.Picker, _ = d.cfg.Policy.Picker.(proxy.PickExplainer)
+	return e
+}
+
+// hedgeShare returns the share of calls that may be hedged; 0 while the daemon drains.
+func (d *Daemon) hedgeShare() float64 {
+	if d.draining.Load() {
+		return 0
+	}
+	return d.hedge.Load().Share
+}
+
+// Reload applies the settings that can change while the daemon runs: the log level, the
+// retry limits and the share of hedged calls. It reports whether other settings differ from those in use,
 // which takes a restart to apply.
 func (d *Daemon) Reload(s *settings.Settings) bool {
 	d.cfg.Log.SetLevel(s.LogLevel)
 	d.retry.Store(&s.Retry)
+	d.hedge.Store(&s.Hedge)
 	old, updated := *d.cfg.Settings, *s
-	updated.LogLevel, updated.Retry = old.LogLevel, old.Retry
+	updated.LogLevel, updated.Retry, updated.Hedge = old.LogLevel, old.Retry, old.Hedge
 	return !reflect.DeepEqual(old, updated)
 }
--- a/mesh/collect/book.go
+++ b/mesh/collect/book.go
@@ -24,7 +24,7 @@
 	at       time.Duration
 	daemons  int
 	present  allowance.Series
-	accounts map[string]entry
+	accounts map[string]*entry
 	releases []rollout.Count
 }
 
@@ -46,11 +46,11 @@
 		b.senders[r.From] = s
 	}
 	if r.Whole || s.accounts == nil {
-		s.accounts = make(map[string]entry, len(r.Accounts))
+		s.accounts = make(map[string]*entry, len(r.Accounts))
 	}
 	s.at, s.daemons, s.present, s.releases = at, r.Daemons, r.Present, r.Releases
 	for i := range r.Accounts {
-		s.accounts[r.Accounts[i].Account] = entry{at: at, count: r.Accounts[i]}
+		s.accounts[r.Accounts[i].Account] = &entry{at: at, count: r.Accounts[i]}
 		b.changed[r.Accounts[i].Account] = true
 	}
 }
@@ -92,26 +92,31 @@
 func (t *total) add(b *book, now time.Duration) {
 	for _, s := range b.senders {
 		recent := now-s.at <= inTouch
+		// A sender in touch goes on as it did: counting its latest report as older than
+		// the next one makes rates and use look lower by the time between them.
+		at := now
 		if recent {
+			at = s.at
 			t.coverage.Daemons += s.daemons
 			t.releases = append(t.releases, s.releases...)
 		}
-		present := s.present.Aged(now-s.at, b.window)
-		if recent {
-			// A report on its way does not make its sender a new daemon.
-			present = s.present
-		}
+		present := s.present.Aged(at-s.at, b.window)
 		t.coverage.Present.Add(&present)
 		for name, e := range s.accounts {
-			c := e.count.Aged(now-e.at, b.window)
-			if !recent {
-				c.Offered = 0
+			n := t.accounts[name]
+			if n == nil {
+				n = &allowance.Count{Account: name}
+				t.accounts[name] = n
 			}
-			if known := t.accounts[name]; known != nil {
-				known.Add(&c)
+			if at == e.at {
+				n.Add(&e.count)
 				continue
 			}
-			t.accounts[name] = &c
+			c := e.count.Aged(at-e.at, b.window)
+			if !recent {
+				c.Offered = 0
+			}
+			n.Add(&c)
 		}
 	}
 }
--- a/mesh/collect/collector.go
+++ b/mesh/collect/collector.go
@@ -34,7 +34,7 @@
 func DefaultConfig(window time.Duration) Config {
 	return Config{
 		Interval: 100 * time.Millisecond, SumInterval: 200 * time.Millisecond, IdleInterval: 500 * time.Millisecond,
-		Timeout: 200 * time.Millisecond, WholeInterval: time.Second, Window: window,
+		Timeout: 200 * time.Millisecond, WholeInterval: 5 * time.Second, Window: window,
 	}
 }
 
@@ -56,16 +56,24 @@
 	Releases Releases
 	Judge    Judge
 
-	// attempts, reportedTo, reportedAt and wholeAt belong to the task of Run.
-	attempts map[member.ServerID]*attempts
+	// The fields up to recording belong to the task of Run. view is that from which roles
+	// were determined at rolesAt.
+	view            *member.View
+	rolesAt         time.Time
+	attempts        map[member.ServerID]*attempts
+	attemptsChanged bool
+	skipLoggedAt    time.Time
 	// reported names the daemon that has all counts up to the last report.
 	reported            reported
 	reportedAt, wholeAt time.Time
 	// recording means that the book daemons has all counts of this daemon.
 	recording bool
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// roles are written by the task of Run only.
 	roles roles
+	// fleetSize is the number of all daemons that may be running.
+	fleetSize int
 	// daemons holds the reports of daemons including this one, sums those of
 	// failure domains.
 	daemons, sums *book
@@ -77,7 +85,9 @@
 	// decided is the reply of the fleet's collector, or its own decision at this one.
 	decided   *Reply
 	decidedAt time.Duration
-	limited   limitedLog
+	// deciding means that a task is making a decision for the fleet.
+	deciding bool
+	limited  limitedLog
 	// answered and failed count the reports of this daemon.
 	answered, failed uint64
 }
@@ -144,7 +154,7 @@
 
 // stop forgets the collectors, so that the next report is a whole one.
 func (c *Collector) stop() {
-	c.reported, c.recording = reported{}, false
+	c.reported, c.recording, c.view = reported{}, false, nil
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.daemons, c.sums = newBook(c.cfg.Window), newBook(c.cfg.Window)
@@ -153,9 +163,7 @@
 
 // exchange makes one report as the role of this daemon demands, and applies the reply.
 func (c *Collector) exchange(ctx context.Context, interval time.Duration) {
-	c.counter.SetFleetSize(c.FleetSize())
-	r := c.chooseRoles()
-	c.setRoles(r)
+	r := c.updateRoles()
 	now := c.configs.Now()
 	if r.domain != nil && !c.collects(now) {
 		c.recording = false
@@ -163,10 +171,8 @@
 		return
 	}
 	c.recordOwn(now)
-	switch {
-	case r.fleet == nil:
-		c.decideForFleet(now)
-	case time.Since(c.reportedAt) >= c.cfg.SumInterval-interval/2 || c.reported != (reported{r.fleet.Server, true}):
+	due := time.Since(c.reportedAt) >= c.cfg.SumInterval-interval/2
+	if r.fleet != nil && (due || c.reported != (reported{r.fleet.Server, true})) {
 		c.reportSum(ctx, r.fleet)
 	}
 	now = c.configs.Now()
@@ -233,7 +239,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	c.recordAttempt(to.Server, err == nil)
+	c.recordAttempt(to.Server, err)
 	c.countReport(err == nil)
 	if err != nil {
 		c.reported = reported{}
@@ -313,7 +319,7 @@
 }
 
 // setRoles records the collectors in use and logs a change.
-func (c *Collector) setRoles(r roles) {
+func (c *Collector) setRoles(r roles, fleetSize int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, after := c.nameOf(c.roles.domain), c.nameOf(r.domain)
@@ -326,5 +332,5 @@
 	if r.fleet == nil && !c.isFleet {
 		c.fleetSince = c.configs.Now()
 	}
-	c.roles, c.isFleet = r, r.fleet == nil
+	c.roles, c.isFleet, c.fleetSize = r, r.fleet == nil, fleetSize
 }
--- a/mesh/collect/ports.go
+++ b/mesh/collect/ports.go
@@ -13,7 +13,7 @@
 }
 
 // Releases counts the calls of this daemon to the releases of a service, and applies the
-// directions of the fleet's collector.
+// directions of the fleet's collector. Active may be called concurrently with the others.
 type Releases interface {
 	// Active reports whether a rollout is running, so that reports have to be frequent, and
 	// returns a channel that is closed when that may have changed.
@@ -26,7 +26,8 @@
 	Apply(directions []rollout.Direction)
 }
 
-// Judge decides on the rollouts while this daemon is the fleet's collector.
+// Judge decides on the rollouts while this daemon is the fleet's collector. One method is
+// called at a time, several times a second, by changing tasks.
 type Judge interface {
 	// Observe takes the counts of all daemons in touch, summed by service, release and
 	// class. Counts of a daemon that is lost disappear from the sums.
--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/retry"
@@ -49,6 +50,8 @@
 	Unreachable UnreachableServers
 	Retries     Retries
 	Throttle    Throttle
+	// Hedges is nil if no calls are hedged.
+	Hedges      Hedges
 	Idempotency Idempotency
 	Remote      Forwarder
 	Local       call.Handler
@@ -166,12 +169,7 @@
 // key gets here only after its replicas reported no earlier copy, so a NotRun
 // verdict holds for all copies.
 func (p *Outbound) sendThrottled(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	client := r.Client
-	if r.Account != "" {
-		// The calls of one account at one daemon are mostly too few to tell whether
-		// servers refuse them, and allowances bound the large ones.
-		client = ""
-	}
+	client := throttledClient(r)
 	if !p.Throttle.Allow(r.Service, r.ClassName, client) {
 		return nil, call.Refuse(call.Overloaded, errThrottled)
 	}
@@ -180,6 +178,16 @@
 	return answer, err
 }
 
+// throttledClient returns the client whose calls the throttle counts together. The calls of
+// one account at one daemon are mostly too few to tell whether servers refuse them, and
+// allowances bound the large ones.
+func throttledClient(r *call.Request) string {
+	if r.Account != "" {
+		return ""
+	}
+	return r.Client
+}
+
 // isOverloaded reports whether a call failed with reason Overloaded.
 func isOverloaded(err error) bool {
 	return err != nil && asFailure(err).Reason == call.Overloaded
@@ -190,9 +198,8 @@
 // succeeds.
 func (p *Outbound) sendWithRetries(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	p.Retries.Deposit(r)
-	query := route.Query{Class: r.ClassName, Latency: r.Class.Latency, Draw: rand.Float64()}
-	var last *call.Failure
-	var failedAnswer *call.Answer
+	query := queryFor(r)
+	var failed failedAttempts
 	for {
 		query.Elapsed = time.Since(r.Arrived)
 		server := p.pick(r.Service, query)
@@ -202,31 +209,69 @@
 			server = p.pick(r.Service, query)
 		}
 		if server == nil {
-			return answerOrFailure(failedAnswer, p.noServerLeft(r, last))
+			return failed.answerOr(p.noServerLeft(r, failed.last))
 		}
 		r.Attempt++
-		answer, err := p.attempt(ctx, server, r)
-		if err == nil && !isRetryableError(r, answer) {
-			return answer, nil
+		first, second := p.attemptHedged(ctx, server, r, query)
+		if first.isFinal(r) {
+			return first.answer, nil
 		}
-		if err == nil {
-			failedAnswer = answer
-			err = &call.Failure{Verdict: call.Ran, Reason: call.Failed}
+		failed.add(r, first)
+		if second.made() {
+			failed.add(r, second)
 		}
-		last = combine(last, asFailure(err))
-		if recordCrash(r, last) {
-			return answerOrFailure(failedAnswer, last)
+		if failed.crashedTwice {
+			return failed.answerOr(failed.last)
 		}
-		decision := p.Retries.Decide(r, last)
+		decision := p.Retries.Decide(r, failed.last)
 		if !decision.Retry || wait.For(ctx, decision.Delay) != nil {
-			return answerOrFailure(failedAnswer, last)
+			return failed.answerOr(failed.last)
+		}
+		r.NewConnection = failed.last.Reason == call.Silent
+		query.Tried = append(query.Tried, first.server)
+		if second.made() {
+			query.Tried = append(query.Tried, second.server)
 		}
-		r.NewConnection = last.Reason == call.Silent
-		query.Tried = append(query.Tried, server.Server)
 		query.NeedCapacity = decision.NeedCapacity
 	}
 }
 
+// failedAttempts is what the attempts of a call have come to, none of which gave an answer
+// that another backend server may not give.
+type failedAttempts struct {
+	// last is the failure of the last attempt, with the verdict of all attempts.
+	last *call.Failure
+	// answer is the last server error, or nil.
+	answer *call.Answer
+	// crashedTwice means that two servers crashed under the call.
+	crashedTwice bool
+}
+
+// add adds an attempt that ended after those before it.
+func (a *failedAttempts) add(r *call.Request, o ended) {
+	if o.err == nil {
+		a.answer = o.answer
+		o.err = &call.Failure{Verdict: call.Ran, Reason: call.Failed}
+	}
+	a.last = combine(a.last, asFailure(o.err))
+	if recordCrash(r, a.last) {
+		a.crashedTwice = true
+	}
+}
+
+// answerOr returns the last server error, or f if there was none.
+func (a *failedAttempts) answerOr(f *call.Failure) (*call.Answer, error) {
+	if a.answer != nil {
+		return a.answer, nil
+	}
+	return nil, f
+}
+
+// queryFor returns the query for the first server of a call.
+func queryFor(r *call.Request) route.Query {
+	return route.Query{Class: r.ClassName, Latency: r.Class.Latency, Body: len(r.Body), Draw: rand.Float64()}
+}
+
 // isRetryableError reports whether an answer is a server error that another
 // backend server may not return. A gateway timeout is final: the deadline has
 // passed for every server.
@@ -234,14 +279,6 @@
 	return a.Failed() && r.Class.Idempotent && a.Status != call.StatusGatewayTimeout
 }
 
-// answerOrFailure returns the answer if there is one, and f if not.
-func answerOrFailure(answer *call.Answer, f *call.Failure) (*call.Answer, error) {
-	if answer != nil {
-		return answer, nil
-	}
-	return nil, f
-}
-
 // recordCrash marks a request under which a server crashed as suspect. It
 // reports whether this was the second such crash.
 func recordCrash(r *call.Request, f *call.Failure) bool {
@@ -290,6 +327,9 @@
 	}
 	if outcome.Failure != nil && outcome.Failure.NoCapacity() {
 		r.Refused++
+		if p.Hedges != nil {
+			p.Hedges.ObserveRefusal(r.Service)
+		}
 	}
 	p.Picker.Done(server.Server, outcome)
 	return answer, err
@@ -304,6 +344,7 @@
 		attemptCtx, done = p.Unreachable.CallContext(ctx, server)
 		defer done()
 	}
+	r.AskFirst = len(r.Body) > link.FreeBytes(server.LinkMbps)
 	answer, err := p.Remote.Forward(attemptCtx, server.CallAddress, r)
 	if err == nil {
 		return answer, nil
--- a/mesh/route/picker.go
+++ b/mesh/route/picker.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"iter"
 	"math/rand/v2"
 	"slices"
@@ -65,6 +66,9 @@
 // Picker chooses backend servers by the load and the failures that this daemon
 // has seen.
 type Picker struct {
+	// Self is the server of this daemon's host, to which bodies cross no link. It must be
+	// set before the first call.
+	Self          member.ServerID
 	domain        string
 	isUnreachable func(*member.Record) bool
 
@@ -92,6 +96,8 @@
 	// class and Elapsed the part of it that has passed.
 	Class            string
 	Latency, Elapsed time.Duration
+	// Body is the size of the body in bytes.
+	Body int
 	// Draw is a random number from 0 to 1 that is the same for all attempts of a call. It
 	// decides whether a release that is being rolled out gets the call.
 	Draw float64
@@ -104,6 +110,9 @@
 	// late means that the servers of the own failure domain have a free slot, but
 	// are not expected to meet the target.
 	late bool
+	// linkLate means that no server of the own failure domain is expected to meet the
+	// target, and that the body is large for the links of the service.
+	linkLate bool
 }
 
 // Outcome is the result of a call as far as it concerns the server's
@@ -128,19 +137,25 @@
 func (p *Picker) Pick(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first, second := s.candidates(&q)
-	chosen := p.choose(first, q)
-	if chosen == nil && len(second) > 0 {
-		chosen = p.choose(second, q)
-	}
+	chosen := p.chooseFor(s, q)
 	if chosen != nil {
 		stats := p.statsFor(chosen.Server)
 		stats.inflight++
 		stats.pickedAt = time.Now()
+		p.occupyLink(q, chosen, stats.pickedAt)
 	}
 	return chosen
 }
 
+// chooseFor chooses among the servers of a service that the call may go to.
+func (p *Picker) chooseFor(s *Service, q Query) *member.Record {
+	first, second := s.candidates(&q)
+	if chosen := p.choose(first, q); chosen != nil || len(second) == 0 {
+		return chosen
+	}
+	return p.choose(second, q)
+}
+
 func (p *Picker) choose(servers []*member.Record, q Query) *member.Record {
 	if q.NeedCapacity {
 		return p.pickWithCapacity(servers, q)
@@ -156,6 +171,10 @@
 		}
 		q.late = true
 	}
+	if best != nil && p.usesLink(q, best) && !p.meetsTarget(q, best) {
+		q.linkLate = true
+		return cmp.Or(p.pickWithCapacity(servers, q), best)
+	}
 	for range globalSamples {
 		best = p.cheaper(q, best, s.next(best, anyDomain))
 	}
@@ -182,11 +201,11 @@
 
 // hasFreeSlot reports whether a call to a server is not expected to wait.
 func (p *Picker) hasFreeSlot(r *member.Record) bool {
-	calls, limit := p.statsFor(r.Server).occupancy(r.Slots, time.Now())
+	calls, limit := p.known(r.Server).occupancy(r.Slots, time.Now())
 	return calls < limit
 }
 
-// meetsTarget reports whether a server of the own failure domain is expected to
+// meetsTarget reports whether a server is expected to
 // answer a call in time, so that no other failure domain needs to be considered.
 func (p *Picker) meetsTarget(q Query, r *member.Record) bool {
 	return q.Elapsed+p.cost(q, r) <= time.Duration(targetShare*float64(q.Latency))
@@ -204,7 +223,10 @@
 		if i >= maxCapacityChecks {
 			break
 		}
-		if p.excluded(&q, r) || !p.statsFor(r.Server).mayHaveCapacity(r.Slots, now) {
+		if p.excluded(&q, r) || !p.known(r.Server).mayHaveCapacity(r.Slots, now) {
+			continue
+		}
+		if p.usesLink(q, r) && !p.arrivesInTime(q, r) {
 			continue
 		}
 		if best == nil || p.cost(q, r) < p.cost(q, best) {
@@ -215,8 +237,19 @@
 }
 
 // excluded reports whether the call must not go to a server.
-func (p *Picker) excluded(q *Query, r *member.Record) bool {
-	return slices.Contains(q.Tried, r.Server) || (!q.AllowUnreachable && p.isUnreachable(r)) || p.statsFor(r.Server).isLeaving(r.Instance)
+func (p *Picker) excluded(q *Query, r *member.Record) bool { return p.exclusion(q, r) != "" }
+
+// exclusion returns why the call must not go to a server; it is empty if it may.
+func (p *Picker) exclusion(q *Query, r *member.Record) Exclusion {
+	switch {
+	case slices.Contains(q.Tried, r.Server):
+		return Tried
+	case !q.AllowUnreachable && p.isUnreachable(r):
+		return Unreachable
+	case p.known(r.Server).isLeaving(r.Instance):
+		return Leaving
+	}
+	return ""
 }
 
 // fromRandom yields every server once, starting at a random one.
@@ -248,19 +281,32 @@
 // next returns a random server of a failure domain, or of any, that the call
 // may go to, that is not ejected and that is not exclude; nil if there is none.
 func (s *sampler) next(exclude *member.Record, domain string) *member.Record {
-	for _, r := range fromRandom(s.servers) {
-		if r == exclude || (domain != anyDomain && r.Domain != domain) || s.picker.excluded(s.query, r) {
-			continue
+	if len(s.servers) == 0 {
+		return nil
+	}
+	for range randomDraws {
+		if r := s.servers[rand.IntN(len(s.servers))]; s.allowed(r, exclude, domain) {
+			return r
 		}
-		if !s.ejected(r) {
+	}
+	for _, r := range fromRandom(s.servers) {
+		if s.allowed(r, exclude, domain) {
 			return r
 		}
 	}
 	return nil
 }
 
+// randomDraws is the number of draws before the servers are searched in order, which
+// prefers those that follow many that are not allowed, for example of other domains.
+const randomDraws = 8
+
+func (s *sampler) allowed(r, exclude *member.Record, domain string) bool {
+	return r != exclude && (domain == anyDomain || r.Domain == domain) && !s.picker.excluded(s.query, r) && !s.ejected(r)
+}
+
 func (s *sampler) ejected(r *member.Record) bool {
-	if !s.picker.statsFor(r.Server).ejected(s.now) {
+	if !s.picker.known(r.Server).ejected(s.now) {
 		return false
 	}
 	if !s.counted {
@@ -275,7 +321,7 @@
 func (p *Picker) mayEject(servers []*member.Record, now time.Time) bool {
 	n := 0
 	for _, r := range servers {
-		if p.statsFor(r.Server).ejected(now) {
+		if p.known(r.Server).ejected(now) {
 			n++
 		}
 	}
@@ -285,21 +331,29 @@
 // cost estimates how long a call would take at a server. The price of crossing
 // to another failure domain is expressed as time.
 func (p *Picker) cost(q Query, r *member.Record) time.Duration {
-	stats, now := p.statsFor(r.Server), time.Now()
-	calls, limit := stats.occupancy(r.Slots, now)
-	serviceTime := stats.serviceTimes[q.Class]
-	cost := serviceTime
+	e := p.estimate(&q, r, time.Now())
+	return e.Cost()
+}
+
+// estimate returns the cost of a call at a server by its parts.
+func (p *Picker) estimate(q *Query, r *member.Record, now time.Time) (e Estimate) {
+	stats := p.known(r.Server)
+	e.Calls, e.Limit = stats.occupancy(r.Slots, now)
+	e.ServiceTime = stats.serviceTimes[q.Class]
+	serviceTime := e.ServiceTime
+	e.Run = serviceTime
 	if serviceTime == 0 {
-		serviceTime, cost = defaultServiceTime, initialServiceTime
+		serviceTime, e.Run = defaultServiceTime, initialServiceTime
 	}
-	cost += time.Duration(queueWait(calls, limit) * float64(serviceTime))
+	e.Wait = time.Duration(queueWait(e.Calls, e.Limit) * float64(serviceTime))
+	e.Link = p.linkTime(*q, r, now)
 	if r.Domain != p.domain {
-		cost += p.crossDomainCost(q)
+		e.Crossing = p.crossDomainCost(*q)
 	}
 	if r.Health == member.Suspected || now.Sub(stats.refusedAt) < RefusalLifetime {
-		cost += serviceTime
+		e.Doubt = serviceTime
 	}
-	return cost
+	return e
 }
 
 // queueWait estimates how long a call waits at a server, in service times.
@@ -318,6 +372,9 @@
 // round trip, plus a share of the target latency for each kilobyte of the
 // class's mean size.
 func (p *Picker) crossDomainCost(q Query) time.Duration {
+	if q.linkLate {
+		return crossDomainLatency
+	}
 	perKB := crossDomainCostPerKB
 	if q.late {
 		perKB = lateCrossDomainCostPerKB
@@ -350,6 +407,18 @@
 	p.meanSizes[outcome.Class] = mean + sizeGain*(float64(outcome.Size)-mean)
 }
 
+// unknownServer holds the statistics of a server to which no call went.
+var unknownServer = &serverStats{}
+
+// known returns the statistics of a server for reading; it does not begin to keep any.
+func (p *Picker) known(server member.ServerID) *serverStats {
+	if stats := p.stats[server]; stats != nil {
+		return stats
+	}
+	return unknownServer
+}
+
+// statsFor returns the statistics of a server, and begins to keep them.
 func (p *Picker) statsFor(server member.ServerID) *serverStats {
 	stats := p.stats[server]
 	if stats == nil {
