--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -101,6 +101,8 @@
 	// written is the state that the store has, checkedAt when it last responded to a write.
 	written   State
 	checkedAt time.Duration
+	// unreachable means that the last write had no response.
+	unreachable bool
 	// check asks for a write that shows whether the store is reachable.
 	check bool
 	// complete means that the rollout is completed once the store has accepted it.
--- a/mesh/rollout/watch.go
+++ b/mesh/rollout/watch.go
@@ -254,12 +254,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		if ctx.Err() == nil || !errors.Is(err, context.Canceled) {
+		if !r.unreachable && !errors.Is(err, context.Canceled) {
 			c.logger.Warnf("service %s: cannot write that release %s is %s, retrying: %v", order.Service, order.Release, state, err)
 		}
+		r.unreachable = true
 		return false
 	}
-	r.written, r.check, r.checkedAt = state, false, c.now()
+	r.written, r.check, r.checkedAt, r.unreachable = state, false, c.now(), false
 	r.order.Revision = max(r.order.Revision, revision)
 	if state == Completed && c.rollouts[order.Service] == r && r.state != Completed {
 		// It holds, too, if the release turned out to be bad in the meantime: the other
