Let a controller take no step without counts, and go on where another one was

A collector that was cut off moved a rollout to full service with no counts at all. It now needs those of half of the release's servers. A controller that takes over does not repeat a canary or probe for which the release has had its requests.

--- a/mesh/rollout/plan.go
+++ b/mesh/rollout/plan.go
@@ -27,8 +27,10 @@
 	canaryPart    = 0.4
 	// maxCanaryShare bounds the canary; initialShare is used while the rate is unknown.
 	maxCanaryShare = 0.05
-	initialShare   = 0.02
-	minCanaryTime  = time.Second
+	// triedPart is the share of a phase's requests after which its least time need not pass.
+	triedPart     = 0.9
+	initialShare  = 0.02
+	minCanaryTime = time.Second
 	// A probe takes minProbeTime to maxProbeTime, and maxProbeTimeShare of the time limit at
 	// most. The least time holds the way of directions and counts and half a second of
 	// answers.
@@ -101,6 +103,8 @@
 	// servers and slots are those of the release which are ready, otherSlots those of the
 	// other servers.
 	servers, slots, otherSlots int
+	// reporting is the number of servers of the release whose counts arrive.
+	reporting                  int
 	doubtful, slightlyDoubtful bool
 	// storeReachable means that the store answered lately.
 	storeReachable bool
@@ -154,6 +158,9 @@
 // long enough: until the allowance is nearly used up, or the time limit is near.
 func (s *situation) proven(now step) bool {
 	in := s.elapsed - now.since
+	if !s.informed() {
+		return false
+	}
 	if in < minFullTime || s.elapsed >= s.duration-writeTime {
 		return in >= minFullTime
 	}
@@ -177,20 +184,40 @@
 }
 
 func (s *situation) nextPhase(now step) phase {
-	in := s.elapsed - now.since
 	switch {
 	case s.servers == 0:
 		return waiting
 	case now.phase == waiting:
 		return canary
-	case now.phase == canary && in >= minCanaryTime && s.elapsed >= s.fullAt()-s.probeTime() && !s.doubtful:
+	case !s.informed():
+		// What the release does is not known.
+		return now.phase
+	case now.phase == canary && s.canaryDone(now) && !s.doubtful:
 		return probe
-	case now.phase == probe && in >= min(s.probeTime(), max(s.fullAt()-now.since, minProbeTime)) && !s.doubtful && s.storeReachable && s.carries():
+	case now.phase == probe && s.probeDone(now) && !s.doubtful && s.storeReachable && s.carries():
 		return full
 	}
 	return now.phase
 }
 
+// informed reports whether the counts of enough servers of the release arrive.
+func (s *situation) informed() bool { return 2*s.reporting >= s.servers }
+
+// canaryDone reports whether the probe may begin. Another controller may have had the
+// release tried before.
+func (s *situation) canaryDone(now step) bool {
+	tried := s.elapsed-now.since >= minCanaryTime || s.exposed >= triedPart*canaryPart*s.beforeFull()
+	return tried && s.elapsed >= s.fullAt()-s.probeTime()
+}
+
+// probeDone reports whether full service may begin.
+func (s *situation) probeDone(now step) bool {
+	if s.elapsed >= s.fullAt() && s.exposed >= triedPart*s.beforeFull() {
+		return true
+	}
+	return s.elapsed-now.since >= min(s.probeTime(), max(s.fullAt()-now.since, minProbeTime))
+}
+
 // shareIn returns the share of the requests in a phase, and the number of servers that
 // get them.
 func (s *situation) shareIn(p phase) (float64, int) {
--- a/mesh/rollout/progress.go
+++ b/mesh/rollout/progress.go
@@ -51,6 +51,8 @@
 	// idle is the number of servers that refuse requests and run none; active and failing
 	// are those of the release.
 	idle, active, failing int
+	// reporting is the number of servers of the release whose counts are in the last sample.
+	reporting int
 }
 
 func newProgress(release string, limits Limits) *progress {
@@ -60,7 +62,7 @@
 // observe adds the counts of one order at a time.
 func (p *progress) observe(now time.Duration, counts []Count) {
 	s := sample{at: now, classes: map[string]classTally{}}
-	p.idle, p.active, p.failing = 0, 0, 0
+	p.idle, p.active, p.failing, p.reporting = 0, 0, 0, 0
 	for i := range counts {
 		c := &counts[i]
 		if c.Class == "" {
@@ -91,6 +93,7 @@
 
 func (p *progress) observeServers(c *Count) {
 	if c.Release == p.release {
+		p.reporting += c.Servers
 		p.active += c.Active
 		p.failing += c.Failing
 		return
@@ -187,7 +190,7 @@
 
 // situation returns what the next step depends on, apart from times and the store.
 func (p *progress) situation(servers []*member.Record) situation {
-	s := situation{limits: p.limits, requests: p.requests, exposed: p.exposed}
+	s := situation{limits: p.limits, requests: p.requests, exposed: p.exposed, reporting: p.reporting}
 	s.rate, s.busy = p.rate()
 	for _, r := range servers {
 		switch {
