--- a/mesh/allowance/decide.go
+++ b/mesh/allowance/decide.go
@@ -46,6 +46,11 @@
 	Present Series
 }
 
+// Share returns the share of all known daemons that the counts cover.
+func (c *Coverage) Share() float64 {
+	return float64(c.Daemons) / float64(max(c.All, c.Daemons, 1))
+}
+
 // Decide returns the limit of an account for the daemons that the counts cover, and whether
 // it has to be applied. They may admit their part of the account's rate and burst: in no
 // part of the window more than the rate allows in its time plus the burst.
--- a/mesh/collect/decide.go
+++ b/mesh/collect/decide.go
@@ -40,7 +40,7 @@
 	reply := c.decide(t)
 	reply.Fleet = true
 	if c.Judge != nil {
-		c.Judge.Observe(t.releases)
+		c.Judge.Observe(t.releases, t.coverage.Share())
 		reply.Directions = c.Judge.Directions()
 	}
 	c.mu.Lock()
--- a/mesh/collect/ports.go
+++ b/mesh/collect/ports.go
@@ -30,8 +30,9 @@
 // called at a time, several times a second, by changing tasks.
 type Judge interface {
 	// Observe takes the counts of all daemons in touch, summed by service, release and
-	// class. Counts of a daemon that is lost disappear from the sums.
-	Observe(counts []rollout.Count)
+	// class. Counts of a daemon that is lost disappear from the sums. covered is the share
+	// of all known daemons whose counts are in them, 0 to 1.
+	Observe(counts []rollout.Count, covered float64)
 	// Directions returns the latest directions.
 	Directions() []rollout.Direction
 }
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -119,15 +119,16 @@
 	}
 }
 
-// Observe takes the sums of the counts of all daemons and decides on the next steps.
-func (c *Controller) Observe(counts []Count) {
+// Observe takes the sums of the counts of a share of all daemons, and decides on the next
+// steps.
+func (c *Controller) Observe(counts []Count, covered float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activate()
 	c.retryRefused()
 	c.checkMixed()
 	for _, r := range c.rollouts {
-		c.advance(r, countsOf(counts, r.order.Service))
+		c.advance(r, countsOf(counts, r.order.Service), covered)
 	}
 }
 
@@ -184,7 +185,7 @@
 }
 
 // advance decides on the next step of one rollout.
-func (c *Controller) advance(r *controlled, counts []Count) {
+func (c *Controller) advance(r *controlled, counts []Count, covered float64) {
 	now := c.now()
 	if r.number == 0 && !c.adopt(r, counts, now) {
 		return
@@ -201,6 +202,7 @@
 		return
 	}
 	r.progress.observe(now, counts)
+	r.progress.covered = covered
 	r.verdict = r.progress.verdict()
 	if r.verdict.bad {
 		c.end(r, RolledBack, r.verdict.reason)
--- a/mesh/rollout/progress.go
+++ b/mesh/rollout/progress.go
@@ -23,6 +23,10 @@
 	// fewServers is the number of servers up to which one that is slow by itself may make
 	// the release look slow.
 	fewServers = 2
+	// minCovered is the least share of the fleet's daemons that must have reported for run
+	// times to be judged: while daemons are cut off, the calls that servers make wait, and
+	// those of the few servers of an unproven release may wait longer than others.
+	minCovered = 0.9
 	// minRatePeriod is the shortest time over which rates are measured.
 	minRatePeriod = 300 * time.Millisecond
 )
@@ -53,6 +57,8 @@
 	idle, active, failing int
 	// reporting is the number of servers of the release whose counts are in the last sample.
 	reporting int
+	// covered is the share of the fleet's daemons whose counts are in the last sample.
+	covered float64
 }
 
 func newProgress(release string, limits Limits) *progress {
@@ -171,7 +177,7 @@
 }
 
 func (p *progress) evidence(classes map[string]classTally, runTimes bool) *evidence {
-	return &evidence{classes: classes, runTimes: runTimes, active: p.active, failing: p.failing, certainFailures: p.limits.Slack}
+	return &evidence{classes: classes, runTimes: runTimes && p.covered >= minCovered, active: p.active, failing: p.failing, certainFailures: p.limits.Slack}
 }
 
 // rate returns the requests a second and the mean number of running calls lately.
