Play clients that misbehave against a daemon process

Cause: clients that the operators do not control send requests to every address of a daemon. Nothing showed whether the process stays within limits.memory_mb and limits.descriptors while they do.

Each daemon has memory_mb = 96 and descriptors = 4100, or 256 for slow clients. The process must live, its peak of resident memory and its open descriptors must be within the settings, and an ordinary request must be answered on the callers' and the readiness address while the crowd's connections are open.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BENCH_FLAGS ?=
 SOAK_FLAGS ?=
 
-.PHONY: demo test trial check generate build
+.PHONY: demo test test-abuse trial check generate build
 
 demo:
 	go run ./fescuehoist demo $(DEMO_FLAGS)
@@ -14,8 +14,15 @@
 KNOWN_RED := $(shell sed -n 's/^test \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# Tests of ABUSE check the memory of a process and run apart from other load.
+ABUSE := ./fescuehoistd/abuse
+
 test:
-	go test -race -timeout 20m $(SKIP) $(PACKAGES)
+	go test -race -timeout 20m $(SKIP) $$(go list $(PACKAGES) | grep -v '/fescuehoistd/abuse$$')
+
+# Clients that misbehave, sent to daemons that run as separate processes.
+test-abuse:
+	go test -count=1 -timeout 10m $(SKIP) $(ABUSE)
 
 trial:
 	tools/trial/processes.sh
