Bound the memory and connections that clients take

Bodies up to 64 KiB, parsed header fields, chunks as long as stated, pipelined requests and answers that clients do not read had no bound; the admin, readiness and announcement addresses had no limit of connections.

Change: - httpconn.RequestMemory, shared by all listeners of a daemon: bodies up to 64 KiB, header fields beyond 64, long heads and pipelined requests take room in an eighth of limits.memory_mb. A short request that is alone on its connection needs none. Without room a request is refused with 503 before it runs; a pipelined one is not read until the answers before it are written. - Bodies of unknown length are read in blocks that take room first.

--- a/adapters/adminhttp/admin.go
+++ b/adapters/adminhttp/admin.go
@@ -3,24 +3,21 @@
 package adminhttp
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
-	"golang.org/x/sync/errgroup"
 
 	"fescuehoist.example/mesh/announce"
 	"fescuehoist.example/mesh/target"
 )
 
 const (
-	maxBodySize = 64 << 10
-	readTimeout = 5 * time.Second
+	// MaxBodySize is the maximum size of the body of a request, in bytes.
+	MaxBodySize = 64 << 10
 	maxSlots    = 100_000
 )
 
@@ -47,29 +44,10 @@
 	Slots   int    `json:"slots"`
 }
 
-// Run serves the admin address on a listener until ctx ends.
-func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+// Handler returns the handler of the requests to the admin address.
+func (s *Server) Handler() *Handler {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(s.Metrics)
-	return Serve(ctx, ln, func(c *fasthttp.RequestCtx) { s.handle(c, metrics) })
-}
-
-// Serve serves requests with bodies of up to maxBodySize bytes on a listener
-// until ctx ends.
-func Serve(ctx context.Context, ln net.Listener, handle fasthttp.RequestHandler) error {
-	server := &fasthttp.Server{
-		Handler:            handle,
-		MaxRequestBodySize: maxBodySize,
-		ReadTimeout:        readTimeout,
-		IdleTimeout:        time.Minute,
-		CloseOnShutdown:    true,
-	}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return server.Serve(ln) })
-	g.Go(func() error {
-		<-ctx.Done()
-		return server.Shutdown()
-	})
-	return g.Wait()
+	return NewHandler(func(c *fasthttp.RequestCtx) { s.handle(c, metrics) })
 }
 
 // ReadyPath is the path of the readiness check: status 200 if the daemon can
--- a/adapters/callhttp/header.go
+++ b/adapters/callhttp/header.go
@@ -159,9 +159,10 @@
 	}
 }
 
-// ReadAnswer returns a copy of the answer in a response.
+// ReadAnswer returns the answer in a response that package httpconn has read. The body is
+// not copied: httpconn reads it into memory that is not used again.
 func ReadAnswer(resp *fasthttp.Response) *call.Answer {
-	a := &call.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	a := &call.Answer{Status: resp.StatusCode(), Body: resp.Body()}
 	listed := connectionOptions(resp.Header.Peek(fasthttp.HeaderConnection))
 	for name, value := range resp.Header.All() {
 		if n := string(name); isEndToEnd(n) && !listed[n] {
--- a/adapters/httpconn/answer.go
+++ b/adapters/httpconn/answer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
 )
@@ -54,31 +55,48 @@
 	return ErrOtherRequest
 }
 
+// readBody reads the body of an answer into memory of its own, not of fasthttp's pools.
 func readBody(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	if hasNoBody(req, resp) {
 		resp.SkipBody = true
 		return nil
 	}
 	length := resp.Header.ContentLength()
-	if length == lengthUnknown {
-		if !o.AllowCloseDelimited {
-			return errNoAnswerLength
-		}
-		return readUntilClose(c.r, resp)
+	if length == lengthUnknown && !o.AllowCloseDelimited {
+		return errNoAnswerLength
 	}
-	if length > 0 && length <= MaxAnswerSize {
-		// The library allocates the declared length at once.
-		if err := c.answer.reserve(int64(length)); err != nil {
-			return err
-		}
-	}
-	if err := resp.ReadBody(c.r, MaxAnswerSize); err != nil {
+	body, err := readAnswerBody(c, length)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return err
+	case err != nil:
 		return fmt.Errorf("answer body truncated: %w", err)
 	}
-	if length != lengthChunked {
-		return nil
+	resp.SetBodyRaw(body)
+	switch length {
+	case lengthUnknown:
+		resp.SetConnectionClose()
+	case lengthChunked:
+		return readTrailers(c.r)
 	}
-	return readTrailers(c.r)
+	return nil
+}
+
+func readAnswerBody(c *conn, length int) ([]byte, error) {
+	switch {
+	case length > MaxAnswerSize:
+		return nil, fasthttp.ErrBodyTooLarge
+	case length == lengthUnknown:
+		return readBlocks(c.r, MaxAnswerSize, c.answer.reserve)
+	case length == lengthChunked:
+		return readBlocks(httputil.NewChunkedReader(c.r), MaxAnswerSize, c.answer.reserve)
+	}
+	if err := c.answer.reserve(int64(length)); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(c.r, body)
+	return body, err
 }
 
 // Values that fasthttp returns as the length of an answer without Content-Length.
@@ -87,21 +105,6 @@
 	lengthUnknown = -2
 )
 
-// readUntilClose reads a body that ends with its connection. A connection reset
-// is an error.
-func readUntilClose(r *bufio.Reader, resp *fasthttp.Response) error {
-	body, err := io.ReadAll(io.LimitReader(r, MaxAnswerSize+1))
-	if err != nil {
-		return fmt.Errorf("answer body truncated: %w", err)
-	}
-	if len(body) > MaxAnswerSize {
-		return fasthttp.ErrBodyTooLarge
-	}
-	resp.SetBodyRaw(body)
-	resp.SetConnectionClose()
-	return nil
-}
-
 // readFinalHeader skips interim answers and reads the header of the final one.
 func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
 	for range maxInterimAnswers {
--- /dev/null
+++ b/adapters/httpconn/memory.go
@@ -0,0 +1,134 @@
+package httpconn
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// freeRequestBytes is the size up to which the body of a request needs no room, so
+	// that short requests are served while others take all room. It is that of the
+	// buffers that each connection has anyway.
+	freeRequestBytes = requestBufferSize
+	// freeFields is the number of header fields up to which a request needs no room for
+	// them. Requests of common clients have 10 to 30.
+	freeFields = 64
+	// fieldBytes is the memory that a header field takes beside its text, in bytes: the
+	// parsed one, the one of the call and that of the forwarded request.
+	fieldBytes = 400
+	// pipelinedBytes is the room that a request takes whose connection has earlier ones
+	// that are not answered yet, in bytes: its goroutines, its head and a short answer.
+	pipelinedBytes = 16 << 10
+	// freeAnswerWaitBytes is the size up to which an answer that waits to be written needs
+	// no room.
+	freeAnswerWaitBytes = 16 << 10
+)
+
+// errNoAnswerRoom means that an answer was given up since the answers that wait to be
+// written take all memory that they may use.
+var errNoAnswerRoom = errors.New("no memory for the answer")
+
+// RequestMemory bounds the memory of the requests of all servers that share it, other
+// than their long bodies, and that of the answers which wait to be written. A request of
+// common size needs no room while it is the only one of its connection.
+type RequestMemory struct {
+	requests, answers *semaphore.Weighted
+	requestBytes      int64
+	// wait is how long a body of known length waits until there is room.
+	wait time.Duration
+}
+
+// NewRequestMemory returns a bound for requests and one for answers, both in bytes.
+func NewRequestMemory(requests, answers int64) *RequestMemory {
+	return &RequestMemory{
+		requests: semaphore.NewWeighted(requests), answers: semaphore.NewWeighted(answers),
+		requestBytes: requests, wait: maxBodyWait,
+	}
+}
+
+// memoryAccount is the room that one request holds. A nil memory has no bound.
+type memoryAccount struct {
+	memory *RequestMemory
+	// pipelined is true if the connection had unanswered requests before this one, which
+	// therefore needs room for all that it takes.
+	pipelined bool
+	// fields is the number of header fields.
+	fields int
+	// buffer is the part of requests that the buffer of the body holds; all are in bytes.
+	requests, buffer, answers int64
+}
+
+// take takes room for a part of the request. It returns ErrNoBodyRoom if there is none.
+func (a *memoryAccount) take(bytes int64) error {
+	if a.memory == nil || bytes <= 0 {
+		return nil
+	}
+	if !a.memory.requests.TryAcquire(bytes) {
+		return ErrNoBodyRoom
+	}
+	a.requests += bytes
+	return nil
+}
+
+// takeFields takes room for the header fields.
+func (a *memoryAccount) takeFields(fields int) error {
+	a.fields = fields
+	return a.take(int64(fields-freeFields) * fieldBytes)
+}
+
+// await takes the room for a body of known length, and waits for it for a moment.
+func (a *memoryAccount) await(length int64) error {
+	if a.memory == nil || a.needsNone(length) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.memory.wait)
+	defer cancel()
+	if length > a.memory.requestBytes || a.memory.requests.Acquire(ctx, length) != nil {
+		return ErrNoBodyRoom
+	}
+	a.requests += length
+	return nil
+}
+
+// extend takes the room for a buffer that has grown to a size.
+func (a *memoryAccount) extend(size int64) error {
+	if a.needsNone(size) {
+		return nil
+	}
+	if err := a.take(size - a.buffer); err != nil {
+		return err
+	}
+	a.buffer = size
+	return nil
+}
+
+func (a *memoryAccount) needsNone(size int64) bool {
+	return size <= 0 || (size <= freeRequestBytes && !a.pipelined)
+}
+
+// takeAnswer takes room for an answer that is to be written. It returns errNoAnswerRoom
+// if there is none.
+func (a *memoryAccount) takeAnswer(bytes int) error {
+	if a.memory == nil || bytes <= freeAnswerWaitBytes {
+		return nil
+	}
+	if !a.memory.answers.TryAcquire(int64(bytes)) {
+		return errNoAnswerRoom
+	}
+	a.answers += int64(bytes)
+	return nil
+}
+
+// release returns what the request holds.
+func (a *memoryAccount) release() {
+	if a.requests > 0 {
+		a.memory.requests.Release(a.requests)
+	}
+	if a.answers > 0 {
+		a.memory.answers.Release(a.answers)
+	}
+	a.requests, a.buffer, a.answers = 0, 0, 0
+}
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -89,7 +89,11 @@
 	startInactivityTimer(c, o.InactivityTimeout)
 	stop := context.AfterFunc(ctx, c.interrupt)
 	err = roundTrip(c, req, resp, &o)
-	c.answer.release()
+	if err == nil {
+		c.answer.handOver(ctx)
+	} else {
+		c.answer.release()
+	}
 	interrupted := !stop()
 	inactive := stopInactivityTimer(c)
 	if err == nil {
--- a/adapters/httpconn/request.go
+++ b/adapters/httpconn/request.go
@@ -22,24 +22,37 @@
 
 // readRequest reads one complete request. The body is not parsed. awaitRoom is called
 // with the length of the body before that is read; it is negative if it is unknown.
-func readRequest(r *bufio.Reader, w *bufio.Writer, req *fasthttp.Request, awaitRoom func(length int) error) error {
+func readRequest(r *bufio.Reader, w *bufio.Writer, req *fasthttp.Request, room *bodyAccount, awaitRoom func(length int) error) error {
 	if err := req.Header.Read(r); err != nil {
 		return err
 	}
+	if err := room.memory.takeFields(countFields(&req.Header)); err != nil {
+		return err
+	}
 	if err := checkFraming(&req.Header); err != nil {
 		return err
 	}
-	if length := req.Header.ContentLength(); length <= MaxRequestSize {
+	if length := req.Header.ContentLength(); length <= room.max {
 		if err := awaitRoom(length); err != nil {
 			return err
 		}
 	}
 	if req.MayContinue() {
-		if err := sendContinue(w, req); err != nil {
+		if err := sendContinue(w, req, room.max); err != nil {
 			return err
 		}
 	}
-	return req.ContinueReadBody(r, MaxRequestSize, false)
+	return readRequestBody(r, req, room)
+}
+
+// countFields returns the number of header fields, with each part of a cookie counted as
+// one, since each is parsed into an entry of its own.
+func countFields(h *fasthttp.RequestHeader) int {
+	parts := 0
+	for _, cookie := range h.PeekAll(fasthttp.HeaderCookie) {
+		parts += bytes.Count(cookie, []byte(";"))
+	}
+	return parts + h.Len()
 }
 
 // checkFraming returns an error for requests whose end is ambiguous, since two
@@ -65,8 +78,8 @@
 
 // sendContinue writes an interim answer with status 100, which asks the caller to
 // send the body.
-func sendContinue(w *bufio.Writer, req *fasthttp.Request) error {
-	if req.Header.ContentLength() > MaxRequestSize {
+func sendContinue(w *bufio.Writer, req *fasthttp.Request, maxBody int) error {
+	if req.Header.ContentLength() > maxBody {
 		return fasthttp.ErrBodyTooLarge
 	}
 	if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
--- a/adapters/httpconn/room.go
+++ b/adapters/httpconn/room.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"sync/atomic"
@@ -37,6 +36,12 @@
 	// beyond the maximum whose requests were refused, Dropped those that were closed
 	// without reading from them.
 	ClosedIdle, Refused, Dropped uint64
+	// ClosedSlow counts connections that were closed to make room since their clients sent
+	// or read too slowly.
+	ClosedSlow uint64
+	// RefusedMemory counts requests that were refused, LostAnswers answers that were given
+	// up with their connections, for lack of memory.
+	RefusedMemory, LostAnswers uint64
 }
 
 // room bounds the open connections of a server. It is guarded by Server.mu, but for
@@ -48,11 +53,16 @@
 	minIdleAge time.Duration
 	crowded    atomic.Bool
 	counts     Crowding
-	nextScan   time.Time
-	nextReport time.Time
+	// nextScan is the earliest time of the next search for idle connections,
+	// nextSlowScan of that for slow ones.
+	nextScan, nextSlowScan       time.Time
+	nextReport, nextMemoryReport time.Time
 	// report is called when connections are beyond the maximum, once in
 	// reportInterval at most; it may be nil.
 	report func(limit int, total Crowding)
+	// reportMemory is called when a request or an answer has no room, once in
+	// reportInterval at most; it may be nil.
+	reportMemory func(total Crowding)
 }
 
 // admit adds a session, which refuses its requests if the maximum is reached. It
@@ -62,6 +72,9 @@
 	if len(s.sessions)-r.refusing >= r.limit {
 		s.closeIdleSessions(now)
 	}
+	if len(s.sessions)-r.refusing >= r.limit {
+		s.closeSlowSessions(now)
+	}
 	switch {
 	case len(s.sessions)-r.refusing < r.limit:
 	case float64(r.refusing) < max(refusedShare*float64(r.limit), 1):
@@ -103,22 +116,17 @@
 	if now.Before(r.nextScan) {
 		return
 	}
-	type idleSession struct {
-		*session
-		since time.Time
-	}
-	var idle []idleSession
+	var idle []waitingSession
 	for n := range s.sessions {
 		if since, ok := n.idle(); ok && now.Sub(since) >= r.minIdleAge {
-			idle = append(idle, idleSession{n, since})
+			idle = append(idle, waitingSession{n, since})
 		}
 	}
 	if len(idle) == 0 {
 		r.nextScan = now.Add(minScanInterval)
 		return
 	}
-	slices.SortFunc(idle, func(a, b idleSession) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
-	for _, n := range idle[:min(len(idle), max(int(closedShare*float64(r.limit)), 1))] {
+	for _, n := range s.longestWaiting(idle) {
 		if n.closeIfIdle() {
 			s.release(n.session)
 			r.counts.ClosedIdle++
@@ -127,6 +135,62 @@
 	s.reportCrowding(now)
 }
 
+// closeSlowSessions closes some of the sessions whose clients have been slow for longest.
+func (s *Server) closeSlowSessions(now time.Time) {
+	r := &s.room
+	if now.Before(r.nextSlowScan) {
+		return
+	}
+	var slow []waitingSession
+	for n := range s.sessions {
+		if since, ok := n.slowSince(now); ok {
+			slow = append(slow, waitingSession{n, since})
+		}
+	}
+	if len(slow) == 0 {
+		r.nextSlowScan = now.Add(minScanInterval)
+		return
+	}
+	for _, n := range s.longestWaiting(slow) {
+		_ = n.Close()
+		s.release(n.session)
+		r.counts.ClosedSlow++
+	}
+	s.reportCrowding(now)
+}
+
+// waitingSession is a session that waits for its client since an instant.
+type waitingSession struct {
+	*session
+	since time.Time
+}
+
+// longestWaiting returns those of the sessions that are to be closed at once.
+func (s *Server) longestWaiting(sessions []waitingSession) []waitingSession {
+	slices.SortFunc(sessions, func(a, b waitingSession) int { return a.since.Compare(b.since) })
+	return sessions[:min(len(sessions), max(int(closedShare*float64(s.room.limit)), 1))]
+}
+
+// MakeAnswerRoom closes some of the connections whose clients are slow, if there are any. It
+// is called when there was no room for an answer.
+func (s *Server) MakeAnswerRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeSlowSessions(time.Now())
+}
+
+// countMemory counts what happened for lack of memory, and reports it.
+func (s *Server) countMemory(count func(*Crowding)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, now := &s.room, time.Now()
+	count(&r.counts)
+	if r.reportMemory != nil && !now.Before(r.nextMemoryReport) {
+		r.nextMemoryReport = now.Add(reportInterval)
+		r.reportMemory(r.counts)
+	}
+}
+
 func (s *Server) reportCrowding(now time.Time) {
 	if s.room.report == nil || now.Before(s.room.nextReport) {
 		return
--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -21,10 +21,6 @@
 	DefaultMaxConnections = 4096
 	// IdleTimeout is the maximum wait for the next request of a connection.
 	IdleTimeout = 60 * time.Second
-	// ReadTimeout limits the reading of one request.
-	ReadTimeout = 10 * time.Second
-	// WriteTimeout limits the writing of one answer.
-	WriteTimeout = 30 * time.Second
 	// maxPipelined limits the concurrently running requests of one connection.
 	maxPipelined = 32
 	// acceptRetryBase and acceptRetryMax are the initial and the maximum interval
@@ -57,6 +53,10 @@
 	onAcceptError func(error)
 	// bodies is nil if the bodies of requests have no bound.
 	bodies *bodyBudget
+	// memory is nil if the memory of requests has no bound.
+	memory *RequestMemory
+	// maxBody is the largest body of a request, in bytes.
+	maxBody int
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -70,7 +70,7 @@
 func NewServer(h Handler, progressInterval time.Duration) *Server {
 	return &Server{
 		handler: h, progressInterval: progressInterval, sessions: map[*session]bool{},
-		room: room{limit: DefaultMaxConnections},
+		room: room{limit: DefaultMaxConnections}, maxBody: MaxRequestSize,
 	}
 }
 
@@ -87,10 +87,22 @@
 // bodies need no budget. It must be called before Run.
 func (s *Server) SetBodyBudget(bytes int64) { s.bodies = newBodyBudget(bytes) }
 
+// SetRequestMemory bounds the memory of requests and of answers that wait to be written,
+// together with the other servers that share m. It must be called before Run.
+func (s *Server) SetRequestMemory(m *RequestMemory) { s.memory = m }
+
+// SetMaxBody limits the size of the body of a request to n bytes, at most MaxRequestSize.
+// It must be called before Run.
+func (s *Server) SetMaxBody(n int) { s.maxBody = n }
+
 // OnCrowded sets a function that is called, once a second at most, when the limit of
 // open connections is reached. It must be called before Run and must not block.
 func (s *Server) OnCrowded(report func(limit int, total Crowding)) { s.room.report = report }
 
+// OnShortMemory sets a function that is called, once a second at most, when there is no
+// memory for a request or an answer. It must be called before Run and must not block.
+func (s *Server) OnShortMemory(report func(total Crowding)) { s.room.reportMemory = report }
+
 // Crowding returns the counts since the start of the server.
 func (s *Server) Crowding() Crowding {
 	s.mu.Lock()
--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -147,7 +147,7 @@
 		req := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(req)
 		r := bufio.NewReaderSize(strings.NewReader(string(in)), MaxHeaderSize)
-		if readRequest(r, bufio.NewWriter(io.Discard), req, func(int) error { return nil }) == nil && len(req.Body()) > len(in) {
+		if readRequest(r, bufio.NewWriter(io.Discard), req, &bodyAccount{max: MaxRequestSize}, func(int) error { return nil }) == nil && len(req.Body()) > len(in) {
 			t.Errorf("got a body of %d bytes from an input of %d bytes", len(req.Body()), len(in))
 		}
 	})
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -18,27 +18,32 @@
 type session struct {
 	net.Conn
 	server *Server
-	r      *bufio.Reader
-	w      *bufio.Writer
+	// r is the reader of requests: small, or a larger one above it while a long head is
+	// read.
+	r, small *bufio.Reader
+	w        *bufio.Writer
 	// slots is a semaphore that limits the concurrently running requests.
 	slots chan struct{}
 	// refusing is true if no request of the connection is handled.
 	refusing bool
+	// cancel ends the running requests.
+	cancel context.CancelFunc
 
-	// body is the account of the request that is being read, if the length of its body
-	// is unknown, or nil.
-	body *bodyAccount
 	// unread is true if the rest of a request was left unread.
 	unread bool
+	// progress is what the client has sent and read so far.
+	progress progress
 
 	mu sync.Mutex
+	// drained is signaled when the last answer has been written.
+	drained sync.Cond
 	// idleSince is when the last request ended, or when the connection was opened.
 	idleSince time.Time
 	// queue holds the unanswered exchanges in the order of their requests.
 	queue []*exchange
-	// reading is true while a request is partly read, closing once no further
-	// request is accepted.
-	reading, closing bool
+	// reading is true while a request is partly read, writing while an answer is
+	// written, closing once no further request is accepted.
+	reading, writing, closing bool
 }
 
 // exchange is a request and its answer.
@@ -46,49 +51,48 @@
 	req  *fasthttp.Request
 	resp *fasthttp.Response
 	body bodyAccount
+	// answers is the room of the answers that were read for the request.
+	answers answerHold
 	// complete is true once the answer is complete, last if it ends the
-	// connection.
-	complete, last bool
+	// connection, lost if it cannot be written.
+	complete, last, lost bool
 }
 
-func newExchange(budget *bodyBudget) *exchange {
-	x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), body: bodyAccount{budget: budget}}
+func newExchange(s *Server) *exchange {
+	x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), body: bodyAccount{max: s.maxBody, budget: s.bodies, memory: memoryAccount{memory: s.memory}}}
 	x.resp.Header.SetNoDefaultContentType(true)
 	return x
 }
 
 func (x *exchange) release() {
-	x.body.release()
-	fasthttp.ReleaseRequest(x.req)
+	// A request with many fields is left to the garbage collector: in the pool it would
+	// go on holding its memory.
+	if x.body.memory.fields <= freeFields {
+		fasthttp.ReleaseRequest(x.req)
+	}
 	fasthttp.ReleaseResponse(x.resp)
+	x.body.release()
+	x.answers.release()
 }
 
 func newSession(s *Server, c net.Conn) *session {
 	n := &session{
 		Conn: c, server: s, idleSince: time.Now(), slots: make(chan struct{}, maxPipelined),
-		w: bufio.NewWriterSize(c, requestBufferSize),
 	}
-	n.r = bufio.NewReaderSize(n, requestBufferSize)
+	n.drained.L = &n.mu
+	n.small = bufio.NewReaderSize(n, requestBufferSize)
+	n.r = n.small
+	n.w = bufio.NewWriterSize(n, requestBufferSize)
 	return n
 }
 
-// Read reads from the connection, and counts the bytes of a body of unknown length.
-func (n *session) Read(b []byte) (int, error) {
-	count, err := n.Conn.Read(b)
-	if n.body != nil {
-		if roomErr := n.body.receive(int64(count)); roomErr != nil {
-			return 0, roomErr
-		}
-	}
-	return count, err
-}
-
 // run serves the connection until it ends. When the caller disconnects, the
 // running requests are canceled.
 func (n *session) run(ctx context.Context) {
 	defer n.server.remove(n)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	n.cancel = cancel
 	var requests errgroup.Group
 	reason := n.readAll(ctx, &requests)
 	if reason == callerDisconnected {
@@ -114,9 +118,12 @@
 		if !n.awaitRequest() {
 			return callerDisconnected
 		}
-		x := newExchange(n.server.bodies)
-		_ = n.SetReadDeadline(time.Now().Add(ReadTimeout))
-		if err := n.read(x); err != nil {
+		x := newExchange(n.server)
+		n.awaitPipelineRoom(x)
+		n.startReading()
+		err := n.read(x)
+		n.endReading()
+		if err != nil {
 			n.reject(x, err)
 			return lastRequest
 		}
@@ -137,37 +144,51 @@
 	}
 }
 
+// awaitPipelineRoom takes the room for a request that is read while earlier ones are not
+// answered yet. If there is none, it waits until they are: a client that does not read its
+// answers is read no further.
+func (n *session) awaitPipelineRoom(x *exchange) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.queue) == 0 && !n.writing {
+		return
+	}
+	x.body.memory.pipelined = true
+	if x.body.memory.take(pipelinedBytes) == nil {
+		return
+	}
+	for (len(n.queue) > 0 || n.writing) && !n.closing {
+		n.drained.Wait()
+	}
+	x.body.memory.pipelined = false
+}
+
 // read reads one complete request. If the header exceeds the buffer, the buffer
-// grows to MaxHeaderSize.
+// grows to MaxHeaderSize for this request.
 func (n *session) read(x *exchange) error {
-	defer func() { n.body = nil }()
-	var head *fasthttp.RequestHeader
 	awaitRoom := func(length int) error {
-		if length < 0 && x.body.budget != nil {
-			head = &fasthttp.RequestHeader{}
-			x.req.Header.CopyTo(head)
-			n.body = &x.body
-		}
+		n.startBody()
 		return x.body.await(int64(length))
 	}
-	err := readRequest(n.r, n.w, x.req, awaitRoom)
+	err := readRequest(n.r, n.w, x.req, &x.body, awaitRoom)
 	var bufferErr *fasthttp.ErrSmallBuffer
-	if errors.Is(err, ErrNoBodyRoom) && head != nil {
-		// The library has reset the request, whose head decides how it is refused.
-		head.CopyTo(&x.req.Header)
-	}
 	if !errors.As(err, &bufferErr) || n.r.Size() >= MaxHeaderSize {
 		return err
 	}
-	n.r = bufio.NewReaderSize(n.r, MaxHeaderSize)
+	if err := x.body.memory.take(MaxHeaderSize); err != nil {
+		return err
+	}
+	n.r = bufio.NewReaderSize(n.small, MaxHeaderSize)
 	x.req.Reset()
-	return readRequest(n.r, n.w, x.req, awaitRoom)
+	return readRequest(n.r, n.w, x.req, &x.body, awaitRoom)
 }
 
 // awaitDisconnect waits, while the last request runs, until the caller disconnects
 // or the last answer has been written.
 func (n *session) awaitDisconnect(ctx context.Context) endReason {
-	_ = n.SetReadDeadline(time.Time{})
+	if !n.armUntilDisconnect() {
+		return lastRequest
+	}
 	for {
 		if _, err := n.r.Peek(n.r.Buffered() + 1); err != nil {
 			break
@@ -181,6 +202,18 @@
 	return callerDisconnected
 }
 
+// armUntilDisconnect removes the read deadline. It returns false if the last answer has
+// been written, whose deadline ends the reading.
+func (n *session) armUntilDisconnect() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.queue) == 0 && !n.writing {
+		return false
+	}
+	_ = n.SetReadDeadline(time.Time{})
+	return true
+}
+
 // awaitRequest waits for the first byte of the next request. It returns false if
 // there is none or the connection is closing.
 func (n *session) awaitRequest() bool {
@@ -208,7 +241,7 @@
 }
 
 func (n *session) setIdleDeadline() {
-	if len(n.queue) > 0 {
+	if len(n.queue) > 0 || n.writing {
 		_ = n.SetReadDeadline(time.Time{})
 		return
 	}
@@ -243,6 +276,7 @@
 	}
 	if errors.Is(err, ErrNoBodyRoom) {
 		n.unread = true
+		n.server.countMemory(func(c *Crowding) { c.RefusedMemory++ })
 		n.server.handler.Refuse(x.req, x.resp, ErrNoBodyRoom)
 	} else {
 		x.resp.SetStatusCode(malformedStatus(err))
@@ -257,46 +291,79 @@
 		n.server.handler.Refuse(x.req, x.resp, errCrowded)
 	} else {
 		stopProgress := n.startProgress(x)
-		n.server.handler.Handle(ctx, x.req, x.resp)
+		n.server.handler.Handle(withAnswerHold(ctx, &x.answers), x.req, x.resp)
 		stopProgress()
 	}
 	x.resp.SkipBody = x.req.Header.IsHead()
+	if err := x.body.memory.takeAnswer(len(x.resp.Body())); err != nil {
+		// The request has run, so there is no status that could tell it.
+		x.lost = true
+		x.resp.ResetBody()
+		n.server.countMemory(func(c *Crowding) { c.LostAnswers++ })
+		n.server.MakeAnswerRoom()
+	}
 	n.deliver(x)
 }
 
-// deliver marks an answer as complete and writes the complete answers at the head
-// of the queue.
+// deliver marks an answer as complete. Unless another task writes, it writes the complete
+// answers at the head of the queue.
 func (n *session) deliver(x *exchange) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	x.complete = true
+	if !n.writing {
+		n.writeComplete()
+	}
+}
+
+// writeComplete writes the complete answers at the head of the queue. It unlocks n.mu
+// while it writes, so that a client that does not read holds up nobody else.
+func (n *session) writeComplete() {
+	n.writing = true
 	for len(n.queue) > 0 && n.queue[0].complete {
 		head := n.queue[0]
 		n.queue = n.queue[1:]
-		n.write(head)
+		if len(n.queue) == 0 && (n.server.draining.Load() || n.server.room.crowded.Load()) {
+			n.closing = true
+		}
+		last := head.last || head.lost || head.resp.ConnectionClose() || (n.closing && len(n.queue) == 0)
+		n.mu.Unlock()
+		err := n.write(head, last)
 		head.release()
+		n.mu.Lock()
+		if err != nil {
+			n.cancel()
+		}
+		if err != nil || last {
+			n.closing = true
+			n.stopReading()
+			n.drained.Broadcast()
+		}
 	}
-	if len(n.queue) == 0 && !n.closing && !n.reading {
+	n.writing = false
+	if len(n.queue) > 0 {
+		return
+	}
+	n.drained.Broadcast()
+	if !n.closing && !n.reading {
 		n.idleSince = time.Now()
 		n.setIdleDeadline()
 	}
 }
 
-// write writes one answer. If it is the last one or the write fails, no further
-// request is read.
-func (n *session) write(x *exchange) {
-	if len(n.queue) == 0 && (n.server.draining.Load() || n.server.room.crowded.Load()) {
-		n.closing = true
+// write writes one answer.
+func (n *session) write(x *exchange, last bool) error {
+	if x.lost {
+		_ = n.Close()
+		return errNoAnswerRoom
 	}
-	last := x.last || x.resp.ConnectionClose() || (n.closing && len(n.queue) == 0)
 	if last {
 		x.resp.SetConnectionClose()
 	}
-	_ = n.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	if x.resp.Write(n.w) != nil || n.w.Flush() != nil || last {
-		n.closing = true
-		n.stopReading()
+	if err := x.resp.Write(n.w); err != nil {
+		return err
 	}
+	return n.w.Flush()
 }
 
 // stopReading makes pending reads of the connection fail, by a deadline in the
@@ -323,7 +390,7 @@
 func (n *session) idle() (time.Time, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.idleSince, len(n.queue) == 0 && !n.reading && !n.closing
+	return n.idleSince, len(n.queue) == 0 && !n.reading && !n.writing && !n.closing
 }
 
 // closeIfIdle closes the connection unless a request is in progress, and reports
@@ -331,36 +398,10 @@
 func (n *session) closeIfIdle() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.queue) > 0 || n.reading {
+	if len(n.queue) > 0 || n.reading || n.writing {
 		return false
 	}
 	n.closing = true
 	_ = n.Close()
 	return true
 }
-
-// interimAnswer tells the caller that the request is still being processed.
-const interimAnswer = "HTTP/1.1 102 Processing\r\n\r\n"
-
-// startProgress sends interim answers until the returned function is called. An
-// interim answer is only sent while x is at the head of the queue.
-func (n *session) startProgress(x *exchange) func() {
-	if n.server.progressInterval == 0 {
-		return func() {}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var timer *time.Timer
-	timer = time.AfterFunc(n.server.progressInterval, func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		if len(n.queue) == 0 || n.queue[0] != x || x.complete {
-			return
-		}
-		_ = n.SetWriteDeadline(time.Now().Add(WriteTimeout))
-		if _, err := n.Write([]byte(interimAnswer)); err == nil {
-			timer.Reset(n.server.progressInterval)
-		}
-	})
-	return func() { timer.Stop() }
-}
--- a/fescuehoistd/abuse/clients_test.go
+++ b/fescuehoistd/abuse/clients_test.go
@@ -25,7 +25,7 @@
 	{"no route", "POST", "/nowhere/x", func(d *daemon) string { return d.callers }},
 	{"other daemons", "POST", "/submit/x", func(d *daemon) string { return d.calls }},
 	{"readiness", "GET", "/readyz", func(d *daemon) string { return d.ready }},
-	{"announcements", "PUT", "/-/instances/i-2", func(d *daemon) string { return d.announcements }},
+	{"announcements", "PUT", platformtest.InstancesPath + "i-2", func(d *daemon) string { return d.announcements }},
 	{"admin", "PUT", "/v1/backend", func(d *daemon) string { return d.admin }},
 }
 
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -14,7 +14,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"fescuehoist.example/adapters/adminhttp"
 	"fescuehoist.example/adapters/backendhttp"
 	"fescuehoist.example/adapters/boottime"
 	"fescuehoist.example/adapters/callhttp"
@@ -151,6 +150,8 @@
 	ledger            *idempotency.Ledger
 	idempotency       *idempotency.Runner
 	quarantineTracker *quarantine.Tracker
+	requestMemory     *httpconn.RequestMemory
+	answerBudget      *httpconn.Budget
 	inbound           *proxy.Inbound
 	outbound          *proxy.Outbound
 	draining          atomic.Bool
@@ -184,8 +185,10 @@
 	}
 	d.configs.SetClock(boottime.Now)
 	d.forwarder.Mesh = s.Mesh
-	budget := httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
-	d.backend.AnswerBudget, d.forwarder.AnswerBudget = budget, budget
+	requestMemory := s.Limits.Memory() / requestMemoryDivisor
+	d.requestMemory = httpconn.NewRequestMemory(requestMemory, requestMemory)
+	d.answerBudget = httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
+	d.backend.AnswerBudget, d.forwarder.AnswerBudget = d.answerBudget, d.answerBudget
 	d.forwarder.OnMalformed = d.logMalformed
 	d.retry.Store(&s.Retry)
 	if s.Retry.Burst > 0 {
@@ -281,6 +284,10 @@
 	g, controlCtx := errgroup.WithContext(controlCtx)
 	callerServer := d.callerServer()
 	daemonServer := d.daemonServer()
+	d.answerBudget.OnShort(func() {
+		callerServer.MakeAnswerRoom()
+		daemonServer.MakeAnswerRoom()
+	})
 	var servers errgroup.Group
 	servers.Go(func() error {
 		return callerServer.Run(callsCtx, wrapListener(d.listeners.Callers, d.transport.callersTLS))
@@ -305,7 +312,7 @@
 		return server.Run(controlCtx, d.listeners.Peers, d.platformAdapter.services()...)
 	})
 	g.Go(func() error { return d.stops.Run(controlCtx) })
-	g.Go(func() error { return d.admin().Run(controlCtx, d.listeners.Admin) })
+	g.Go(func() error { return d.smallServer(d.admin().Handler(), "admin").Run(controlCtx, d.listeners.Admin) })
 	g.Go(func() error {
 		defer stopControl()
 		select {
@@ -380,59 +387,6 @@
 	return longest
 }
 
-// callerServer returns the server for calls from callers.
-func (d *Daemon) callerServer() *httpconn.Server {
-	s := d.cfg.Settings
-	return d.newServer(&callhttp.CallerHandler{Handler: d.outbound, Refuser: d.outbound, Dialect: d.platformAdapter.dialect(), Origin: s.Service}, 0, "callers", callerIdleAge)
-}
-
-// daemonServer returns the server for calls from other daemons.
-func (d *Daemon) daemonServer() *httpconn.Server {
-	s := d.cfg.Settings
-	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
-}
-
-// The connections of callers and those of other daemons may each use one part in
-// descriptorDivisor of the file descriptors allowed by the settings, and at least
-// minServerDescriptors. The rest is for the connections that the daemon opens.
-const (
-	descriptorDivisor    = 3
-	minServerDescriptors = 16
-)
-
-// The answers that are read at the same time may have one part in
-// answerMemoryDivisor of the memory that the process may take. While one is read, its
-// buffer grows by doubling, and a read one is copied.
-const answerMemoryDivisor = 8
-
-// The request bodies that one of the two servers for calls holds at the same time may
-// have one part in bodyMemoryDivisor of the memory that the process may take.
-const bodyMemoryDivisor = 8
-
-// Connections that have been idle for callerIdleAge or daemonIdleAge may be closed to
-// make room. A daemon sends no request that must not run twice on a connection that
-// was idle for as long, since it could not tell whether it was read.
-const (
-	callerIdleAge = time.Second
-	daemonIdleAge = httpconn.MaxIdleAgeNonIdempotent + time.Second
-)
-
-func (d *Daemon) newServer(h httpconn.Handler, progress time.Duration, name string, minIdleAge time.Duration) *httpconn.Server {
-	server := httpconn.NewServer(h, progress)
-	if n := d.cfg.Settings.Limits.Descriptors; n > 0 {
-		server.SetMaxConnections(max(n/descriptorDivisor, minServerDescriptors), minIdleAge)
-	}
-	server.SetBodyBudget(d.cfg.Settings.Limits.Memory() / bodyMemoryDivisor)
-	logger := d.partLogger(name)
-	server.OnCrowded(func(limit int, total httpconn.Crowding) {
-		logger.WithFields(logrus.Fields{"limit": limit, "closed_idle": total.ClosedIdle, "refused": total.Refused, "dropped": total.Dropped}).
-			Warn("too many connections are open; counts since the start")
-	})
-	server.OnAcceptError(func(err error) { logger.Warnf("cannot accept a connection, retrying: %v", err) })
-	return server
-}
-
 func (d *Daemon) close() {
 	d.idempotency.Wait()
 	d.forwarder.Close()
@@ -440,12 +394,3 @@
 	d.platformAdapter.close()
 	_ = d.metrics.Close(context.Background())
 }
-
-func (d *Daemon) admin() *adminhttp.Server {
-	return &adminhttp.Server{
-		Announcer: d.announcer,
-		Metrics:   d.metrics.Handler(),
-		State:     func() any { return d.State() },
-		Ready:     func() bool { return d.configs.Snapshot().Version() > 0 && !d.draining.Load() },
-	}
-}
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -61,10 +61,14 @@
 	g.Go(func() error { return o.watcher.Run(ctx) })
 	g.Go(func() error { return o.discovery.Run(ctx) })
 	if ln := o.d.listeners.Announcements; ln != nil {
-		g.Go(func() error { return adminhttp.Serve(ctx, ln, o.reportHandler.Handle) })
+		g.Go(func() error {
+			return o.d.smallServer(adminhttp.NewHandler(o.reportHandler.Handle), "announce").Run(ctx, ln)
+		})
 	}
 	if ln := o.d.listeners.Ready; ln != nil {
-		g.Go(func() error { return adminhttp.Serve(ctx, ln, o.d.admin().HandleReady) })
+		g.Go(func() error {
+			return o.d.smallServer(adminhttp.NewHandler(o.d.admin().HandleReady), "ready").Run(ctx, ln)
+		})
 	}
 }
 
