--- a/adapters/httpconn/server.go
+++ b/adapters/httpconn/server.go
@@ -57,6 +57,8 @@
 	memory *RequestMemory
 	// maxBody is the largest body of a request, in bytes.
 	maxBody int
+	// maxHead is the largest head of a request, in bytes.
+	maxHead int
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -70,7 +72,7 @@
 func NewServer(h Handler, progressInterval time.Duration) *Server {
 	return &Server{
 		handler: h, progressInterval: progressInterval, sessions: map[*session]bool{},
-		room: room{limit: DefaultMaxConnections}, maxBody: MaxRequestSize,
+		room: room{limit: DefaultMaxConnections}, maxBody: MaxRequestSize, maxHead: MaxHeaderSize,
 	}
 }
 
@@ -95,6 +97,10 @@
 // It must be called before Run.
 func (s *Server) SetMaxBody(n int) { s.maxBody = n }
 
+// SetMaxHead limits the size of the head of a request to n bytes. It must be called before
+// Run.
+func (s *Server) SetMaxHead(n int) { s.maxHead = n }
+
 // OnCrowded sets a function that is called, once a second at most, when the limit of
 // open connections is reached. It must be called before Run and must not block.
 func (s *Server) OnCrowded(report func(limit int, total Crowding)) { s.room.report = report }
@@ -185,7 +191,7 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for n := range s.sessions {
-		n.closeIfIdle()
+		n.end()
 	}
 }
 
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -164,7 +164,7 @@
 }
 
 // read reads one complete request. If the header exceeds the buffer, the buffer
-// grows to MaxHeaderSize for this request.
+// grows to the server's maximum for this request.
 func (n *session) read(x *exchange) error {
 	awaitRoom := func(length int) error {
 		n.startBody()
@@ -172,13 +172,13 @@
 	}
 	err := readRequest(n.r, n.w, x.req, &x.body, awaitRoom)
 	var bufferErr *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &bufferErr) || n.r.Size() >= MaxHeaderSize {
+	if !errors.As(err, &bufferErr) || n.r.Size() >= n.server.maxHead {
 		return err
 	}
-	if err := x.body.memory.take(MaxHeaderSize); err != nil {
+	if err := x.body.memory.take(int64(n.server.maxHead)); err != nil {
 		return err
 	}
-	n.r = bufio.NewReaderSize(n.small, MaxHeaderSize)
+	n.r = bufio.NewReaderSize(n.small, n.server.maxHead)
 	x.req.Reset()
 	return readRequest(n.r, n.w, x.req, &x.body, awaitRoom)
 }
@@ -393,6 +393,22 @@
 	return n.idleSince, len(n.queue) == 0 && !n.reading && !n.writing && !n.closing
 }
 
+// end closes the connection at once, or after the answer that is being written, unless
+// another request is in progress.
+func (n *session) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.queue) > 0 || n.reading {
+		return
+	}
+	n.closing = true
+	if n.writing {
+		n.stopReading()
+		return
+	}
+	_ = n.Close()
+}
+
 // closeIfIdle closes the connection unless a request is in progress, and reports
 // whether it did.
 func (n *session) closeIfIdle() bool {
--- a/fescuehoistd/daemon/admin_test.go
+++ b/fescuehoistd/daemon/admin_test.go
@@ -44,6 +44,7 @@
 		{"/metrics", fasthttp.StatusOK, []string{
 			`fescuehoist_version{kind="in-force"} 0`, `fescuehoist_members{state="starting"} 1`, "fescuehoist_peers 0",
 			`fescuehoist_control_bytes_total{direction="sent"} 0`, "fescuehoist_platform_calls_total", "fescuehoist_backend_calls_queued 0",
+			`fescuehoist_clients_limited_total{cause="dropped"} 0`,
 		}},
 		{"/absent", fasthttp.StatusNotFound, nil},
 	} {
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -151,6 +151,7 @@
 	idempotency       *idempotency.Runner
 	quarantineTracker *quarantine.Tracker
 	requestMemory     *httpconn.RequestMemory
+	servers           serverList
 	answerBudget      *httpconn.Budget
 	inbound           *proxy.Inbound
 	outbound          *proxy.Outbound
--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -24,6 +24,8 @@
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(uint64(d.gate.Load().Limit)) }},
 		{Name: "fescuehoist.backend.rate.limit", Description: "Requests in 1,000 s that the backend server takes; no point without a limit.",
 			Read: d.rateLimit},
+		{Name: "fescuehoist.clients.limited", Description: "Connections and requests of clients that met a limit of connections or memory.", Monotonic: true, Label: "cause",
+			Read: d.servers.limited},
 	}
 }
 
--- a/fescuehoistd/daemon/servers.go
+++ b/fescuehoistd/daemon/servers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -8,6 +9,7 @@
 	"fescuehoist.example/adapters/adminhttp"
 	"fescuehoist.example/adapters/callhttp"
 	"fescuehoist.example/adapters/httpconn"
+	"fescuehoist.example/adapters/telemetry"
 )
 
 // callerServer returns the server for calls from callers.
@@ -20,9 +22,16 @@
 func (d *Daemon) daemonServer() *httpconn.Server {
 	s := d.cfg.Settings
 	control := &callhttp.ControlHandler{Ledger: d.ledger, Runner: d.idempotency, Tracker: d.quarantineTracker}
-	return d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
+	server := d.newServer(&callhttp.DaemonHandler{Mesh: s.Mesh, Handler: d.inbound, Control: control}, s.ProgressInterval, "calls", daemonIdleAge)
+	server.SetMaxHead(httpconn.MaxHeaderSize + forwardFieldBytes)
+	return server
 }
 
+// forwardFieldBytes is the room for the fields that a daemon adds to the head of a call
+// which it forwards, in bytes. Without it a head of the largest size that callers may send
+// would be refused by the next daemon.
+const forwardFieldBytes = 4 << 10
+
 // The connections of callers and those of other daemons may each use one part in
 // descriptorDivisor of the file descriptors allowed by the settings, and at least
 // minServerDescriptors. The rest is for the connections that the daemon opens.
@@ -87,6 +96,7 @@
 // limitServer bounds the memory of a server's requests, and logs what its limits do.
 func (d *Daemon) limitServer(server *httpconn.Server, name string) {
 	server.SetRequestMemory(d.requestMemory)
+	d.servers.add(server)
 	logger := d.partLogger(name)
 	server.OnCrowded(func(limit int, total httpconn.Crowding) {
 		logger.WithFields(logrus.Fields{"limit": limit, "closed_idle": total.ClosedIdle, "closed_slow": total.ClosedSlow, "refused": total.Refused, "dropped": total.Dropped}).
@@ -107,3 +117,36 @@
 		Ready:     func() bool { return d.configs.Snapshot().Version() > 0 && !d.draining.Load() },
 	}
 }
+
+// serverList is the servers of a daemon whose counts are metrics.
+type serverList struct {
+	mu   sync.Mutex
+	list []*httpconn.Server
+}
+
+func (l *serverList) add(s *httpconn.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, s)
+}
+
+// limited returns how often clients met a limit of a server, by cause.
+func (l *serverList) limited() []telemetry.Point {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum httpconn.Crowding
+	for _, s := range l.list {
+		c := s.Crowding()
+		sum.ClosedIdle += c.ClosedIdle
+		sum.ClosedSlow += c.ClosedSlow
+		sum.Refused += c.Refused
+		sum.Dropped += c.Dropped
+		sum.RefusedMemory += c.RefusedMemory
+		sum.LostAnswers += c.LostAnswers
+	}
+	return []telemetry.Point{
+		{Label: "closed-idle", Value: sum.ClosedIdle}, {Label: "closed-slow", Value: sum.ClosedSlow},
+		{Label: "refused-connection", Value: sum.Refused}, {Label: "dropped", Value: sum.Dropped},
+		{Label: "refused-memory", Value: sum.RefusedMemory}, {Label: "lost-answer", Value: sum.LostAnswers},
+	}
+}
