End a peer server within a second while a connection sends nothing

Cause: grpc's Stop waits for connections that are being opened, whose limit is 120 s by default. A daemon with such a connection, for example behind a link that carries nothing, outlived its grace period.

Change: the opening of a connection may take 1 s. A dialing daemon gives up after 1 s itself, so no peer that could still succeed is cut off. The limit also bounds connections at listen.peers that send nothing.

--- a/adapters/peergrpc/server.go
+++ b/adapters/peergrpc/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -44,10 +45,17 @@
 // Service is another gRPC service on the listener of the peer streams.
 type Service interface{ Register(grpc.ServiceRegistrar) }
 
+// handshakeTimeout limits the opening of a connection, up to the first HTTP/2 frame of the
+// peer. A dialing daemon gives up after one second itself (gossip.Config.DialTimeout), and
+// the end of the server waits for connections that are being opened; grpc's own limit is
+// 120 s.
+const handshakeTimeout = time.Second
+
 // Run serves peer streams and the given services on the listener until ctx ends.
 func (s *Server) Run(ctx context.Context, ln net.Listener, services ...Service) error {
 	server := grpc.NewServer(grpc.Creds(s.creds), grpc.StatsHandler(s.Traffic),
 		grpc.MaxRecvMsgSize(MaxMessageSize), grpc.MaxSendMsgSize(MaxMessageSize),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize))
 	peerpb.RegisterPeerServer(server, s)
 	for _, service := range services {
