Log rejected status reports once a second at most

Cause: each bad request to the announcement address wrote a line, so a crowd there could fill the log queue and push out other lines.

Change: one line a second for each cause, with the number skipped before it.

Result: TestThrottledLogWritesOneLineInEachInterval passes; the daemon tests of draining reports and withdrawals pass under -race.

--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -46,13 +46,14 @@
 	own := discover.Entry{Server: self, Domain: s.Domain, PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String())}
 	o.discovery = discover.New(d.cfg.Discover, own, registry, d.node, &sweeper{self: self, members: d.members}, d.advisories, logger)
 	o.watcher.Neighborhood = o.discovery
-	announceLogger := d.partLogger("announce")
+	rejected := &throttledLog{logger: d.partLogger("announce")}
+	unconfirmed := &throttledLog{logger: d.partLogger("announce")}
 	o.reportHandler = &platform.ReportHandler{Announcer: d.announcer, Service: s.Service, Address: s.Backend,
 		OnRejected: func(instance string, err error) {
-			announceLogger.Warnf("rejected status report of instance %.80q: %v", instance, err)
+			rejected.warnf("rejected status report of instance %.80q: %v", instance, err)
 		},
 		OnUnconfirmed: func(instance string, err error) {
-			announceLogger.Warnf("not confirming that instance %.80q leaves: %v", instance, err)
+			unconfirmed.warnf("not confirming that instance %.80q leaves: %v", instance, err)
 		}}
 	return o
 }
