Close slow bodies and unread answers when memory is short

Cause: bodies that stop just short of their end kept their room until 10 s without a byte had passed; bodies of others above 4 KiB got 503 meanwhile.

Change: when a request or an answer has no room at any address, connections are closed at all of them whose clients have sent less than 4 KiB/s of a body, or not read, for over 1 s.

Result: TestServerSlowBodiesMakeRoomForOthers; go test -race -count=3 ./adapters/httpconn passes; go test -count=1 ./fescuehoistd/abuse passes, 108 cases in 53.1 s.

--- a/adapters/httpconn/memory.go
+++ b/adapters/httpconn/memory.go
@@ -39,6 +39,8 @@
 	requestBytes      int64
 	// wait is how long a body of known length waits until there is room.
 	wait time.Duration
+	// onShort is called when there is no room; it may be nil.
+	onShort func()
 }
 
 // NewRequestMemory returns a bound for requests and one for answers, both in bytes.
@@ -49,6 +51,10 @@
 	}
 }
 
+// OnShort sets a function that is called each time when there is no room for a request or
+// an answer. It must be called before the servers that share m run.
+func (m *RequestMemory) OnShort(f func()) { m.onShort = f }
+
 // memoryAccount is the room that one request holds. A nil memory has no bound.
 type memoryAccount struct {
 	memory *RequestMemory
--- a/adapters/httpconn/memory_test.go
+++ b/adapters/httpconn/memory_test.go
@@ -208,6 +208,30 @@
 	}
 }
 
+// Guards against bodies that stop just short of their end and keep out those of others
+// until their time limits end.
+func TestServerSlowBodiesMakeRoomForOthers(t *testing.T) {
+	const length = 32 << 10
+	s, address := startTunedServer(t, echoHandler{}, func(s *Server) {
+		s.SetRequestMemory(NewRequestMemory(length, 1<<20))
+		s.memory.OnShort(s.MakeMemoryRoom)
+	})
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length)
+	_, _ = io.WriteString(dial(t, address), head+"b")
+	awaitReading(t, s, 1)
+	body := strings.Repeat("b", length)
+	for end := time.Now().Add(StallTimeout / 2); ; time.Sleep(10 * time.Millisecond) {
+		c := dial(t, address)
+		_, _ = io.WriteString(c, head+body)
+		if got, _ := readResponse(t, bufio.NewReader(c)); got == body {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("no body was served while one that had stopped held all room")
+		}
+	}
+}
+
 // A daemon adds fields to the calls that it forwards. Guards against a head of the largest
 // size for callers that the next daemon refuses.
 func TestServerHeadUpToItsMaximumIsServed(t *testing.T) {
--- a/adapters/httpconn/progress.go
+++ b/adapters/httpconn/progress.go
@@ -31,14 +31,14 @@
 	readingSince, writingSince atomic.Int64
 	// received is in bytes.
 	received atomic.Int64
-	// inBody is true while a body is read; only the reading task uses it.
-	inBody bool
+	// inBody is true while a body is read.
+	inBody atomic.Bool
 }
 
 // startReading starts the time limit of a request's head.
 func (n *session) startReading() {
 	now := time.Now()
-	n.progress.inBody = false
+	n.progress.inBody.Store(false)
 	n.progress.received.Store(0)
 	n.progress.readingSince.Store(now.UnixNano())
 	n.setReadDeadline(now.Add(HeadTimeout))
@@ -46,14 +46,14 @@
 
 // startBody starts the time limits of the body. The head has been read.
 func (n *session) startBody() {
-	n.progress.inBody = true
+	n.progress.inBody.Store(true)
 	n.progress.received.Store(0)
 	n.progress.readingSince.Store(time.Now().UnixNano())
 }
 
 // endReading ends the time limits of a request that has been read.
 func (n *session) endReading() {
-	n.progress.inBody = false
+	n.progress.inBody.Store(false)
 	n.progress.readingSince.Store(0)
 	if n.r.Buffered() == 0 {
 		n.r = n.small
@@ -73,7 +73,7 @@
 // Read reads from the connection. A body has to bring bytes within StallTimeout and at
 // minBodyRate.
 func (n *session) Read(b []byte) (int, error) {
-	if n.progress.inBody {
+	if n.progress.inBody.Load() {
 		since := time.Unix(0, n.progress.readingSince.Load())
 		earned := time.Duration(n.progress.received.Load()) * time.Second / minBodyRate
 		stall, end := time.Now().Add(StallTimeout), since.Add(BodyGrace+earned)
@@ -104,14 +104,15 @@
 }
 
 // slowSince returns since when the client has sent less than minBodyRate or has not taken
-// a piece of an answer, and whether that is longer than slowAfter.
-func (n *session) slowSince(now time.Time) (time.Time, bool) {
+// a piece of an answer, and whether that is longer than slowAfter. Slow heads count only
+// if withHeads is true: they hold a connection and next to no memory.
+func (n *session) slowSince(now time.Time, withHeads bool) (time.Time, bool) {
 	if at := n.progress.writingSince.Load(); at > 0 {
 		since := time.Unix(0, at)
 		return since, now.Sub(since) > slowAfter
 	}
 	at := n.progress.readingSince.Load()
-	if at == 0 {
+	if at == 0 || (!withHeads && !n.progress.inBody.Load()) {
 		return time.Time{}, false
 	}
 	since := time.Unix(0, at)
--- a/adapters/httpconn/room.go
+++ b/adapters/httpconn/room.go
@@ -73,7 +73,7 @@
 		s.closeIdleSessions(now)
 	}
 	if len(s.sessions)-r.refusing >= r.limit {
-		s.closeSlowSessions(now)
+		s.closeSlowSessions(now, true)
 	}
 	switch {
 	case len(s.sessions)-r.refusing < r.limit:
@@ -136,14 +136,14 @@
 }
 
 // closeSlowSessions closes some of the sessions whose clients have been slow for longest.
-func (s *Server) closeSlowSessions(now time.Time) {
+func (s *Server) closeSlowSessions(now time.Time, withHeads bool) {
 	r := &s.room
 	if now.Before(r.nextSlowScan) {
 		return
 	}
 	var slow []waitingSession
 	for n := range s.sessions {
-		if since, ok := n.slowSince(now); ok {
+		if since, ok := n.slowSince(now, withHeads); ok {
 			slow = append(slow, waitingSession{n, since})
 		}
 	}
@@ -171,12 +171,19 @@
 	return sessions[:min(len(sessions), max(int(closedShare*float64(s.room.limit)), 1))]
 }
 
-// MakeAnswerRoom closes some of the connections whose clients are slow, if there are any. It
-// is called when there was no room for an answer.
-func (s *Server) MakeAnswerRoom() {
+// MakeMemoryRoom closes some of the connections whose clients send a body or read an answer
+// too slowly, if there are any.
+func (s *Server) MakeMemoryRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeSlowSessions(time.Now())
+	s.closeSlowSessions(time.Now(), false)
+}
+
+// reportShort reports that there was no room for a request or an answer.
+func (s *Server) reportShort() {
+	if s.memory != nil && s.memory.onShort != nil {
+		s.memory.onShort()
+	}
 }
 
 // countMemory counts what happened for lack of memory, and reports it.
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -277,6 +277,7 @@
 	if errors.Is(err, ErrNoBodyRoom) {
 		n.unread = true
 		n.server.countMemory(func(c *Crowding) { c.RefusedMemory++ })
+		n.server.reportShort()
 		n.server.handler.Refuse(x.req, x.resp, ErrNoBodyRoom)
 	} else {
 		x.resp.SetStatusCode(malformedStatus(err))
@@ -300,7 +301,7 @@
 		x.lost = true
 		x.resp.ResetBody()
 		n.server.countMemory(func(c *Crowding) { c.LostAnswers++ })
-		n.server.MakeAnswerRoom()
+		n.server.reportShort()
 	}
 	n.deliver(x)
 }
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -189,6 +189,8 @@
 	requestMemory := s.Limits.Memory() / requestMemoryDivisor
 	d.requestMemory = httpconn.NewRequestMemory(requestMemory, requestMemory)
 	d.answerBudget = httpconn.NewBudget(s.Limits.Memory() / answerMemoryDivisor)
+	d.requestMemory.OnShort(d.servers.makeMemoryRoom)
+	d.answerBudget.OnShort(d.servers.makeMemoryRoom)
 	d.backend.AnswerBudget, d.forwarder.AnswerBudget = d.answerBudget, d.answerBudget
 	d.forwarder.OnMalformed = d.logMalformed
 	d.retry.Store(&s.Retry)
@@ -285,10 +287,6 @@
 	g, controlCtx := errgroup.WithContext(controlCtx)
 	callerServer := d.callerServer()
 	daemonServer := d.daemonServer()
-	d.answerBudget.OnShort(func() {
-		callerServer.MakeAnswerRoom()
-		daemonServer.MakeAnswerRoom()
-	})
 	var servers errgroup.Group
 	servers.Go(func() error {
 		return callerServer.Run(callsCtx, wrapListener(d.listeners.Callers, d.transport.callersTLS))
--- a/fescuehoistd/daemon/servers.go
+++ b/fescuehoistd/daemon/servers.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// serverList is the servers of a daemon whose counts are metrics.
+// serverList is the servers of a daemon that share its memory and whose counts are metrics.
 type serverList struct {
 	mu   sync.Mutex
 	list []*httpconn.Server
@@ -130,6 +130,15 @@
 	l.list = append(l.list, s)
 }
 
+// makeMemoryRoom closes connections whose clients hold memory and are slow.
+func (l *serverList) makeMemoryRoom() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.list {
+		s.MakeMemoryRoom()
+	}
+}
+
 // limited returns how often clients met a limit of a server, by cause.
 func (l *serverList) limited() []telemetry.Point {
 	l.mu.Lock()
