--- a/adapters/httpconn/arrival.go
+++ b/adapters/httpconn/arrival.go
@@ -95,7 +95,7 @@
 		close(stopping)
 		n.stopReading()
 		<-ended
-		_ = n.SetReadDeadline(time.Now().Add(ReadTimeout))
+		n.setReadDeadline(time.Now().Add(StallTimeout))
 		cancel()
 	}
 }
@@ -120,9 +120,8 @@
 			case <-ticker.C:
 			}
 			n.mu.Lock()
-			if len(n.queue) == 0 {
-				_ = n.SetWriteDeadline(time.Now().Add(WriteTimeout))
-				_, _ = n.Write([]byte(interimAnswer))
+			if len(n.queue) == 0 && !n.writing {
+				_ = n.writeInterim()
 			}
 			n.mu.Unlock()
 		}
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -102,7 +102,11 @@
 	startInactivityTimer(c, o.headTimeout())
 	stop := context.AfterFunc(ctx, c.interrupt)
 	err = roundTrip(c, req, resp, &o)
-	c.answer.release()
+	if err == nil {
+		c.answer.handOver(ctx)
+	} else {
+		c.answer.release()
+	}
 	interrupted := !stop()
 	inactive := stopInactivityTimer(c)
 	if err == nil {
--- a/fescuehoist/place_test.go
+++ b/fescuehoist/place_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuehoist.example/adapters/adminhttp"
+	"fescuehoist.example/adapters/httpconn"
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
@@ -54,7 +55,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- (&adminhttp.Server{Metrics: http.NotFoundHandler(), Placer: placer{}}).Run(ctx, ln) }()
+	admin := &adminhttp.Server{Metrics: http.NotFoundHandler(), Placer: placer{}}
+	go func() { ended <- httpconn.NewServer(admin.Handler(), 0).Run(ctx, ln) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-ended; err != nil {
--- a/fescuehoistd/daemon/metrics.go
+++ b/fescuehoistd/daemon/metrics.go
@@ -29,6 +29,8 @@
 			Read: func() []telemetry.Point {
 				return []telemetry.Point{{Label: "sent", Value: d.hedger.Sent()}, {Label: "won", Value: d.hedger.Won()}}
 			}},
+		{Name: "fescuehoist.clients.limited", Description: "Connections and requests of clients that met a limit of connections or memory.", Monotonic: true, Label: "cause",
+			Read: d.servers.limited},
 	}
 }
 
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -48,13 +48,14 @@
 	own := discover.Entry{Server: self, Domain: s.Domain, PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String())}
 	o.discovery = discover.New(d.cfg.Discover, own, registry, d.node, &sweeper{self: self, members: d.members}, d.advisories, logger)
 	o.watcher.Neighborhood = o.discovery
-	announceLogger := d.partLogger("announce")
+	rejected := &throttledLog{logger: d.partLogger("announce")}
+	unconfirmed := &throttledLog{logger: d.partLogger("announce")}
 	o.reportHandler = &platform.ReportHandler{Announcer: d.announcer, Service: s.Service, Address: s.Backend,
 		OnRejected: func(instance string, err error) {
-			announceLogger.Warnf("rejected status report of instance %.80q: %v", instance, err)
+			rejected.warnf("rejected status report of instance %.80q: %v", instance, err)
 		},
 		OnUnconfirmed: func(instance string, err error) {
-			announceLogger.Warnf("not confirming that instance %.80q leaves: %v", instance, err)
+			unconfirmed.warnf("not confirming that instance %.80q leaves: %v", instance, err)
 		}}
 	return o
 }
@@ -63,10 +64,14 @@
 	g.Go(func() error { return o.watcher.Run(ctx) })
 	g.Go(func() error { return o.discovery.Run(ctx) })
 	if ln := o.d.listeners.Announcements; ln != nil {
-		g.Go(func() error { return adminhttp.Serve(ctx, ln, o.reportHandler.Handle) })
+		g.Go(func() error {
+			return o.d.smallServer(adminhttp.NewHandler(o.reportHandler.Handle), "announce").Run(ctx, ln)
+		})
 	}
 	if ln := o.d.listeners.Ready; ln != nil {
-		g.Go(func() error { return adminhttp.Serve(ctx, ln, o.d.admin().HandleReady) })
+		g.Go(func() error {
+			return o.d.smallServer(adminhttp.NewHandler(o.d.admin().HandleReady), "ready").Run(ctx, ln)
+		})
 	}
 }
 
