--- a/fescuehoistd/daemon/servers.go
+++ b/fescuehoistd/daemon/servers.go
@@ -114,6 +114,7 @@
 		Announcer: d.announcer,
 		Metrics:   d.metrics.Handler(),
 		State:     func() any { return d.State() },
+		Placer:    d.explainer(),
 		Ready:     func() bool { return d.configs.Snapshot().Version() > 0 && !d.draining.Load() },
 	}
 }
