Tie the age of a verification to the accounts that it covers

Cause: a key was accepted if the configuration that the daemon knows was verified lately. The key itself is looked up in the routing table, which follows the configuration with some delay. A daemon that was suspended got the revocation and its verification in one moment, and accepted the revoked key until the table was rebuilt.

Change: Store.AccountsAge returns the age of the latest verification that covers the given directory of accounts; the checker asks for that of the table's directory.

Result: TestCheckerIgnoresVerificationsOfLaterAccounts, which failed before, passes. Calls are not refused while the table is rebuilt, as the verification of the accounts before the change is kept.

--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
-	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/target"
 )
@@ -21,9 +20,9 @@
 // clocks that differ in speed.
 const revokeMargin = 50 * time.Millisecond
 
-// Verifications tells when the configuration was last known to be the newest.
+// Verifications tells when a directory of accounts was last known to be the newest.
 type Verifications interface {
-	VerificationAge() (manifest.Version, time.Duration, bool)
+	AccountsAge(*target.Accounts) (time.Duration, bool)
 }
 
 // Checker authorizes calls by the API keys that callers present.
@@ -47,7 +46,7 @@
 	if !presented {
 		return call.Refuse(call.Unauthorized, errMissingKey)
 	}
-	return c.assign(r, t.Accounts().ByKey(key))
+	return c.assign(r, t.Accounts(), t.Accounts().ByKey(key))
 }
 
 // AuthorizeAs decides as Authorize does about a call whose caller presents a key of the
@@ -59,7 +58,7 @@
 	if name == "" {
 		return call.Refuse(call.Unauthorized, errMissingKey)
 	}
-	return c.assign(r, t.Accounts().ByName(name))
+	return c.assign(r, t.Accounts(), t.Accounts().ByName(name))
 }
 
 // needsKey reports whether a classified call needs the key of an account.
@@ -67,9 +66,9 @@
 	return t.Accounts().Len() > 0 && !r.Class.Public
 }
 
-// assign sets the account of a call, which is nil if none holds its key.
-func (c *Checker) assign(r *call.Request, account *target.Account) *call.Failure {
-	if !c.verified() {
+// assign sets the account of a call, which is nil if none in the directory holds its key.
+func (c *Checker) assign(r *call.Request, directory *target.Accounts, account *target.Account) *call.Failure {
+	if !c.verified(directory) {
 		return call.Refuse(call.Unconfigured, errUnverified)
 	}
 	if account == nil {
@@ -84,13 +83,14 @@
 	return nil
 }
 
-// verified reports whether the configuration cannot lack the revocation of a key that must
-// be refused by now. The time that passes between the check and the use of the key does not
+// verified reports whether a directory cannot lack the revocation of a key that must be
+// refused by now. It need not be the newest one, since the routing table follows the
+// configuration with some delay. The time that passes between the check and the use of the key does not
 // matter: what counts is when the caller sent the request.
-func (c *Checker) verified() bool {
+func (c *Checker) verified(directory *target.Accounts) bool {
 	if c.RevokeWithin == 0 {
 		return true
 	}
-	_, age, known := c.Configs.VerificationAge()
+	age, known := c.Configs.AccountsAge(directory)
 	return known && age < c.RevokeWithin-revokeMargin
 }
--- a/mesh/account/checker_test.go
+++ b/mesh/account/checker_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// Guards against a revoked key that works while the routing table still has the accounts
+// before the revocation, although the configuration is verified with it: a daemon that was
+// suspended gets both in one moment and rebuilds the table later.
+func TestCheckerIgnoresVerificationsOfLaterAccounts(t *testing.T) {
+	holder := target.Account{Name: "one", Keys: []target.KeyDigest{target.DigestKey([]byte("valid"))}}
+	store, now := newStore(t, holder)
+	checker := &account.Checker{Configs: store, RevokeWithin: revokeWithin}
+	router := route.NewRouter(store, member.NewTable("self"))
+	store.Verify(1, *now)
+	*now += revokeWithin / 2
+	holder.Keys = []target.KeyDigest{target.DigestKey([]byte("new"))}
+	class := target.Class{Name: "search", Path: "/", Rank: 3, Success: 0.9, Latency: time.Second, Timeout: time.Second}
+	if _, err := store.ApplyFull(2, []target.Service{{Name: "a.example", Classes: []target.Class{class}}}, []target.Account{holder}); err != nil {
+		t.Fatal(err)
+	}
+	store.Verify(2, *now)
+	if f := checker.Authorize(newCall("valid", false), router.Table()); f != nil {
+		t.Errorf("table before the revocation, verified %s ago: failure %v, want none", revokeWithin/2, f)
+	}
+	*now += revokeWithin / 2
+	store.Verify(2, *now)
+	if f := checker.Authorize(newCall("valid", false), router.Table()); f == nil || f.Reason != call.Unconfigured {
+		t.Errorf("table before the revocation, verified %s ago: failure %v, want reason %q", revokeWithin, f, call.Unconfigured)
+	}
+	updated := route.NewRouter(store, member.NewTable("self")).Table()
+	if f := checker.Authorize(newCall("new", false), updated); f != nil {
+		t.Errorf("newest table: failure %v, want none", f)
+	}
+}
+
 func BenchmarkAuthorizeAmongThousandAccounts(b *testing.B) {
 	accounts := make([]target.Account, 1000)
 	for i := range accounts {
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -44,6 +44,9 @@
 	confirmed    chan struct{}
 	clock        Clock
 	verification Verification
+	// replacedVerification is the latest verification of the accounts before the latest
+	// change that was verified.
+	replacedVerification Verification
 
 	inForce atomic.Pointer[Snapshot]
 }
--- a/mesh/manifest/verification.go
+++ b/mesh/manifest/verification.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "time"
+import (
+	"time"
+
+	"fescuehoist.example/mesh/target"
+)
 
 // Clock returns the time since some fixed moment. It counts the time for which the host is
 // suspended, which package time does not.
@@ -19,6 +23,8 @@
 type Verification struct {
 	known bool
 	at    time.Duration
+	// accounts is the newest valid directory of client accounts at that time.
+	accounts *target.Accounts
 }
 
 // SetClock sets the clock of verifications. It must be called before the first one.
@@ -35,7 +41,27 @@
 	if v > s.known.Version || (s.verification.known && at <= s.verification.at) {
 		return
 	}
-	s.verification = Verification{known: true, at: at}
+	if s.verification.accounts != s.newestValid.accounts {
+		s.replacedVerification = s.verification
+	}
+	s.verification = Verification{known: true, at: at, accounts: s.newestValid.accounts}
+}
+
+// AccountsAge returns the age of the latest verification that covers a directory of client
+// accounts, and false if there is none. A verification covers the newest directory, and the
+// one that was the newest at its time: a key that an older directory holds may have been
+// revoked before.
+func (s *Store) AccountsAge(accounts *target.Accounts) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.verification
+	if accounts != s.newestValid.accounts && accounts != v.accounts {
+		v = s.replacedVerification
+		if accounts != v.accounts {
+			return 0, false
+		}
+	}
+	return s.clock() - v.at, v.known
 }
 
 // VerificationAge returns the known version and the age of its latest verification, and
