Take an empty key as none

Cause: a request with an empty key field got the digest of the empty string. If an account lists an empty key by mistake, all requests with an empty field ran on its behalf.

Change: ReadAPIKey takes an empty key as none.

Result: TestReadAPIKeyWantsOneKey, which failed before for "empty", passes.

--- a/adapters/callhttp/dialect.go
+++ b/adapters/callhttp/dialect.go
@@ -40,9 +40,10 @@
 
 // ReadAPIKey returns the digest of the API key in a header field. A request that presents
 // several keys is taken to present none, since it is not clear on whose behalf it is made.
+// So is one with an empty key, which an account must not hold.
 func ReadAPIKey(h *fasthttp.RequestHeader, name string) (target.KeyDigest, bool) {
 	keys := h.PeekAll(name)
-	if len(keys) != 1 {
+	if len(keys) != 1 || len(keys[0]) == 0 {
 		return target.KeyDigest{}, false
 	}
 	return target.DigestKey(keys[0]), true
