End the wait for the uplink with the exchange

Cause: a large body waits for room on the link of the sending host after the other daemon has asked for it. If that daemon closed the connection or answered in the meantime, the exchange still waited for the room, up to the deadline of the call, and a call that had not run was lost.

Change: Options.BeforeBody gets a context that ends with the exchange. An end of that kind does not replace the failure of the exchange.

--- a/adapters/callhttp/forwarder.go
+++ b/adapters/callhttp/forwarder.go
@@ -100,10 +100,8 @@
 		o.MaxIdleAge = httpconn.MaxIdleAgeNonIdempotent
 	}
 	if r.AskFirst && f.Uplink != nil {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
 		var body *link.Body
-		o.BeforeBody = func() (err error) {
+		o.BeforeBody = func(ctx context.Context) (err error) {
 			body, err = f.Uplink.Send(ctx, r, int64(len(r.Body)))
 			return err
 		}
--- a/adapters/httpconn/continue.go
+++ b/adapters/httpconn/continue.go
@@ -1,6 +1,8 @@
 package httpconn
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -12,6 +14,8 @@
 // interim answer with status 100 before it sends the body.
 const expectContinue = "100-continue"
 
+var errExchangeEnded = errors.New("the exchange ended before the body was sent")
+
 // headTimeout returns the maximum time without a received byte until the server asks for
 // the body, or for the whole exchange if it is not asked.
 func (o *Options) headTimeout() time.Duration {
@@ -23,7 +27,7 @@
 
 // roundTripAsked sends the head of a request, and its body once the server asks for it.
 // The final answer may arrive at any time.
-func roundTripAsked(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+func roundTripAsked(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	req.Header.Set(fasthttp.HeaderExpect, expectContinue)
 	req.Header.SetContentLength(len(req.Body()))
 	c.headBytes = math.MaxInt64
@@ -34,6 +38,8 @@
 		return err
 	}
 	c.headBytes = c.written.Load()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	var sent chan error
 	o.onContinue = func() {
 		if sent != nil {
@@ -44,9 +50,10 @@
 			return
 		}
 		sent = make(chan error, 1)
-		go func() { sent <- sendAskedBody(c, req, o.BeforeBody) }()
+		go func() { sent <- sendAskedBody(ctx, c, req, o.BeforeBody) }()
 	}
 	err := readAnswer(c, req, resp, o)
+	cancel(errExchangeEnded)
 	if sent != nil {
 		return endSending(c, resp, sent, err)
 	}
@@ -60,10 +67,13 @@
 
 // sendAskedBody sends the body of a request once before has returned. If that fails, it
 // ends the exchange.
-func sendAskedBody(c *conn, req *fasthttp.Request, before func() error) error {
+func sendAskedBody(ctx context.Context, c *conn, req *fasthttp.Request, before func(context.Context) error) error {
 	if before != nil {
-		if err := before(); err != nil {
+		if err := before(ctx); err != nil {
 			c.interrupt()
+			if context.Cause(ctx) == errExchangeEnded {
+				return errExchangeEnded
+			}
 			return err
 		}
 	}
--- a/adapters/httpconn/continue_test.go
+++ b/adapters/httpconn/continue_test.go
@@ -109,16 +109,31 @@
 			if n, _ := io.Copy(io.Discard, p.r); n > 0 {
 				p.t.Errorf("got %d bytes of a body that had no room, want none", n)
 			}
-		}, options: Options{BeforeBody: func() error {
+		}, options: Options{BeforeBody: func(context.Context) error {
 			time.Sleep(20 * time.Millisecond)
 			return call.Refuse(call.Deadline, nil)
 		}}},
 		{name: "closed while the body waits to be sent", verdict: call.NotRun, reason: call.Cut, serve: func(p *askedPeer) {
 			p.write(askForBody)
-		}, options: Options{BeforeBody: func() error {
+		}, options: Options{BeforeBody: func(context.Context) error {
 			time.Sleep(20 * time.Millisecond)
 			return nil
 		}}},
+		{name: "closed while the body waits for longer than the exchange", verdict: call.NotRun, reason: call.Cut, serve: func(p *askedPeer) {
+			p.write(askForBody)
+		}, options: Options{BeforeBody: func(ctx context.Context) error {
+			<-ctx.Done()
+			return call.Refuse(call.ReasonOf(ctx, call.Canceled), ctx.Err())
+		}}},
+		{name: "refused while the body waits for longer than the exchange", status: 503, serve: func(p *askedPeer) {
+			p.write(askForBody + "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno")
+			if n, _ := io.Copy(io.Discard, p.r); n > 0 {
+				p.t.Errorf("got %d bytes of a refused body, want none", n)
+			}
+		}, options: Options{BeforeBody: func(ctx context.Context) error {
+			<-ctx.Done()
+			return call.Refuse(call.ReasonOf(ctx, call.Canceled), ctx.Err())
+		}}},
 		{name: "closed after a part of the body", verdict: call.MayHaveRun, reason: call.Cut, serve: func(p *askedPeer) {
 			p.write(askForBody)
 			p.readBody(1)
@@ -139,6 +154,9 @@
 			defer cancel()
 			c.options.AskFirst = true
 			err := pool.DoWith(ctx, req, resp, c.options)
+			if c.timeout == 0 && ctx.Err() != nil {
+				t.Error("the exchange ended at the deadline of the call, want an end with its connection or answer")
+			}
 			if len(pool.idle) != btoi(c.reused) {
 				t.Errorf("%d idle connections, want %d", len(pool.idle), btoi(c.reused))
 			}
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -55,10 +55,11 @@
 	// AskTimeout replaces InactivityTimeout until the server asks for the body, if that
 	// is 0: a request that has not run may be sent elsewhere.
 	AskTimeout time.Duration
-	// BeforeBody is called when the server has asked for the body, and may wait. If it
-	// returns an error, the body is not sent and the exchange fails with that error,
-	// which must be a *call.Failure with verdict NotRun. It may be nil.
-	BeforeBody func() error
+	// BeforeBody is called when the server has asked for the body, and may wait until ctx
+	// ends, with the exchange at the latest. If it returns an error, the body is not sent
+	// and the exchange fails with that error, which must be a *call.Failure with verdict
+	// NotRun. It may be nil.
+	BeforeBody func(ctx context.Context) error
 	// onContinue is called for each interim answer that asks for the body.
 	onContinue func()
 }
@@ -101,7 +102,7 @@
 	c.received = false
 	startInactivityTimer(c, o.headTimeout())
 	stop := context.AfterFunc(ctx, c.interrupt)
-	err = roundTrip(c, req, resp, &o)
+	err = roundTrip(ctx, c, req, resp, &o)
 	c.answer.release()
 	interrupted := !stop()
 	inactive := stopInactivityTimer(c)
@@ -144,9 +145,9 @@
 // read a long body.
 const largeBodySize = 16 << 10
 
-func roundTrip(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+func roundTrip(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	if o.AskFirst {
-		return roundTripAsked(c, req, resp, o)
+		return roundTripAsked(ctx, c, req, resp, o)
 	}
 	if len(req.Body()) <= largeBodySize {
 		if err := send(c, req); err != nil {
