Keep the counts of daemons that start again

Cause: the first report of a daemon that has started again replaced the last one before. What the daemon had admitted in the window was then in no sum, while only its part of the limit counts as spent. With all callers of an account at that daemon, 3,589 to 3,624 requests ran in a window with a bound of 3,188.

Change: a collector keeps the last report of the earlier run, which it tells by the shorter presence, until the window has passed.

--- a/mesh/allowance/count.go
+++ b/mesh/allowance/count.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// Total returns the sum of the amounts.
+func (s *Series) Total() float64 { return s.since(Slices) }
+
 // Aged returns the amounts as they are after a time in which nothing was added. Amounts are
 // taken to be spread evenly within a slice.
 func (s *Series) Aged(age, window time.Duration) Series {
--- a/mesh/collect/book.go
+++ b/mesh/collect/book.go
@@ -1,6 +1,7 @@
 package collect
 
 import (
+	"slices"
 	"time"
 
 	"fescuehoist.example/mesh/allowance"
@@ -16,6 +17,8 @@
 type book struct {
 	window  time.Duration
 	senders map[member.ServerID]*sender
+	// former holds the last reports of senders that have started again since.
+	former []*sender
 	// changed holds the accounts that were in reports since takeChanged.
 	changed map[string]bool
 }
@@ -41,6 +44,10 @@
 // put records a report that was received at a time.
 func (b *book) put(r *Report, at time.Duration) {
 	s := b.senders[r.From]
+	if s != nil && s.restarted(r) {
+		b.former = append(b.former, s)
+		s = nil
+	}
 	if s == nil {
 		s = &sender{}
 		b.senders[r.From] = s
@@ -55,15 +62,31 @@
 	}
 }
 
+// restarted reports whether the sender has lost its earlier counts: the time for which it
+// has counted is shorter than before. That of a failure domain also shrinks when daemons of
+// it are lost, though by less.
+func (s *sender) restarted(r *Report) bool {
+	before := s.present.Total()
+	if r.Sum {
+		return r.Present.Total() < before/2
+	}
+	return r.Present.Total() < before-presentTolerance
+}
+
+// presentTolerance is more than what is lost when the presence in reports is rounded.
+const presentTolerance = 0.1
+
 // expire drops what no longer counts at a time.
 func (b *book) expire(now time.Duration) {
+	oldest := now - b.window - inTouch
+	b.former = slices.DeleteFunc(b.former, func(s *sender) bool { return s.at < oldest })
 	for id, s := range b.senders {
-		if now-s.at > b.window+inTouch {
+		if s.at < oldest {
 			delete(b.senders, id)
 			continue
 		}
 		for name, e := range s.accounts {
-			if now-e.at > b.window+inTouch {
+			if e.at < oldest {
 				delete(s.accounts, name)
 			}
 		}
@@ -90,34 +113,41 @@
 
 // add adds the reports in a book as they count at a time.
 func (t *total) add(b *book, now time.Duration) {
+	for _, s := range b.former {
+		t.addCounts(s, now, b.window, false)
+	}
 	for _, s := range b.senders {
-		recent := now-s.at <= inTouch
+		if now-s.at > inTouch {
+			t.addCounts(s, now, b.window, false)
+			continue
+		}
+		t.coverage.Daemons += s.daemons
+		t.releases = append(t.releases, s.releases...)
 		// A sender in touch goes on as it did: counting its latest report as older than
 		// the next one makes rates and use look lower by the time between them.
-		at := now
-		if recent {
-			at = s.at
-			t.coverage.Daemons += s.daemons
-			t.releases = append(t.releases, s.releases...)
+		t.addCounts(s, s.at, b.window, true)
+	}
+}
+
+// addCounts adds the counts of accounts in the report of a sender as they are at a time.
+func (t *total) addCounts(s *sender, at, window time.Duration, recent bool) {
+	present := s.present.Aged(at-s.at, window)
+	t.coverage.Present.Add(&present)
+	for name, e := range s.accounts {
+		n := t.accounts[name]
+		if n == nil {
+			n = &allowance.Count{Account: name}
+			t.accounts[name] = n
 		}
-		present := s.present.Aged(at-s.at, b.window)
-		t.coverage.Present.Add(&present)
-		for name, e := range s.accounts {
-			n := t.accounts[name]
-			if n == nil {
-				n = &allowance.Count{Account: name}
-				t.accounts[name] = n
-			}
-			if at == e.at {
-				n.Add(&e.count)
-				continue
-			}
-			c := e.count.Aged(at-e.at, b.window)
-			if !recent {
-				c.Offered = 0
-			}
-			n.Add(&c)
+		if at == e.at {
+			n.Add(&e.count)
+			continue
+		}
+		c := e.count.Aged(at-e.at, window)
+		if !recent {
+			c.Offered = 0
 		}
+		n.Add(&c)
 	}
 }
 
