--- a/mesh/rollout/rollout.go
+++ b/mesh/rollout/rollout.go
@@ -47,6 +47,10 @@
 	ErrCompacted = errors.New("the changes after the revision are no longer known")
 )
 
+// MaxReleaseLength bounds the name of a release, in bytes. Daemons reject messages with
+// longer ones.
+const MaxReleaseLength = 128
+
 // Order tells to move the traffic of a service to a release.
 type Order struct {
 	// Name is the name under which the order is stored.
