Keep extreme rates from making a reply invalid

Cause: rates are sent as 32-bit numbers. A valid rate below their range became 0 and one above it infinite, and receivers reject the whole reply then.

Change: the nearest rate in the range is sent.

Result: TestRepliesWithExtremeRatesAreAccepted, which failed before, passes.

--- a/adapters/collectgrpc/codec.go
+++ b/adapters/collectgrpc/codec.go
@@ -144,7 +144,7 @@
 		out.Accounts = append(out.Accounts, l.Account)
 		out.Shares = append(out.Shares, uint32(round(l.Share, tenThousandths)))
 		out.Rooms = append(out.Rooms, round(l.Room, tenths))
-		out.Rates = append(out.Rates, float32(l.Rate))
+		out.Rates = append(out.Rates, encodeRate(l.Rate))
 	}
 	for _, d := range r.Directions {
 		out.Directions = append(out.Directions, encodeDirection(&d))
@@ -152,6 +152,11 @@
 	return out
 }
 
+// encodeRate returns the nearest rate that is above 0 and finite, as receivers expect it.
+func encodeRate(rate float64) float32 {
+	return float32(min(max(rate, math.SmallestNonzeroFloat32), math.MaxFloat32))
+}
+
 func decodeReply(in *collectpb.Reply) (*collect.Reply, error) {
 	accounts := len(in.GetAccounts())
 	if accounts > maxAccounts || len(in.GetShares()) != accounts || len(in.GetRooms()) != accounts || len(in.GetRates()) != accounts || len(in.GetDirections()) > maxReleases {
--- a/adapters/collectgrpc/collect_test.go
+++ b/adapters/collectgrpc/collect_test.go
@@ -176,6 +176,17 @@
 	}
 }
 
+// Guards against one account with a rate at the ends of the range because of which receivers
+// reject the limits of all accounts.
+func TestRepliesWithExtremeRatesAreAccepted(t *testing.T) {
+	for _, rate := range []float64{1e-60, 1e60} {
+		sent := collect.Reply{Limits: []allowance.Limit{{Account: "a", Share: 1, Rate: rate}}}
+		if received, err := decodeReply(encodeReply(&sent)); err != nil || len(received.Limits) != 1 {
+			t.Errorf("rate %g: got %+v and %v, want the limit", rate, received, err)
+		}
+	}
+}
+
 // Guards against messages that grow beyond what links between failure domains are paid for.
 func TestReportSizes(t *testing.T) {
 	for _, accounts := range []int{0, 2, 20, 78, 1000} {
