Refuse a body whose call a rollout will refuse

Cause: the daemon beside a server that a rollout leaves without calls granted large bodies. They took the link of the host, and the call was refused once its body had arrived.

Change: Inbound.AdmitBody makes the same checks as Call, by a common function.

Result: TestInboundOfLeftReleaseRefusesBodyBeforeItIsSent, which failed before, passes.

--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -74,16 +74,8 @@
 }
 
 func (p *Inbound) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	if err := classify(p.Routes.Table(), r); err != nil {
-		// The daemon that classified the call has a newer configuration than
-		// this one.
-		return nil, call.Refuse(call.Unconfigured, err)
-	}
-	if !p.Host.Serves(r.Server, r.Service) {
-		return nil, call.Refuse(call.Misdirected, errMisdirected)
-	}
-	if p.Releases != nil && p.Releases.Refuses() {
-		return nil, call.Refuse(call.Draining, errReleased)
+	if f := p.check(r); f != nil {
+		return nil, f
 	}
 	ticket, err := p.Quarantine.Enter(ctx, r)
 	if err != nil {
@@ -112,6 +104,23 @@
 	return answer, nil
 }
 
+// check classifies a call and returns the failure of one that this daemon's backend server
+// does not take, or nil.
+func (p *Inbound) check(r *call.Request) *call.Failure {
+	if err := classify(p.Routes.Table(), r); err != nil {
+		// The daemon that classified the call has a newer configuration than
+		// this one.
+		return call.Refuse(call.Unconfigured, err)
+	}
+	if !p.Host.Serves(r.Server, r.Service) {
+		return call.Refuse(call.Misdirected, errMisdirected)
+	}
+	if p.Releases != nil && p.Releases.Refuses() {
+		return call.Refuse(call.Draining, errReleased)
+	}
+	return nil
+}
+
 // loadFor returns the load as seen by a call of a class, which may be nil.
 func (p *Inbound) loadFor(c *target.Class) call.Load {
 	load := p.Gate.LoadFor(c)
@@ -127,11 +136,8 @@
 	if p.Link == nil {
 		return nil, nil
 	}
-	if err := classify(p.Routes.Table(), r); err != nil {
-		return nil, call.Refuse(call.Unconfigured, err)
-	}
-	if !p.Host.Serves(r.Server, r.Service) {
-		return nil, call.Refuse(call.Misdirected, errMisdirected)
+	if f := p.check(r); f != nil {
+		return nil, f
 	}
 	body, err := p.Link.Enter(ctx, r, length, func() link.Slots { return slotsOf(p.Gate.LoadFor(r.Class)) })
 	if err != nil {
--- a/mesh/proxy/inbound_test.go
+++ b/mesh/proxy/inbound_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"testing"
 
+	"fescuehoist.example/mesh/admit"
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/link"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
@@ -70,3 +72,25 @@
 		t.Errorf("got %v, want not-run and unconfigured", err)
 	}
 }
+
+// leftRelease is the release of a server that a rollout leaves without calls.
+type leftRelease struct{}
+
+func (leftRelease) Refuses() bool { return true }
+
+// Guards against a body that is sent over a narrow link although its call will be refused.
+func TestInboundOfLeftReleaseRefusesBodyBeforeItIsSent(t *testing.T) {
+	inbound := &proxy.Inbound{
+		Host:     fixedHost{"lookup-1", "lookup"},
+		Routes:   route.NewRouter(manifest.NewStore(), member.NewTable("lookup-1")),
+		Gate:     admit.NewFixedGate(),
+		Link:     link.NewGate(10),
+		Releases: leftRelease{},
+	}
+	r := &call.Request{Server: "lookup-1", Service: "lookup", Class: &target.Class{Name: "search"}}
+	body, err := inbound.AdmitBody(t.Context(), r, 60_000)
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Draining {
+		t.Errorf("got body %+v and %v, want not-run and draining", body, err)
+	}
+}
