Keep the other servers in service during a probe

Cause: with one server of the release and few requests, the share in the probe came to 1. A direction with that share makes the other servers refuse requests, for 4 s after the latest one. When the share then decreased, or the only server was lost, nothing took the requests.

Change: the share in a probe is at most 0.9.

Result: TestProbeOnOnlyServerLeavesOthersInService, which failed before, passes.

--- a/mesh/rollout/plan.go
+++ b/mesh/rollout/plan.go
@@ -29,6 +29,9 @@
 	maxCanaryShare = 0.05
 	initialShare   = 0.02
 	minCanaryTime  = time.Second
+	// maxProbeShare is the largest share in a probe. At 1 the other servers would refuse
+	// requests, and go on with it for reopenAfter when the share decreases.
+	maxProbeShare = 0.9
 	// A probe takes minProbeTime to maxProbeTime, and maxProbeTimeShare of the time limit at
 	// most. The least time holds the way of directions and counts and half a second of
 	// answers.
@@ -201,7 +204,7 @@
 	case probe:
 		servers, _ := s.probe()
 		share := s.affordable(s.beforeFull(), max(s.fullAt()-s.elapsed, minProbeTime), float64(servers)/float64(s.servers))
-		return min(share, s.carriedShare()), servers
+		return min(share, s.carriedShare(), maxProbeShare), servers
 	case full:
 		return 1, 0
 	}
