Do not deny calls by routes that lag behind the configuration

Cause: "no route" and "unauthorized" were final if the configuration was confirmed lately. The routes follow the configuration with some delay, so a route or key of the version just confirmed was denied meanwhile.

Change: such a call is refused as unconfigured, with a time to come back, while the routes are of an earlier version than the one in force.

Result: TestOutboundDoesNotDenyRouteWhileItsRoutesAreOutdated, which failed before, passes.

--- a/mesh/proxy/outbound.go
+++ b/mesh/proxy/outbound.go
@@ -31,8 +31,10 @@
 // it may lack a route. A daemon that reaches the source or a peer has a newer one.
 const outdatedAge = 1500 * time.Millisecond
 
-// Configs tells when the configuration was last confirmed to be the newest.
+// Configs tells which configuration is in force, and when it was last confirmed to be the
+// newest.
 type Configs interface {
+	Snapshot() *manifest.Snapshot
 	Confirmation() manifest.Confirmation
 }
 
@@ -94,8 +96,9 @@
 // room for it.
 func (p *Outbound) Refuse(r *call.Request, cause error) *call.Failure {
 	f := call.Refuse(call.Overloaded, cause)
-	if err := classify(p.Routes.Table(), r); err != nil {
-		f = p.checkOutdated(asFailure(err))
+	table := p.Routes.Table()
+	if err := classify(table, r); err != nil {
+		f = p.checkOutdated(asFailure(err), table)
 	}
 	f.RetryAfter = retry.RetryAfter(r, f)
 	p.Observer.ObserveCall(r, 0, f)
@@ -105,11 +108,11 @@
 func (p *Outbound) call(ctx context.Context, r *call.Request) (*call.Answer, error) {
 	table := p.Routes.Table()
 	if err := classify(table, r); err != nil {
-		return nil, p.checkOutdated(asFailure(err))
+		return nil, p.checkOutdated(asFailure(err), table)
 	}
 	if p.Accounts != nil {
 		if f := p.Accounts.Authorize(r, table); f != nil {
-			return nil, p.checkOutdated(f)
+			return nil, p.checkOutdated(f, table)
 		}
 	}
 	refund, f := p.admitAccount(r, table)
@@ -154,12 +157,14 @@
 
 // checkOutdated returns the failure of a call that could not be classified or authorized.
 // Whoever asks for a route, or presents a key, that a newer configuration may have is told
-// to come back, since "no route" and "unauthorized" would be final.
-func (p *Outbound) checkOutdated(f *call.Failure) *call.Failure {
+// to come back, since "no route" and "unauthorized" would be final. The table follows the
+// configuration in force with some delay.
+func (p *Outbound) checkOutdated(f *call.Failure, t *route.Table) *call.Failure {
 	if p.Configs == nil || (f.Reason != call.NoRoute && f.Reason != call.Unauthorized) {
 		return f
 	}
-	if c := p.Configs.Confirmation(); c.Number > 0 && time.Since(c.At) < outdatedAge {
+	c := p.Configs.Confirmation()
+	if c.Number > 0 && time.Since(c.At) < outdatedAge && t.Version() >= p.Configs.Snapshot().Version() {
 		return f
 	}
 	return call.Refuse(call.Unconfigured, errOutdated)
--- a/mesh/proxy/outbound_test.go
+++ b/mesh/proxy/outbound_test.go
@@ -141,6 +141,28 @@
 	}
 }
 
+// Guards against calls that are denied by routes that do not follow the configuration yet,
+// although the one that is confirmed has their route.
+func TestOutboundDoesNotDenyRouteWhileItsRoutesAreOutdated(t *testing.T) {
+	configs := manifest.NewStore()
+	outbound := newOutbound(t, 1, &silentForwarder{})
+	apply := func(version manifest.Version, service string) {
+		class := target.Class{Name: "search", Path: "/", Rank: 3, Success: 0.9, Latency: time.Second, Timeout: time.Second}
+		if _, err := configs.ApplyFull(version, []target.Service{{Name: service, Classes: []target.Class{class}}}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	apply(1, "old.example")
+	outbound.Configs, outbound.Routes = configs, route.NewRouter(configs, member.NewTable("entry"))
+	apply(2, "new.example")
+	configs.ConfirmFromSource(1, time.Now())
+	_, err := outbound.Call(t.Context(), &call.Request{Service: "new.example", Method: "GET", URI: "/"})
+	var f *call.Failure
+	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Unconfigured {
+		t.Errorf("got %v, want not-run and unconfigured", err)
+	}
+}
+
 func TestOutboundDeniesUnknownRouteWithoutConfirmations(t *testing.T) {
 	_, err := newOutbound(t, 1, &silentForwarder{}).Call(context.Background(), &call.Request{Service: "unknown", Method: "GET", URI: "/"})
 	var f *call.Failure
--- a/mesh/proxy/placement.go
+++ b/mesh/proxy/placement.go
@@ -126,13 +126,13 @@
 	// large for a copy.
 	r.Body = make([]byte, min(q.Bytes, hedge.MaxBodySize+1))
 	if err := classify(t, r); err != nil {
-		result.Refusal = e.Outbound.checkOutdated(asFailure(err))
+		result.Refusal = e.Outbound.checkOutdated(asFailure(err), t)
 		return result, nil
 	}
 	result.Class = r.Class
 	if e.Accounts != nil {
 		if f := e.Accounts.AuthorizeAs(r, t, q.Account); f != nil {
-			result.Refusal = e.Outbound.checkOutdated(f)
+			result.Refusal = e.Outbound.checkOutdated(f, t)
 			return result, nil
 		}
 		result.Account = t.Accounts().ByName(r.Account)
