--- a/mesh/rollout/follower.go
+++ b/mesh/rollout/follower.go
@@ -119,18 +119,21 @@
 	if list[marker].Share >= 1 {
 		f.confirmedAt.Store(int64(issued))
 	}
-	current := f.Current()
-	next := &Directions{byService: make(map[string]*Active, len(list)), follower: f}
-	for service, a := range current.byService {
-		next.byService[service] = a
+	if next := f.merge(list); next != nil {
+		f.directions.Store(next)
+		close(f.changed)
+		f.changed = make(chan struct{})
 	}
+	f.followOwnServer()
+}
+
+// merge returns the directions after a list, or nil if only the age of them changes.
+func (f *Follower) merge(list []Direction) *Directions {
+	next := &Directions{byService: maps.Clone(f.Current().byService), follower: f}
 	changed := false
 	for _, d := range list {
-		if d.Service == "" {
-			continue
-		}
 		held := next.byService[d.Service]
-		if held != nil && (!d.supersedes(&held.Direction) || held.outranks(&d)) {
+		if d.Service == "" || (held != nil && (!d.supersedes(&held.Direction) || held.outranks(&d))) {
 			continue
 		}
 		at := f.now() - d.Age
@@ -142,12 +145,10 @@
 		next.byService[d.Service] = f.activate(d, held, at)
 		changed = true
 	}
-	if changed {
-		f.directions.Store(next)
-		close(f.changed)
-		f.changed = make(chan struct{})
+	if !changed {
+		return nil
 	}
-	f.followOwnServer()
+	return next
 }
 
 func (f *Follower) activate(d Direction, held *Active, at time.Duration) *Active {
