--- a/adapters/collectgrpc/collect_test.go
+++ b/adapters/collectgrpc/collect_test.go
@@ -38,7 +38,8 @@
 	Directions: []rollout.Direction{{Service: "lookup", Release: "v2", Share: 0.05, State: rollout.Running,
 		Age: time.Second + time.Microsecond}}}
 
-// receiver answers all reports with sampleReply, whose ages are rounded up on the way, once blocked is closed, if it is not nil.
+// receiver answers all reports with sampleReply, whose ages are rounded up on the way. If
+// blocked is not nil, it answers once that is closed.
 type receiver struct {
 	reports chan *collect.Report
 	blocked chan struct{}
--- a/fescuehoistd/daemon/policy.go
+++ b/fescuehoistd/daemon/policy.go
@@ -89,8 +89,8 @@
 }
 
 // Reload applies the settings that can change while the daemon runs: the log level, the
-// retry limits and the share of hedged calls. It reports whether other settings differ from those in use,
-// which takes a restart to apply.
+// retry limits and the share of hedged calls. It reports whether other settings differ from
+// those in use, which takes a restart to apply.
 func (d *Daemon) Reload(s *settings.Settings) bool {
 	d.cfg.Log.SetLevel(s.LogLevel)
 	d.retry.Store(&s.Retry)
--- a/mesh/allowance/decide.go
+++ b/mesh/allowance/decide.go
@@ -63,7 +63,8 @@
 	room := min(bound, roomLeft(a.Rate/all*window.Seconds()/Slices, burst, (a.Burst+tolerance)*full, c, n))
 	l = Limit{Account: a.Name, Share: 1, Room: max(room, 0), Rate: a.Rate}
 	admitted := max(rate+room/horizon.Seconds(), room/shortHorizon.Seconds(), leastShare*rate)
-	// At least one request may come in a second, however few came before. Without this, daemons that are alone admit each of their few requests.
+	// At least one request may come in a second, however few came before. Without this,
+	// daemons that are alone admit each of their few requests.
 	offered := max(n.Offered, 1)
 	if offered > admitted {
 		l.Share = admitted / offered
--- a/mesh/rollout/judge.go
+++ b/mesh/rollout/judge.go
@@ -8,8 +8,8 @@
 const (
 	// badChance is the chance, if the release were as good as the others, below which its
 	// failures count as its own, and oneServerChance the same for failures of one of several
-	// servers, which may have a fault of its own; doubtfulChance is that below which the rollout does not go
-	// on, and slightChance that below which it is not completed early.
+	// servers, which may have a fault of its own; doubtfulChance is that below which the
+	// rollout does not go on, and slightChance that below which it is not completed early.
 	badChance       = 1e-4
 	oneServerChance = 1e-6
 	doubtfulChance  = 2e-3
