Do not count calls of an earlier order under a later one

Cause: a call was counted under the order at its end. A release that was ordered again was judged by calls that it had failed under the order before.

Change: a call is counted only under the order under which it started. The fleet of the tests passes the order as the daemon does.

Result: TestCallsOfEarlierOrderAreNotCounted, which failed before, passes.

--- a/mesh/rollout/counter.go
+++ b/mesh/rollout/counter.go
@@ -170,16 +170,17 @@
 	own, _ := h.Follower.own()
 	start := h.Follower.now()
 	answer, err := h.Handler.Call(ctx, r)
-	h.Follower.count(own.Release, r.ClassName, resultOf(answer, err), start)
+	h.Follower.count(a.Order, own.Release, r.ClassName, resultOf(answer, err), start)
 	return answer, err
 }
 
-// count counts a call that started at a time of the clock and ends now.
-func (f *Follower) count(release, class string, r result, start time.Duration) {
+// count counts a call that started at a time of the clock, under an order, and ends now. One
+// that ends under a later order tells nothing about that.
+func (f *Follower) count(order uint64, release, class string, r result, start time.Duration) {
 	f.mu.Lock()
 	c := f.counter
 	f.mu.Unlock()
-	if c == nil {
+	if c == nil || c.order != order {
 		return
 	}
 	now := f.now()
--- a/mesh/rollout/fleet_test.go
+++ b/mesh/rollout/fleet_test.go
@@ -316,7 +316,9 @@
 	if fails {
 		r = failed
 	}
-	to.count(release, class, r, f.now()-elapsed)
+	if a := to.Current().Of("lookup"); a != nil {
+		to.count(a.Order, release, class, r, f.now()-elapsed)
+	}
 	if release != "v2" {
 		return
 	}
