Refuse calls where no valid client accounts are known

Cause: a daemon that starts while the newest version has accounts that are not valid, such as a key of two accounts, has no earlier ones to keep. Its directory was empty, which means that calls need no key, so it ran all of them. Where only some accounts were not valid, their keys were denied for good.

Change: the directory of such a version is marked as incomplete. Calls that need a key and have none that it knows are refused as unconfigured, not run. Accounts that were in force stay as before.

--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -13,6 +13,7 @@
 var (
 	errMissingKey = errors.New("expected the key of a client account, found none")
 	errUnknownKey = errors.New("no client account holds the key")
+	errIncomplete = errors.New("the configuration has client accounts that are not valid, and no earlier ones are known")
 	errUnverified = errors.New("the configuration may be older than the time within which revoked keys must be refused")
 )
 
@@ -44,7 +45,7 @@
 		return nil
 	}
 	if !presented {
-		return call.Refuse(call.Unauthorized, errMissingKey)
+		return deny(t.Accounts(), errMissingKey)
 	}
 	return c.assign(r, t.Accounts(), t.Accounts().ByKey(key))
 }
@@ -56,14 +57,23 @@
 		return nil
 	}
 	if name == "" {
-		return call.Refuse(call.Unauthorized, errMissingKey)
+		return deny(t.Accounts(), errMissingKey)
 	}
 	return c.assign(r, t.Accounts(), t.Accounts().ByName(name))
 }
 
+// deny returns the failure of a call without the key of an account in the directory. It is
+// not final if another daemon may know the account.
+func deny(directory *target.Accounts, cause error) *call.Failure {
+	if directory.Incomplete() {
+		return call.Refuse(call.Unconfigured, errIncomplete)
+	}
+	return call.Refuse(call.Unauthorized, cause)
+}
+
 // needsKey reports whether a classified call needs the key of an account.
 func needsKey(r *call.Request, t *route.Table) bool {
-	return t.Accounts().Len() > 0 && !r.Class.Public
+	return t.Accounts().Required() && !r.Class.Public
 }
 
 // assign sets the account of a call, which is nil if none in the directory holds its key.
@@ -72,7 +82,7 @@
 		return call.Refuse(call.Unconfigured, errUnverified)
 	}
 	if account == nil {
-		return call.Refuse(call.Unauthorized, errUnknownKey)
+		return deny(directory, errUnknownKey)
 	}
 	r.Account, r.Client = account.Name, account.Name
 	if account.Rank > 0 {
--- a/mesh/account/checker_test.go
+++ b/mesh/account/checker_test.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// Guards against a daemon that starts with a version whose accounts are not valid, and serves
+// all calls without a key as it knows no account, or denies keys that others accept.
+func TestCheckerWithoutValidAccountsRefusesCalls(t *testing.T) {
+	key := []target.KeyDigest{target.DigestKey([]byte("valid"))}
+	for name, accounts := range map[string][]target.Account{
+		"key of two accounts": {{Name: "one", Keys: key}, {Name: "two", Keys: key}},
+		"negative rate":       {{Name: "one", Keys: key, Rate: -1}},
+	} {
+		store := manifest.NewStore()
+		store.ApplyByService()
+		class := target.Class{Name: "search", Path: "/", Rank: 3, Success: 0.9, Latency: time.Second, Timeout: time.Second}
+		if _, err := store.ApplyFull(1, []target.Service{{Name: "a.example", Classes: []target.Class{class}}}, accounts); err != nil {
+			t.Fatal(err)
+		}
+		table := route.NewRouter(store, member.NewTable("self")).Table()
+		checker := &account.Checker{Configs: store}
+		for _, key := range []string{"", "valid"} {
+			if f := checker.Authorize(newCall(key, false), table); f == nil || f.Reason != call.Unconfigured {
+				t.Errorf("%s: key %q: failure %v, want reason %q", name, key, f, call.Unconfigured)
+			}
+		}
+		if f := checker.Authorize(newCall("", true), table); f != nil {
+			t.Errorf("%s: public class: failure %v, want none", name, f)
+		}
+	}
+}
+
 func BenchmarkAuthorizeAmongThousandAccounts(b *testing.B) {
 	accounts := make([]target.Account, 1000)
 	for i := range accounts {
--- a/mesh/manifest/snapshot.go
+++ b/mesh/manifest/snapshot.go
@@ -109,9 +109,12 @@
 
 // buildAccounts builds the directory of the accounts, or takes that of the earlier snapshot
 // if no group has changed. If the groups contradict each other, all accounts stay as they
-// were.
+// were. Where there are none to stay, the directory is incomplete.
 func (s *Snapshot) buildAccounts(earlier *Snapshot) []target.Problem {
-	if earlier != nil && maps.Equal(s.groups, earlier.groups) {
+	hasEarlier := earlier != nil && earlier.version > 0
+	wasComplete := hasEarlier && !earlier.accounts.Incomplete()
+	incomplete := !wasComplete && s.refusesAccounts()
+	if wasComplete && maps.Equal(s.groups, earlier.groups) {
 		s.accounts = earlier.accounts
 		return nil
 	}
@@ -120,10 +123,26 @@
 		groups = append(groups, c.body.Accounts)
 	}
 	accounts, problems := target.NewAccounts(groups)
-	if len(problems) > 0 && earlier != nil {
+	switch {
+	case len(problems) > 0 && hasEarlier:
 		s.groups, s.accounts = earlier.groups, earlier.accounts
-		return problems
+	case len(problems) > 0:
+		none, _ := target.NewAccounts(nil)
+		s.groups, s.accounts = map[string]*content{}, none.AsIncomplete()
+	case incomplete:
+		s.accounts = accounts.AsIncomplete()
+	default:
+		s.accounts = accounts
 	}
-	s.accounts = accounts
 	return problems
 }
+
+// refusesAccounts reports whether the version has an account group without valid content.
+func (s *Snapshot) refusesAccounts() bool {
+	for name := range s.refused {
+		if target.IsAccountGroup(name) {
+			return true
+		}
+	}
+	return false
+}
--- a/mesh/target/account.go
+++ b/mesh/target/account.go
@@ -139,8 +139,24 @@
 	byName map[string]*Account
 	// limited is the number of accounts with an allowance.
 	limited int
+	// incomplete means that the version has more accounts.
+	incomplete bool
 }
 
+// AsIncomplete returns the directory for a version that has more accounts, of which the
+// daemon has no valid ones.
+func (d *Accounts) AsIncomplete() *Accounts {
+	c := *d
+	c.incomplete = true
+	return &c
+}
+
+// Incomplete reports whether the version has accounts that the directory lacks.
+func (d *Accounts) Incomplete() bool { return d != nil && d.incomplete }
+
+// Required reports whether calls need the key of an account.
+func (d *Accounts) Required() bool { return d.Len() > 0 || d.Incomplete() }
+
 // NewAccounts returns the directory of groups, or problems if a name or key belongs to
 // two accounts.
 func NewAccounts(groups []*AccountGroup) (*Accounts, []Problem) {
@@ -195,7 +211,7 @@
 	return d.byName[name]
 }
 
-// Len returns the number of accounts. With none, calls need no key.
+// Len returns the number of accounts.
 func (d *Accounts) Len() int {
 	if d == nil {
 		return 0
