--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
-	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/target"
 )
@@ -14,6 +13,7 @@
 var (
 	errMissingKey = errors.New("expected the key of a client account, found none")
 	errUnknownKey = errors.New("no client account holds the key")
+	errIncomplete = errors.New("the configuration has client accounts that are not valid, and no earlier ones are known")
 	errUnverified = errors.New("the configuration may be older than the time within which revoked keys must be refused")
 )
 
@@ -21,9 +21,9 @@
 // clocks that differ in speed.
 const revokeMargin = 50 * time.Millisecond
 
-// Verifications tells when the configuration was last known to be the newest.
+// Verifications tells when a directory of accounts was last known to be the newest.
 type Verifications interface {
-	VerificationAge() (manifest.Version, time.Duration, bool)
+	AccountsAge(*target.Accounts) (time.Duration, bool)
 }
 
 // Checker authorizes calls by the API keys that callers present.
@@ -45,9 +45,9 @@
 		return nil
 	}
 	if !presented {
-		return call.Refuse(call.Unauthorized, errMissingKey)
+		return deny(t.Accounts(), errMissingKey)
 	}
-	return c.assign(r, t.Accounts().ByKey(key))
+	return c.assign(r, t.Accounts(), t.Accounts().ByKey(key))
 }
 
 // AuthorizeAs decides as Authorize does about a call whose caller presents a key of the
@@ -57,23 +57,32 @@
 		return nil
 	}
 	if name == "" {
-		return call.Refuse(call.Unauthorized, errMissingKey)
+		return deny(t.Accounts(), errMissingKey)
 	}
-	return c.assign(r, t.Accounts().ByName(name))
+	return c.assign(r, t.Accounts(), t.Accounts().ByName(name))
+}
+
+// deny returns the failure of a call without the key of an account in the directory. It is
+// not final if another daemon may know the account.
+func deny(directory *target.Accounts, cause error) *call.Failure {
+	if directory.Incomplete() {
+		return call.Refuse(call.Unconfigured, errIncomplete)
+	}
+	return call.Refuse(call.Unauthorized, cause)
 }
 
 // needsKey reports whether a classified call needs the key of an account.
 func needsKey(r *call.Request, t *route.Table) bool {
-	return t.Accounts().Len() > 0 && !r.Class.Public
+	return t.Accounts().Required() && !r.Class.Public
 }
 
-// assign sets the account of a call, which is nil if none holds its key.
-func (c *Checker) assign(r *call.Request, account *target.Account) *call.Failure {
-	if !c.verified() {
+// assign sets the account of a call, which is nil if none in the directory holds its key.
+func (c *Checker) assign(r *call.Request, directory *target.Accounts, account *target.Account) *call.Failure {
+	if !c.verified(directory) {
 		return call.Refuse(call.Unconfigured, errUnverified)
 	}
 	if account == nil {
-		return call.Refuse(call.Unauthorized, errUnknownKey)
+		return deny(directory, errUnknownKey)
 	}
 	r.Account, r.Client = account.Name, account.Name
 	if account.Rank > 0 {
@@ -84,13 +93,14 @@
 	return nil
 }
 
-// verified reports whether the configuration cannot lack the revocation of a key that must
-// be refused by now. The time that passes between the check and the use of the key does not
+// verified reports whether a directory cannot lack the revocation of a key that must be
+// refused by now. It need not be the newest one, since the routing table follows the
+// configuration with some delay. The time that passes between the check and the use of the key does not
 // matter: what counts is when the caller sent the request.
-func (c *Checker) verified() bool {
+func (c *Checker) verified(directory *target.Accounts) bool {
 	if c.RevokeWithin == 0 {
 		return true
 	}
-	_, age, known := c.Configs.VerificationAge()
+	age, known := c.Configs.AccountsAge(directory)
 	return known && age < c.RevokeWithin-revokeMargin
 }
