Let the soak play API keys and an allowance that is lowered

Cause: the soak sent requests without keys, so revocation and allowances were checked only by tests without faults between real processes.

Clients present keys in force, revoked ones, one that was never held, or none, and forge the account's name. Keys are replaced every 1.5 s on average and the allowance of one account is lowered, with a random sequence apart from that of the faults, so the faults of a seed stay the same. The checker compares executions with the keys and allowances that versions held. Routes that versions add are public, as they show which version is active.

--- a/soak/host/host.go
+++ b/soak/host/host.go
@@ -60,8 +60,10 @@
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// RetryBurst is the burst of the retry budget, which all daemons share.
-	RetryBurst  int
-	OnExecution func(platformtest.Execution)
+	RetryBurst int
+	// RevokeWithin is the time within which revoked keys must be refused.
+	RevokeWithin time.Duration
+	OnExecution  func(platformtest.Execution)
 	// OnUnexpectedExit is called when the daemon exits without being asked to.
 	OnUnexpectedExit func(name string)
 }
@@ -92,7 +94,7 @@
 	}
 	h.startBackend()
 	var err error
-	if h.settingsFile, err = h.writeSettings(o.Dir, o.RetryBurst); err != nil {
+	if h.settingsFile, err = h.writeSettings(&o); err != nil {
 		return nil, err
 	}
 	h.log, err = os.OpenFile(filepath.Join(o.Dir, h.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
--- a/soak/host/settings.go
+++ b/soak/host/settings.go
@@ -40,15 +40,18 @@
 share = 0.1
 burst = %[14]d
 
+[accounts]
+revoke_within = "%[15]s"
+
 [tls]
 daemons = "plain"
 callers = "plain"
 platform = "plain"
 `
 
-func (h *Host) writeSettings(dir string, burst int) (string, error) {
-	file := filepath.Join(dir, h.Name+".toml")
+func (h *Host) writeSettings(o *Options) (string, error) {
+	file := filepath.Join(o.Dir, h.Name+".toml")
 	text := fmt.Sprintf(settingsTemplate, h.Name, h.Domain, h.Service, h.CallerAddress, h.callAddress, h.peerAddress, h.adminAddress, h.announceAddress, h.readyAddress,
-		h.CallProxy.Address(), h.PeerProxy.Address(), h.StoreProxy.Address(), h.ServerProxy.Address(), burst)
+		h.CallProxy.Address(), h.PeerProxy.Address(), h.StoreProxy.Address(), h.ServerProxy.Address(), o.RetryBurst, o.RevokeWithin)
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/soak/invariant/checker.go
+++ b/soak/invariant/checker.go
@@ -50,6 +50,10 @@
 	Services []string
 	// Origin is the service of the host at which the request entered the mesh.
 	Origin string
+	// Key is the API key that the client presented, empty for none. Public
+	// requests need none.
+	Key    string
+	Public bool
 	SentAt time.Time
 }
 
@@ -82,11 +86,16 @@
 	violations  []string
 	// departures holds the time at which each instance's departure was confirmed.
 	departures map[string]time.Time
+	keys       map[string]heldKey
+	// limits holds the allowances of each account in the order of their
+	// acceptance.
+	limits map[string][]limit
 }
 
 // NewChecker returns a checker without records.
 func NewChecker() *Checker {
-	return &Checker{requests: map[string]*requestRecord{}, departures: map[string]time.Time{}}
+	return &Checker{requests: map[string]*requestRecord{}, departures: map[string]time.Time{},
+		keys: map[string]heldKey{}, limits: map[string][]limit{}}
 }
 
 // RecordRequest records a request. Call it before the first byte is sent.
@@ -167,6 +176,9 @@
 			found = append(found, fmt.Sprintf("%s (request %s, sent to %s)", text, id, rec.request.URI))
 		}
 		for _, execution := range rec.executions {
+			for _, text := range c.checkAccount(&rec.request, &execution) {
+				found = append(found, fmt.Sprintf("%s (request %s, at %s)", text, id, execution.Instance))
+			}
 			if departedAt := c.departures[execution.Instance]; !departedAt.IsZero() && execution.At.Sub(departedAt) > DrainLimit && !excused(execution) {
 				found = append(found, fmt.Sprintf("drain: %s executed %s %s after its departure was confirmed", execution.Instance, id, execution.At.Sub(departedAt)))
 			}
--- a/soak/invariant/checker_test.go
+++ b/soak/invariant/checker_test.go
@@ -10,11 +10,11 @@
 )
 
 func submission() Request {
-	return Request{ID: "a", Method: "POST", URI: "/submit/a", Body: 5, Services: []string{"lookup"}, Origin: "archive", SentAt: time.Now()}
+	return Request{ID: "a", Method: "POST", URI: "/submit/a", Body: 5, Services: []string{"lookup"}, Origin: "archive", Key: "key-a", SentAt: time.Now()}
 }
 
 func executionOf(r Request) platformtest.Execution {
-	return platformtest.Execution{ID: r.ID, Method: r.Method, URI: r.URI, Body: r.Body, Service: "lookup", Instance: "i-1", Origin: r.Origin, At: time.Now()}
+	return platformtest.Execution{ID: r.ID, Method: r.Method, URI: r.URI, Body: r.Body, Service: "lookup", Instance: "i-1", Origin: r.Origin, Account: "account-a", At: time.Now()}
 }
 
 func TestCheckerReportsKindOfViolation(t *testing.T) {
@@ -80,6 +80,37 @@
 				checker.RecordExecution(execution)
 			}
 		}, []string{"budget"}},
+		"key passed on to a backend server": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			execution.Key = r.Key
+			checker.RecordExecution(execution)
+		}, []string{"key"}},
+		"executed without a key": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			r.Key = ""
+			checker.RecordRequest(r)
+			checker.RecordExecution(execution)
+		}, []string{"key"}},
+		"executed with a key that was never held": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			r.Key = "key-b"
+			checker.RecordRequest(r)
+			checker.RecordExecution(execution)
+		}, []string{"key"}},
+		"executed for another account": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			execution.Account = "account-b"
+			checker.RecordExecution(execution)
+		}, []string{"account"}},
+		"public request with a forged account": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			r.Public = true
+			checker.RecordRequest(r)
+			checker.RecordExecution(execution)
+		}, []string{"account"}},
+		"sent too long after the revocation": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			checker.RecordRevocation(r.Key, r.SentAt.Add(-RevokeLimit-time.Millisecond))
+			checker.RecordExecution(execution)
+		}, []string{"revoked"}},
+		"sent soon after the revocation": {func(checker *Checker, r Request, execution platformtest.Execution) {
+			checker.RecordRevocation(r.Key, r.SentAt.Add(-RevokeLimit))
+			checker.RecordExecution(execution)
+		}, nil},
 		"violation found by the caller": {func(checker *Checker, r Request, execution platformtest.Execution) {
 			checker.RecordViolation("config: version rolled back")
 		}, []string{"config"}},
@@ -87,6 +118,7 @@
 		t.Run(name, func(t *testing.T) {
 			checker, r := NewChecker(), submission()
 			checker.RecordRequest(r)
+			checker.RecordKey("key-a", "account-a", r.SentAt.Add(-time.Minute))
 			c.record(checker, r, executionOf(r))
 			got := Kinds(checker.Violations(func(platformtest.Execution) bool { return false }))
 			if diff := cmp.Diff(c.want, got); diff != "" {
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -42,6 +42,12 @@
 	ChangeStorm   Kind = "change-storm"
 )
 
+// Kinds of changes of client accounts.
+const (
+	ReplaceKey     Kind = "replace-key"
+	LowerAllowance Kind = "lower-allowance"
+)
+
 var kinds = []Kind{
 	Kill, Terminate, Pause, Reload, DelayPeers, CutTo, CutFrom, CutBoth, SilencePeers, ResetPeers, CutStore,
 	SlowBackend, FailBackend, RefuseBackend, CrashBackend, DrainBackend, ResetBackend, HerdKill, Roll,
@@ -79,6 +85,12 @@
 	maxEventLength = 4 * time.Second
 	// minHerdShare is the smallest share of the hosts that a herd kill affects.
 	minHerdShare = 0.5
+	// meanKeyGap is the mean time between two replacements of an API key. Most
+	// runs then hold several keys revoked longer ago than the bound of 5 s.
+	meanKeyGap = 1500 * time.Millisecond
+	// maxLowerTime is the latest time at which the allowance is lowered. It is
+	// early because the lower one is binding only 10 s later.
+	maxLowerTime = 2 * time.Second
 )
 
 // Generate returns the events of a schedule, ordered by time. Bursts begin early
@@ -102,10 +114,22 @@
 			events = append(events, e)
 		}
 	}
+	events = append(events, accountChanges(seed, hosts, length)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
 
+// accountChanges returns the changes of client accounts. They have a random
+// sequence of their own, so that the faults of a seed do not depend on them.
+func accountChanges(seed uint64, hosts int, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, ^uint64(hosts)))
+	events := []Event{{At: leadTime + time.Duration(rng.Float64()*float64(maxLowerTime-leadTime)), Kind: LowerAllowance, Hosts: pickHosts(rng, LowerAllowance, hosts)}}
+	for at := leadTime; at < length-maxEventLength; at += time.Duration(rng.ExpFloat64() * float64(meanKeyGap)) {
+		events = append(events, Event{At: at, Kind: ReplaceKey, Hosts: pickHosts(rng, ReplaceKey, hosts)})
+	}
+	return events
+}
+
 // pickHosts picks the random hosts that an event of kind k affects.
 func pickHosts(rng *rand.Rand, k Kind, hosts int) []int {
 	shuffled := rng.Perm(hosts)
--- a/soak/runner/client.go
+++ b/soak/runner/client.go
@@ -97,8 +97,9 @@
 	default:
 		p.probedVersion = c.runner.operator.newestVersion()
 		r.Method, r.URI, r.Idempotent = http.MethodGet, versionPrefix(p.probedVersion)+id, true
-		r.Services = []string{lookup, archive}
+		r.Services, r.Public = []string{lookup, archive}, true
 	}
+	r.Key = c.runner.operator.pickKey(c.rng)
 	p.Request = r
 	return p
 }
@@ -136,11 +137,15 @@
 }
 
 // encodeRequest encodes a request for the wire. It carries a forged caller
-// service, which daemons must replace by the real one.
+// service and account, which daemons must replace by the real ones.
 func encodeRequest(p *pendingRequest) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n", p.Method, p.URI, virtualHost,
-		platformtest.HeaderRequestID, p.ID, platformtest.HeaderDeadline, requestTimeout.Milliseconds(), platformtest.HeaderCallerService)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n%s: %s\r\n", p.Method, p.URI, virtualHost,
+		platformtest.HeaderRequestID, p.ID, platformtest.HeaderDeadline, requestTimeout.Milliseconds(), platformtest.HeaderCallerService,
+		platformtest.HeaderAccount, unknownAccount)
+	if p.Key != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", platformtest.HeaderAPIKey, p.Key)
+	}
 	if p.Method == http.MethodPost {
 		b.WriteString("Content-Length: " + strconv.Itoa(p.Body) + "\r\n")
 	}
@@ -170,7 +175,9 @@
 	if p.probedVersion > 0 {
 		c.checkProbe(p, resp.StatusCode)
 	}
-	if p.probedVersion == 0 || !platformtest.StatusMeansDenied(resp.StatusCode) {
+	excused := p.probedVersion > 0 && platformtest.StatusMeansDenied(resp.StatusCode) ||
+		resp.StatusCode == http.StatusUnauthorized && !p.Public && c.runner.operator.mayBeUnauthorized(p.Request)
+	if !excused {
 		c.runner.checker.RecordResponse(p.ID, invariant.Response{Status: resp.StatusCode, Sealed: sealed, Body: string(body)})
 	}
 	if id := resp.Header.Get(platformtest.HeaderRequestID); id != "" && id != p.ID {
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -63,6 +63,10 @@
 		for until := time.Now().Add(e.Length); time.Now().Before(until) && ctx.Err() == nil; _ = wait.For(ctx, stormGap) {
 			r.operator.writeVersion()
 		}
+	case plan.ReplaceKey:
+		r.operator.replaceKey()
+	case plan.LowerAllowance:
+		r.operator.lowerAllowance()
 	case plan.Roll:
 		for _, i := range e.Hosts {
 			r.restartHost(r.hosts[i])
--- a/soak/runner/runner.go
+++ b/soak/runner/runner.go
@@ -70,7 +70,7 @@
 	r := &Runner{Options: o, store: platformtest.NewStore(), checker: invariant.NewChecker(),
 		observed: versionLog{first: map[string]map[uint64]time.Time{}}}
 	defer r.store.Close()
-	r.operator = &operator{store: r.store}
+	r.operator = newOperator(r.store, r.checker)
 	defer func() {
 		for _, h := range r.hosts {
 			h.Close()
@@ -83,7 +83,17 @@
 		return nil, err
 	}
 	requests, served := r.checker.Counts()
-	return &Result{Seed: o.Seed, Requests: requests, Served: served, Violations: r.checker.Violations(r.lateExecutionExcused)}, nil
+	return &Result{Seed: o.Seed, Requests: requests, Served: served, Violations: r.violations()}, nil
+}
+
+// violations returns the violated invariants, those with a time limit only if
+// these are checked.
+func (r *Runner) violations() []string {
+	found := r.checker.Violations(r.lateExecutionExcused)
+	if r.CheckTimeLimits {
+		found = append(found, r.checker.AllowanceViolations()...)
+	}
+	return found
 }
 
 // createHosts creates the hosts and the log of events. Of each five hosts, three
@@ -96,7 +106,8 @@
 		}
 		h, err := host.New(host.Options{
 			Name: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%3), Service: service,
-			Daemon: r.Daemon, Dir: r.Dir, StoreAddress: r.store.Address(), RetryBurst: invariant.BudgetBurst, OnExecution: r.checker.RecordExecution,
+			Daemon: r.Daemon, Dir: r.Dir, StoreAddress: r.store.Address(), RetryBurst: invariant.BudgetBurst, RevokeWithin: invariant.RevokeLimit,
+			OnExecution: r.checker.RecordExecution,
 			OnUnexpectedExit: func(name string) {
 				r.checker.RecordViolation("ended: the daemon of %s exited without being asked to", name)
 			},
