Let the soak play rollouts of a good and of a bad release

Cause: no test with faults between real processes checked what runs after a rollout is completed or rolled back.

Change: six in ten of the runs of at least 18 s have one rollout. Every other host then runs the new release, which fails all requests in half of these runs. The checker compares executions with the final state that the store has.

--- a/soak/cmd/soak/main.go
+++ b/soak/cmd/soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -82,7 +83,7 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d hosts %d: %d requests, %d served, broken: %v\n", seed, args.Hosts, result.Requests, result.Served, invariant.Kinds(result.Violations))
+	fmt.Printf("seed %d hosts %d: %d requests, %d served, rollout: %s, broken: %v\n", seed, args.Hosts, result.Requests, result.Served, cmp.Or(result.Rollout, "none"), invariant.Kinds(result.Violations))
 	if len(result.Violations) == 0 {
 		return false, os.RemoveAll(dir)
 	}
--- a/soak/host/backend.go
+++ b/soak/host/backend.go
@@ -27,6 +27,8 @@
 	b.AdvertisedAddress = h.ServerProxy.Address()
 	b.OnExecution = h.onExecution
 	b.SetServiceTime(ServiceTime)
+	b.SetVersion(h.Release)
+	b.SetFail(h.broken)
 	h.ServerProxy.SetTarget(b.Address())
 	h.backend, h.backendState = b, stateReady
 }
@@ -46,6 +48,14 @@
 	h.startBackend()
 }
 
+// BreakBackend makes the backend server and its later instances fail all requests.
+func (h *Host) BreakBackend() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.broken = true
+	h.backend.SetFail(true)
+}
+
 // DrainBackend announces that the backend server is draining, lets it serve for
 // drainTime, withdraws and stops it, and starts a new instance.
 func (h *Host) DrainBackend(ctx context.Context, drainTime time.Duration) {
--- a/soak/host/host.go
+++ b/soak/host/host.go
@@ -20,6 +20,8 @@
 // Host is one daemon with its backend server.
 type Host struct {
 	Name, Domain, Service string
+	// Release is the version of the backend server's software.
+	Release string
 	// CallerAddress is the address at which the daemon accepts requests of
 	// clients.
 	CallerAddress string
@@ -38,7 +40,9 @@
 	backend       *platformtest.Backend
 	backendState  string
 	backendStarts int
-	process       *exec.Cmd
+	// broken says that the backend server's software fails all requests.
+	broken  bool
+	process *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
 	starts int
@@ -63,7 +67,12 @@
 	RetryBurst int
 	// RevokeWithin is the time within which revoked keys must be refused.
 	RevokeWithin time.Duration
-	OnExecution  func(platformtest.Execution)
+	// Release is the version of the backend server's software. Rollouts enables
+	// orders of other releases, RollbackWithin is the limit of their rollback.
+	Release        string
+	Rollouts       bool
+	RollbackWithin time.Duration
+	OnExecution    func(platformtest.Execution)
 	// OnUnexpectedExit is called when the daemon exits without being asked to.
 	OnUnexpectedExit func(name string)
 }
@@ -71,7 +80,7 @@
 // New returns a host with a running backend server and running proxies. Start
 // starts its daemon.
 func New(o Options) (*Host, error) {
-	h := &Host{Name: o.Name, Domain: o.Domain, Service: o.Service, executable: o.Daemon, onExecution: o.OnExecution, onUnexpectedExit: o.OnUnexpectedExit}
+	h := &Host{Name: o.Name, Domain: o.Domain, Service: o.Service, Release: o.Release, executable: o.Daemon, onExecution: o.OnExecution, onUnexpectedExit: o.OnUnexpectedExit}
 	if err := ports.claim(); err != nil {
 		return nil, err
 	}
--- a/soak/host/settings.go
+++ b/soak/host/settings.go
@@ -49,9 +49,18 @@
 platform = "plain"
 `
 
+const rolloutsTemplate = `
+[rollouts]
+exposure_share = 0.1
+rollback_within = "%s"
+`
+
 func (h *Host) writeSettings(o *Options) (string, error) {
 	file := filepath.Join(o.Dir, h.Name+".toml")
 	text := fmt.Sprintf(settingsTemplate, h.Name, h.Domain, h.Service, h.CallerAddress, h.callAddress, h.peerAddress, h.adminAddress, h.announceAddress, h.readyAddress,
 		h.CallProxy.Address(), h.PeerProxy.Address(), h.StoreProxy.Address(), h.ServerProxy.Address(), o.RetryBurst, o.RevokeWithin)
+	if o.Rollouts {
+		text += fmt.Sprintf(rolloutsTemplate, o.RollbackWithin)
+	}
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -42,10 +42,12 @@
 	ChangeStorm   Kind = "change-storm"
 )
 
-// Kinds of changes of client accounts.
+// Kinds of planned operations that have their own random sequence.
 const (
 	ReplaceKey     Kind = "replace-key"
 	LowerAllowance Kind = "lower-allowance"
+	Rollout        Kind = "rollout"
+	BadRollout     Kind = "bad-rollout"
 )
 
 var kinds = []Kind{
@@ -91,6 +93,13 @@
 	// maxLowerTime is the latest time at which the allowance is lowered. It is
 	// early because the lower one is binding only 10 s later.
 	maxLowerTime = 2 * time.Second
+	// rolloutShare is the share of the runs of at least minRolloutLength that have
+	// a rollout, which is ordered at rolloutAt with rolloutLimit as its time
+	// limit. Half of them are of a bad release.
+	rolloutShare     = 0.6
+	minRolloutLength = 18 * time.Second
+	rolloutAt        = 3 * time.Second
+	rolloutLimit     = 9 * time.Second
 )
 
 // Generate returns the events of a schedule, ordered by time. Bursts begin early
@@ -114,19 +123,23 @@
 			events = append(events, e)
 		}
 	}
-	events = append(events, accountChanges(seed, hosts, length)...)
+	events = append(events, operations(seed, hosts, length)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
 
-// accountChanges returns the changes of client accounts. They have a random
-// sequence of their own, so that the faults of a seed do not depend on them.
-func accountChanges(seed uint64, hosts int, length time.Duration) []Event {
+// operations returns the changes of client accounts and the rollout, if the run
+// has one. They have a random sequence of their own, so that the faults of a seed do not depend on them.
+func operations(seed uint64, hosts int, length time.Duration) []Event {
 	rng := rand.New(rand.NewPCG(seed, ^uint64(hosts)))
 	events := []Event{{At: leadTime + time.Duration(rng.Float64()*float64(maxLowerTime-leadTime)), Kind: LowerAllowance, Hosts: pickHosts(rng, LowerAllowance, hosts)}}
 	for at := leadTime; at < length-maxEventLength; at += time.Duration(rng.ExpFloat64() * float64(meanKeyGap)) {
 		events = append(events, Event{At: at, Kind: ReplaceKey, Hosts: pickHosts(rng, ReplaceKey, hosts)})
 	}
+	if length >= minRolloutLength && rng.Float64() < rolloutShare {
+		kind := []Kind{Rollout, BadRollout}[rng.IntN(2)]
+		events = append(events, Event{At: rolloutAt, Kind: kind, Hosts: pickHosts(rng, kind, hosts), Length: rolloutLimit})
+	}
 	return events
 }
 
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -67,6 +67,8 @@
 		r.operator.replaceKey()
 	case plan.LowerAllowance:
 		r.operator.lowerAllowance()
+	case plan.Rollout, plan.BadRollout:
+		r.playRollout(ctx, e.Length, e.Kind == plan.BadRollout)
 	case plan.Roll:
 		for _, i := range e.Hosts {
 			r.restartHost(r.hosts[i])
--- a/soak/runner/runner.go
+++ b/soak/runner/runner.go
@@ -42,7 +42,10 @@
 type Result struct {
 	Seed             uint64
 	Requests, Served int
-	Violations       []string
+	// Rollout is the final state of the run's rollout, empty if there was none or
+	// if it was not reached in time.
+	Rollout    string
+	Violations []string
 }
 
 // Runner runs one fleet under faults.
@@ -53,8 +56,11 @@
 	checker  *invariant.Checker
 	hosts    []*host.Host
 	observed versionLog
+	events   []plan.Event
 
 	mu sync.Mutex
+	// outcome is the final state of the rollout, if it was reached.
+	outcome invariant.Outcome
 	// storeUndisturbedFrom is when the effects of the last fault of the store
 	// end.
 	storeUndisturbedFrom time.Time
@@ -67,7 +73,7 @@
 // Run carries out one run. An error means that the harness failed; violated
 // invariants are part of the result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	r := &Runner{Options: o, store: platformtest.NewStore(), checker: invariant.NewChecker(),
+	r := &Runner{Options: o, events: plan.Generate(o.Seed, o.Hosts, o.Length), store: platformtest.NewStore(), checker: invariant.NewChecker(),
 		observed: versionLog{first: map[string]map[uint64]time.Time{}}}
 	defer r.store.Close()
 	r.operator = newOperator(r.store, r.checker)
@@ -83,13 +89,14 @@
 		return nil, err
 	}
 	requests, served := r.checker.Counts()
-	return &Result{Seed: o.Seed, Requests: requests, Served: served, Violations: r.violations()}, nil
+	return &Result{Seed: o.Seed, Requests: requests, Served: served, Rollout: r.outcome.State, Violations: r.violations()}, nil
 }
 
 // violations returns the violated invariants, those with a time limit only if
 // these are checked.
 func (r *Runner) violations() []string {
 	found := r.checker.Violations(r.lateExecutionExcused)
+	found = append(found, r.checker.RolloutViolations(r.outcome, r.releaseOf)...)
 	if r.CheckTimeLimits {
 		found = append(found, r.checker.AllowanceViolations()...)
 	}
@@ -99,6 +106,7 @@
 // createHosts creates the hosts and the log of events. Of each five hosts, three
 // serve lookup and two archive.
 func (r *Runner) createHosts() error {
+	rollout := hasRollout(r.events)
 	for i := range r.Hosts {
 		service := lookup
 		if i%5 > 2 {
@@ -107,6 +115,7 @@
 		h, err := host.New(host.Options{
 			Name: fmt.Sprint("host-", i), Domain: fmt.Sprint("domain-", i%3), Service: service,
 			Daemon: r.Daemon, Dir: r.Dir, StoreAddress: r.store.Address(), RetryBurst: invariant.BudgetBurst, RevokeWithin: invariant.RevokeLimit,
+			Release: releaseFor(i, rollout), Rollouts: rollout, RollbackWithin: invariant.RollbackLimit,
 			OnExecution: r.checker.RecordExecution,
 			OnUnexpectedExit: func(name string) {
 				r.checker.RecordViolation("ended: the daemon of %s exited without being asked to", name)
@@ -169,7 +178,7 @@
 func (r *Runner) playEvents(ctx context.Context) {
 	began := time.Now()
 	var g sync.WaitGroup
-	for _, e := range plan.Generate(r.Seed, r.Hosts, r.Length) {
+	for _, e := range r.events {
 		_ = wait.For(ctx, time.Until(began.Add(e.At)))
 		if ctx.Err() != nil {
 			break
