--- a/soak/runner/rollout.go
+++ b/soak/runner/rollout.go
@@ -16,6 +16,9 @@
 	newRelease = "v2"
 	// pollInterval is the time between two readings of the state of a rollout.
 	pollInterval = 20 * time.Millisecond
+	// outcomeWait is how long after the time limit of an order its final state is
+	// waited for. Faults may delay a completion until after the limit.
+	outcomeWait = 4 * time.Second
 )
 
 // hasRollout reports whether one of the events is a rollout.
@@ -37,7 +40,8 @@
 }
 
 // playRollout orders the new release of lookup, which fails all requests if it is
-// bad, and waits for the final state, at most until the time limit of the order.
+// bad, and waits for the final state, at most until outcomeWait after the time
+// limit of the order.
 func (r *Runner) playRollout(ctx context.Context, limit time.Duration, bad bool) {
 	r.store.OrderRollout(lookup, newRelease, limit)
 	for _, h := range r.hosts {
@@ -45,7 +49,7 @@
 			h.BreakBackend()
 		}
 	}
-	for until := time.Now().Add(limit); time.Now().Before(until) && ctx.Err() == nil; _ = wait.For(ctx, pollInterval) {
+	for until := time.Now().Add(limit + outcomeWait); time.Now().Before(until) && ctx.Err() == nil; _ = wait.For(ctx, pollInterval) {
 		state, err := r.store.RolloutState(lookup, newRelease)
 		if err != nil {
 			r.checker.RecordViolation("rollout: %v", err)
