--- a/soak/host/host.go
+++ b/soak/host/host.go
@@ -20,6 +20,8 @@
 // Host is one daemon with its backend server.
 type Host struct {
 	Name, Domain, Service string
+	// Release is the version of the backend server's software.
+	Release string
 	// CallerAddress is the address at which the daemon accepts requests of
 	// clients.
 	CallerAddress string
@@ -38,7 +40,9 @@
 	backend       *platformtest.Backend
 	backendState  string
 	backendStarts int
-	process       *exec.Cmd
+	// broken says that the backend server's software fails all requests.
+	broken  bool
+	process *exec.Cmd
 	// exited is closed when the process has exited.
 	exited chan struct{}
 	starts int
@@ -60,8 +64,15 @@
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// RetryBurst is the burst of the retry budget, which all daemons share.
-	RetryBurst  int
-	OnExecution func(platformtest.Execution)
+	RetryBurst int
+	// RevokeWithin is the time within which revoked keys must be refused.
+	RevokeWithin time.Duration
+	// Release is the version of the backend server's software. Rollouts enables
+	// orders of other releases, RollbackWithin is the limit of their rollback.
+	Release        string
+	Rollouts       bool
+	RollbackWithin time.Duration
+	OnExecution    func(platformtest.Execution)
 	// OnUnexpectedExit is called when the daemon exits without being asked to.
 	OnUnexpectedExit func(name string)
 }
@@ -69,7 +80,7 @@
 // New returns a host with a running backend server and running proxies. Start
 // starts its daemon.
 func New(o Options) (*Host, error) {
-	h := &Host{Name: o.Name, Domain: o.Domain, Service: o.Service, executable: o.Daemon, onExecution: o.OnExecution, onUnexpectedExit: o.OnUnexpectedExit}
+	h := &Host{Name: o.Name, Domain: o.Domain, Service: o.Service, Release: o.Release, executable: o.Daemon, onExecution: o.OnExecution, onUnexpectedExit: o.OnUnexpectedExit}
 	if err := ports.claim(); err != nil {
 		return nil, err
 	}
@@ -92,7 +103,7 @@
 	}
 	h.startBackend()
 	var err error
-	if h.settingsFile, err = h.writeSettings(o.Dir, o.RetryBurst); err != nil {
+	if h.settingsFile, err = h.writeSettings(&o); err != nil {
 		return nil, err
 	}
 	h.log, err = os.OpenFile(filepath.Join(o.Dir, h.Name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -42,6 +42,14 @@
 	ChangeStorm   Kind = "change-storm"
 )
 
+// Kinds of planned operations that have their own random sequence.
+const (
+	ReplaceKey     Kind = "replace-key"
+	LowerAllowance Kind = "lower-allowance"
+	Rollout        Kind = "rollout"
+	BadRollout     Kind = "bad-rollout"
+)
+
 var kinds = []Kind{
 	Kill, Terminate, Pause, Reload, DelayPeers, CutTo, CutFrom, CutBoth, SilencePeers, ResetPeers, CutStore,
 	SlowBackend, FailBackend, RefuseBackend, CrashBackend, DrainBackend, ResetBackend, HerdKill, Roll,
@@ -79,6 +87,19 @@
 	maxEventLength = 4 * time.Second
 	// minHerdShare is the smallest share of the hosts that a herd kill affects.
 	minHerdShare = 0.5
+	// meanKeyGap is the mean time between two replacements of an API key. Most
+	// runs then hold several keys revoked longer ago than the bound of 5 s.
+	meanKeyGap = 1500 * time.Millisecond
+	// maxLowerTime is the latest time at which the allowance is lowered. It is
+	// early because the lower one is binding only 10 s later.
+	maxLowerTime = 2 * time.Second
+	// rolloutShare is the share of the runs of at least minRolloutLength that have
+	// a rollout, which is ordered at rolloutAt with rolloutLimit as its time
+	// limit. Half of them are of a bad release.
+	rolloutShare     = 0.6
+	minRolloutLength = 18 * time.Second
+	rolloutAt        = 3 * time.Second
+	rolloutLimit     = 9 * time.Second
 )
 
 // Generate returns the events of a schedule, ordered by time. Bursts begin early
@@ -102,10 +123,26 @@
 			events = append(events, e)
 		}
 	}
+	events = append(events, operations(seed, hosts, length)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
 
+// operations returns the changes of client accounts and the rollout, if the run
+// has one. They have a random sequence of their own, so that the faults of a seed do not depend on them.
+func operations(seed uint64, hosts int, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, ^uint64(hosts)))
+	events := []Event{{At: leadTime + time.Duration(rng.Float64()*float64(maxLowerTime-leadTime)), Kind: LowerAllowance, Hosts: pickHosts(rng, LowerAllowance, hosts)}}
+	for at := leadTime; at < length-maxEventLength; at += time.Duration(rng.ExpFloat64() * float64(meanKeyGap)) {
+		events = append(events, Event{At: at, Kind: ReplaceKey, Hosts: pickHosts(rng, ReplaceKey, hosts)})
+	}
+	if length >= minRolloutLength && rng.Float64() < rolloutShare {
+		kind := []Kind{Rollout, BadRollout}[rng.IntN(2)]
+		events = append(events, Event{At: rolloutAt, Kind: kind, Hosts: pickHosts(rng, kind, hosts), Length: rolloutLimit})
+	}
+	return events
+}
+
 // pickHosts picks the random hosts that an event of kind k affects.
 func pickHosts(rng *rand.Rand, k Kind, hosts int) []int {
 	shuffled := rng.Perm(hosts)
