--- a/fescuehoistd/abuse/daemon_test.go
+++ b/fescuehoistd/abuse/daemon_test.go
@@ -107,8 +107,12 @@
 		{Name: "submit", Prefix: "/submit/", Service: "lookup", Attempts: 1},
 	}))
 	server := startBackend(t)
+	reporter := platformtest.NewBackend("lookup", "i-1")
+	t.Cleanup(reporter.Close)
+	reporter.AdvertisedAddress, reporter.Slots = server, 4096
+	free := freeAddresses(t, 5)
 	d := &daemon{
-		callers: freeAddress(t), calls: freeAddress(t), admin: freeAddress(t), announcements: freeAddress(t), ready: freeAddress(t),
+		callers: free[0], calls: free[1], admin: free[2], announcements: free[3], ready: free[4],
 		exited: make(chan struct{}), descriptors: descriptors,
 	}
 	file := filepath.Join(t.TempDir(), "settings.toml")
@@ -117,6 +121,7 @@
 		t.Fatal(err)
 	}
 	d.process = exec.Command(program, "-c", file)
+	d.process.Stderr = os.Stderr
 	if err := d.process.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -128,9 +133,6 @@
 		_ = d.process.Process.Kill()
 		<-d.exited
 	})
-	reporter := platformtest.NewBackend("lookup", "i-1")
-	t.Cleanup(reporter.Close)
-	reporter.AdvertisedAddress, reporter.Slots = server, 4096
 	d.awaitServed(t, reporter)
 	d.repeat(t, reportInterval, func() { _, _ = reporter.SendReport(d.announcements, "ready") })
 	d.repeat(t, 10*time.Millisecond, d.countDescriptors)
@@ -168,6 +170,11 @@
 func (d *daemon) awaitServed(t *testing.T, reporter *platformtest.Backend) {
 	t.Helper()
 	for end := time.Now().Add(answerGuard); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-d.exited:
+			t.Fatalf("the daemon has ended before it served: %v", d.process.ProcessState)
+		default:
+		}
 		if status, err := reporter.SendReport(d.announcements, "ready"); err != nil || status != 200 {
 			continue
 		}
@@ -275,15 +282,20 @@
 	return resp.StatusCode, resp.Body.Close()
 }
 
-// freeAddress returns an address of this process alone that nobody listens on.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns addresses of this process alone that nobody listens on. All of them
+// are taken before the first is released, so that none is returned twice.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	ln, err := platformtest.Listen()
-	if err != nil {
-		t.Fatal(err)
+	addresses := make([]string, n)
+	for i := range addresses {
+		ln, err := platformtest.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		addresses[i] = ln.Addr().String()
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addresses
 }
 
 // peakMemoryMB returns the highest resident memory that a process has had.
