--- a/adapters/collectgrpc/codec.go
+++ b/adapters/collectgrpc/codec.go
@@ -136,8 +136,7 @@
 func encodeReply(r *collect.Reply) *collectpb.Reply {
 	out := &collectpb.Reply{Fleet: r.Fleet, Undecided: r.Undecided, Daemons: uint32(r.Daemons), Verified: r.Verified, Version: uint64(r.Version)}
 	if r.Verified {
-		// An age must not be stated as younger than it is.
-		out.AgeMicros = uint64(max(r.VerificationAge, 0)/time.Microsecond) + 1
+		out.AgeMicros = encodeAge(r.VerificationAge)
 	}
 	for i := range r.Limits {
 		l := &r.Limits[i]
--- a/adapters/collectgrpc/codec_rollout.go
+++ b/adapters/collectgrpc/codec_rollout.go
@@ -20,6 +20,9 @@
 
 func encodeMicros(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) }
 
+// encodeAge rounds up, since an age must not be stated as younger than it is.
+func encodeAge(d time.Duration) uint64 { return encodeMicros(d) + 1 }
+
 func decodeCount(in *collectpb.Release) (rollout.Count, error) {
 	if !target.ValidName(in.GetService()) || len(in.GetClass()) > maxName || len(in.GetRelease()) > rollout.MaxReleaseLength || len(in.GetTarget()) > rollout.MaxReleaseLength || in.GetState() > uint32(rollout.Completed) {
 		return rollout.Count{}, fmt.Errorf("counts of service %.80q, class %.80q, release %.80q, target %.80q, state %d; want valid names and a state of at most %d",
@@ -43,8 +46,7 @@
 func encodeDirection(d *rollout.Direction) *collectpb.Direction {
 	return &collectpb.Direction{
 		Service: d.Service, Release: d.Release, Share: uint32(round(d.Share, tenThousandths)), State: uint32(d.State),
-		// An age must not be stated as younger than it is.
-		Servers: uint32(d.Servers), Order: d.Order, AgeMicros: encodeMicros(d.Age) + 1,
+		Servers: uint32(d.Servers), Order: d.Order, AgeMicros: encodeAge(d.Age),
 	}
 }
 
--- a/adapters/peergrpc/link.go
+++ b/adapters/peergrpc/link.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"fescuehoist.example/adapters/grpcconn"
 	"fescuehoist.example/adapters/peergrpc/peerpb"
 	"fescuehoist.example/mesh/gossip"
 )
@@ -58,23 +59,10 @@
 	Traffic *Traffic
 }
 
-// bufferSize is the size of the read and write buffers of a connection, in
-// bytes. Most messages are below 1 KB, and a daemon has ten streams open; the
-// default of grpc-go is 32 KB.
-const bufferSize = 4 << 10
-
-// windowSize is the flow control window of a stream and of a connection, in bytes. A fixed
-// window keeps grpc-go from measuring the connection with a ping after each message, which
-// costs more bytes than most messages.
-const windowSize = 1 << 20
-
 func (d *Dialer) options() []grpc.DialOption {
-	options := []grpc.DialOption{
+	options := append(grpcconn.FrequentMessages(),
 		grpc.WithTransportCredentials(d.Credentials),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageSize), grpc.MaxCallSendMsgSize(MaxMessageSize)),
-		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
-		grpc.WithInitialWindowSize(windowSize), grpc.WithInitialConnWindowSize(windowSize),
-	}
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageSize), grpc.MaxCallSendMsgSize(MaxMessageSize)))
 	if d.Traffic != nil {
 		options = append(options, grpc.WithStatsHandler(d.Traffic))
 	}
--- a/adapters/peergrpc/server.go
+++ b/adapters/peergrpc/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"fescuehoist.example/adapters/grpcconn"
 	"fescuehoist.example/adapters/peergrpc/peerpb"
 	"fescuehoist.example/mesh/gossip"
 )
@@ -56,8 +57,8 @@
 	server := grpc.NewServer(grpc.Creds(s.creds), grpc.StatsHandler(s.Traffic),
 		grpc.MaxRecvMsgSize(MaxMessageSize), grpc.MaxSendMsgSize(MaxMessageSize),
 		grpc.ConnectionTimeout(handshakeTimeout),
-		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
-		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize))
+		grpc.ReadBufferSize(grpcconn.BufferSize), grpc.WriteBufferSize(grpcconn.BufferSize),
+		grpc.InitialWindowSize(grpcconn.WindowSize), grpc.InitialConnWindowSize(grpcconn.WindowSize))
 	peerpb.RegisterPeerServer(server, s)
 	for _, service := range services {
 		service.Register(server)
