--- a/fescuehoistd/abuse/daemon_test.go
+++ b/fescuehoistd/abuse/daemon_test.go
@@ -5,16 +5,13 @@
 package abuse
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -110,7 +107,10 @@
 	reporter := platformtest.NewBackend("lookup", "i-1")
 	t.Cleanup(reporter.Close)
 	reporter.AdvertisedAddress, reporter.Slots = server, 4096
-	free := freeAddresses(t, 5)
+	free, err := platformtest.FreeAddresses(5)
+	if err != nil {
+		t.Fatal(err)
+	}
 	d := &daemon{
 		callers: free[0], calls: free[1], admin: free[2], announcements: free[3], ready: free[4],
 		exited: make(chan struct{}), descriptors: descriptors,
@@ -232,7 +232,7 @@
 	default:
 	}
 	d.countDescriptors()
-	peak, err := peakMemoryMB(d.process.Process.Pid)
+	peak, err := platformtest.PeakMemoryMB(d.process.Process.Pid)
 	t.Logf("peak of resident memory: %d MB, most open descriptors: %d", peak, d.maxOpen.Load())
 	if err != nil || peak > memoryMB {
 		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
@@ -262,53 +262,5 @@
 
 // get makes one request on a connection of its own and returns its status.
 func get(address, path string) (int, error) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
-		return 0, err
-	}
-	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: site.example\r\n%s: ordinary-%d\r\n%s: 8000\r\nConnection: close\r\n\r\n",
-		path, platformtest.HeaderRequestID, requestNumber.Add(1), platformtest.HeaderDeadline)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	return resp.StatusCode, resp.Body.Close()
-}
-
-// freeAddresses returns addresses of this process alone that nobody listens on. All of them
-// are taken before the first is released, so that none is returned twice.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	addresses := make([]string, n)
-	for i := range addresses {
-		ln, err := platformtest.Listen()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
-		addresses[i] = ln.Addr().String()
-	}
-	return addresses
-}
-
-// peakMemoryMB returns the highest resident memory that a process has had.
-func peakMemoryMB(pid int) (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
-			return kb >> 10, err
-		}
-	}
-	return 0, fmt.Errorf("process %d has no VmHWM", pid)
+	return platformtest.Get(address, path, fmt.Sprint("ordinary-", requestNumber.Add(1)))
 }
--- a/fescuehoistd/endless_test.go
+++ b/fescuehoistd/endless_test.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,17 +41,6 @@
 platform = "plain"
 %[5]s`
 
-// freeAddress returns an address of this process alone that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := platformtest.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // Guards against a daemon that keeps bytes without end of a faulty backend server until
 // it is out of memory and ends with the requests of other callers.
 func TestEndlessAnswersLeaveDaemonWithinItsMemory(t *testing.T) {
@@ -99,7 +84,7 @@
 					return
 				default:
 				}
-				if _, err := callStatus(callers, "/search/x", fmt.Sprintf("sound-%d-%d", task, n)); err != nil {
+				if _, err := platformtest.Get(callers, "/search/x", fmt.Sprintf("sound-%d-%d", task, n)); err != nil {
 					t.Errorf("request of another caller: error %v, want an answer", err)
 					return
 				}
@@ -124,7 +109,11 @@
 	defer backend.Close()
 	backend.Slots = 2 * endlessCalls
 	backend.SetEndless(map[string]platformtest.EndlessAnswer{"/search/endless": answer})
-	callers, announcements := freeAddress(t), freeAddress(t)
+	free, err := platformtest.FreeAddresses(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers, announcements := free[0], free[1]
 	daemon := startDaemonProcess(t, program, fmt.Sprintf(endlessSettings, callers, announcements, store.Address(), backend.Address(), limits))
 	awaitServed(t, backend, announcements, callers)
 
@@ -135,7 +124,7 @@
 		faulty.Go(func() {
 			for n := range 4 {
 				id := fmt.Sprintf("endless-%d-%d", task, n)
-				status, err := callStatus(callers, "/search/endless", id)
+				status, err := platformtest.Get(callers, "/search/endless", id)
 				if err != nil || status == 200 {
 					t.Errorf("answer without end: status %d, error %v; want a status of failure", status, err)
 				}
@@ -145,7 +134,7 @@
 	}
 	faulty.Wait()
 	stopOthers()
-	peak, err := peakMemoryMB(daemon.Process.Pid)
+	peak, err := platformtest.PeakMemoryMB(daemon.Process.Pid)
 	t.Logf("peak of resident memory: %d MB, %d answers without end", peak, runs.Load())
 	if err != nil || peak > memoryMB {
 		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
@@ -180,46 +169,9 @@
 		if status, err := backend.SendReport(announcements, "ready"); err != nil || status != 200 {
 			continue
 		}
-		if status, err := callStatus(callers, "/search/x", fmt.Sprint("wait-", time.Now().UnixNano())); err == nil && status == 200 {
+		if status, err := platformtest.Get(callers, "/search/x", fmt.Sprint("wait-", time.Now().UnixNano())); err == nil && status == 200 {
 			return
 		}
 	}
 	t.Fatal("timed out waiting for the daemon to serve")
 }
-
-// callStatus makes one request on a connection of its own and returns its status.
-func callStatus(callers, path, id string) (int, error) {
-	conn, err := net.DialTimeout("tcp", callers, time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
-		return 0, err
-	}
-	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: site.example\r\n%s: %s\r\n%s: 8000\r\nConnection: close\r\n\r\n",
-		path, platformtest.HeaderRequestID, id, platformtest.HeaderDeadline)
-	if err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return 0, err
-	}
-	return resp.StatusCode, resp.Body.Close()
-}
-
-// peakMemoryMB returns the highest resident memory that a process has had.
-func peakMemoryMB(pid int) (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
-			return kb >> 10, err
-		}
-	}
-	return 0, fmt.Errorf("process %d has no VmHWM", pid)
-}
--- a/fescuehoistd/uploads_test.go
+++ b/fescuehoistd/uploads_test.go
@@ -50,7 +50,7 @@
 			t.Errorf("body of %d MiB, coding %q: status %d, error %v, %d runs; want status %d", c.megabytes, c.coding, status, err, runs, c.status)
 		}
 	}
-	if peak, err := peakMemoryMB(p.process.Process.Pid); err != nil || peak > memoryMB {
+	if peak, err := platformtest.PeakMemoryMB(p.process.Process.Pid); err != nil || peak > memoryMB {
 		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
 	}
 }
@@ -72,11 +72,15 @@
 		{Name: "search", Prefix: "/search/", Service: "lookup", Idempotent: true, Attempts: 1},
 		{Name: "submit", Prefix: "/submit/", Service: "lookup", Attempts: 1},
 	}))
-	p := &uploadDaemon{callers: freeAddress(t), backend: platformtest.NewBackend("lookup", "i-1")}
+	free, err := platformtest.FreeAddresses(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers, announcements := free[0], free[1]
+	p := &uploadDaemon{callers: callers, backend: platformtest.NewBackend("lookup", "i-1")}
 	t.Cleanup(p.backend.Close)
 	p.backend.Slots = 2 * uploads
 	p.backend.SetServiceTime(160 * time.Millisecond)
-	announcements := freeAddress(t)
 	limits := fmt.Sprintf("[limits]\nmemory_mb = %d\n", memoryMB)
 	p.process = startDaemonProcess(t, program, fmt.Sprintf(endlessSettings, p.callers, announcements, store.Address(), p.backend.Address(), limits))
 	awaitServed(t, p.backend, announcements, p.callers)
@@ -105,7 +109,7 @@
 	}
 	clients.Wait()
 	stopOthers()
-	peak, err := peakMemoryMB(p.process.Process.Pid)
+	peak, err := platformtest.PeakMemoryMB(p.process.Process.Pid)
 	t.Logf("peak of resident memory: %d MB, long bodies by status: %v", peak, counts)
 	if err != nil || peak > memoryMB {
 		t.Errorf("peak of resident memory is %d MB (error %v), want at most %d", peak, err, memoryMB)
