Determine the services with several releases once for each view of the members

The controller asked for them with each decision, up to 20 times a second, which went through all members. Writing and rereading orders share their loop, and the handler of rollouts wraps the one that is there.

--- a/fescuehoistd/daemon/rollouts.go
+++ b/fescuehoistd/daemon/rollouts.go
@@ -11,7 +11,6 @@
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/rollout"
-	"fescuehoist.example/mesh/status"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -35,7 +34,7 @@
 	cfg := rollout.DefaultConfig(rolloutLimits(s))
 	r := &rollouts{
 		follower:   rollout.NewFollower(boottime.Now, own, load),
-		controller: rollout.NewController(cfg, orders, &rolloutFleet{d.configs, d.members}, d.partLogger("rollout"), boottime.Now),
+		controller: rollout.NewController(cfg, orders, &rolloutFleet{configs: d.configs, members: d.members}, d.partLogger("rollout"), boottime.Now),
 	}
 	d.rollouts = r
 	d.collection.collector.Releases, d.collection.collector.Judge = r.follower, r.controller
@@ -50,13 +49,18 @@
 func (d *Daemon) followRollouts() {
 	f := d.rollouts.follower
 	d.router.Directions, d.inbound.Releases = f, f
-	d.inbound.Backend = &rollout.Handler{Handler: &status.TimedHandler{Handler: d.backend, Meter: d.meter}, Follower: f}
+	d.inbound.Backend = &rollout.Handler{Handler: d.inbound.Backend, Follower: f}
 }
 
 // rolloutFleet tells what a controller needs to know of services and servers.
 type rolloutFleet struct {
 	configs *manifest.Store
 	members *member.Table
+
+	// mixed holds the result of Mixed for view. The controller asks for it with each
+	// decision, up to 20 times a second, while its lock is held.
+	view  *member.View
+	mixed []string
 }
 
 // Servers returns the records of the servers of a service.
@@ -66,8 +70,12 @@
 
 // Mixed returns the services that have servers of several releases.
 func (f *rolloutFleet) Mixed() []string {
+	view := f.members.View()
+	if view == f.view {
+		return f.mixed
+	}
 	first, mixed := map[string]string{}, map[string]bool{}
-	for _, r := range f.members.View().All() {
+	for _, r := range view.All() {
 		if !r.Routable() {
 			continue
 		}
@@ -77,7 +85,8 @@
 			mixed[r.Service] = true
 		}
 	}
-	return slices.Collect(maps.Keys(mixed))
+	f.view, f.mixed = view, slices.Collect(maps.Keys(mixed))
+	return f.mixed
 }
 
 // Known reports whether a class routes to a service or a server announces it.
--- a/mesh/rollout/watch.go
+++ b/mesh/rollout/watch.go
@@ -164,36 +164,37 @@
 
 // reread reads all orders when a service appears with several releases, until ctx ends.
 func (c *Controller) reread(ctx context.Context) {
-	delay := c.newBackOff()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.unread:
-		}
-		if _, err := c.list(ctx); err == nil {
-			delay.Reset()
-			continue
-		}
-		_ = wait.For(ctx, delay.NextBackOff())
-	}
+	c.repeat(ctx, c.unread, func() bool {
+		_, err := c.list(ctx)
+		return err == nil
+	})
 }
 
 // write stores the states of the rollouts until ctx ends.
 func (c *Controller) write(ctx context.Context) {
+	c.repeat(ctx, c.unwritten, func() bool {
+		written := c.writeAll(ctx)
+		if !written {
+			c.wakeWriter()
+		}
+		return written
+	})
+}
+
+// repeat calls a function for each signal until ctx ends, and pauses after it has failed.
+func (c *Controller) repeat(ctx context.Context, signals <-chan struct{}, succeeds func() bool) {
 	delay := c.newBackOff()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.unwritten:
+		case <-signals:
 		}
-		if c.writeAll(ctx) {
+		if succeeds() {
 			delay.Reset()
 			continue
 		}
 		_ = wait.For(ctx, delay.NextBackOff())
-		c.wakeWriter()
 	}
 }
 
