Simplify account groups, hash order, link rates and waits for room

Removes Accounts.Limited, which nothing called, and corrects the comment on the memory of answers: they are read in blocks and no longer copied.

--- a/adapters/httpconn/bodies.go
+++ b/adapters/httpconn/bodies.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -64,9 +63,7 @@
 	if length > a.budget.bytes {
 		return ErrNoBodyRoom
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.budget.wait)
-	defer cancel()
-	if a.budget.free.Acquire(ctx, length) != nil {
+	if !acquireWithin(a.budget.wait, a.budget.free, length) {
 		return ErrNoBodyRoom
 	}
 	a.held += length
--- a/adapters/httpconn/memory.go
+++ b/adapters/httpconn/memory.go
@@ -63,6 +63,13 @@
 // an answer. It must be called before the servers that share m run.
 func (m *RequestMemory) OnShort(f func()) { m.onShort = f }
 
+// acquireWithin waits until n are free, for a time at most, and reports whether it has them.
+func acquireWithin(wait time.Duration, free *semaphore.Weighted, n int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return free.Acquire(ctx, n) == nil
+}
+
 // memoryAccount is the room that one request holds. A nil memory has no bound.
 type memoryAccount struct {
 	memory *RequestMemory
@@ -95,9 +102,7 @@
 	if a.memory == nil || fields <= freeFields || a.parsing {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.memory.wait)
-	defer cancel()
-	if a.memory.parsing.Acquire(ctx, 1) != nil {
+	if !acquireWithin(a.memory.wait, a.memory.parsing, 1) {
 		return ErrNoBodyRoom
 	}
 	a.parsing = true
@@ -124,9 +129,7 @@
 	if a.memory == nil || a.needsNone(length) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), a.memory.wait)
-	defer cancel()
-	if length > a.memory.requestBytes || a.memory.requests.Acquire(ctx, length) != nil {
+	if length > a.memory.requestBytes || !acquireWithin(a.memory.wait, a.memory.requests, length) {
 		return ErrNoBodyRoom
 	}
 	a.requests += length
--- a/adapters/httpconn/room.go
+++ b/adapters/httpconn/room.go
@@ -44,6 +44,16 @@
 	RefusedMemory, LostAnswers uint64
 }
 
+// Add adds the counts of another server.
+func (c *Crowding) Add(other Crowding) {
+	c.ClosedIdle += other.ClosedIdle
+	c.Refused += other.Refused
+	c.Dropped += other.Dropped
+	c.ClosedSlow += other.ClosedSlow
+	c.RefusedMemory += other.RefusedMemory
+	c.LostAnswers += other.LostAnswers
+}
+
 // room bounds the open connections of a server. It is guarded by Server.mu, but for
 // crowded.
 type room struct {
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -32,13 +32,18 @@
 	reportHandler *platform.ReportHandler
 }
 
+// verifyShare is the part of the time within which revoked keys must be refused after which
+// a daemon asks the store whether its configuration is the newest. Keys are owed service
+// until the store has been out of reach for the rest of that time.
+const verifyShare = 0.4
+
 func newObjectPlatform(d *Daemon) *objectPlatform {
 	s := d.cfg.Settings
 	self := member.ServerID(s.Server)
 	o := &objectPlatform{d: d, store: platform.NewStore(s.Platform, d.transport.dialPlatform)}
 	o.store.OnMalformed(d.logMalformed)
 	d.configs.ApplyByService()
-	d.cfg.ConfigWatch.VerifyAge = s.Accounts.RevokeWithin * 2 / 5
+	d.cfg.ConfigWatch.VerifyAge = time.Duration(verifyShare * float64(s.Accounts.RevokeWithin))
 	o.watcher = configwatch.New(d.cfg.ConfigWatch, self, s.Domain, &platform.ConfigurationSource{Store: o.store},
 		d.members, d.configs, d.announcer, d.partLogger("feed"))
 	logger := d.partLogger("discover")
--- a/fescuehoistd/daemon/servers.go
+++ b/fescuehoistd/daemon/servers.go
@@ -41,8 +41,8 @@
 )
 
 // The answers that are read at the same time may have one part in
-// answerMemoryDivisor of the memory that the process may take. While one is read, its
-// buffer grows by doubling, and a read one is copied.
+// answerMemoryDivisor of the memory that the process may take. One of unknown length is
+// read in blocks, which are joined at the end; this takes its size once more.
 const answerMemoryDivisor = 8
 
 // The request bodies that one of the two servers for calls holds at the same time may
@@ -146,13 +146,7 @@
 	defer l.mu.Unlock()
 	var sum httpconn.Crowding
 	for _, s := range l.list {
-		c := s.Crowding()
-		sum.ClosedIdle += c.ClosedIdle
-		sum.ClosedSlow += c.ClosedSlow
-		sum.Refused += c.Refused
-		sum.Dropped += c.Dropped
-		sum.RefusedMemory += c.RefusedMemory
-		sum.LostAnswers += c.LostAnswers
+		sum.Add(s.Crowding())
 	}
 	return []telemetry.Point{
 		{Label: "closed-idle", Value: sum.ClosedIdle}, {Label: "closed-slow", Value: sum.ClosedSlow},
--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -95,8 +95,8 @@
 
 // verified reports whether a directory cannot lack the revocation of a key that must be
 // refused by now. It need not be the newest one, since the routing table follows the
-// configuration with some delay. The time that passes between the check and the use of the key does not
-// matter: what counts is when the caller sent the request.
+// configuration with some delay. The time that passes between the check and the use of the
+// key does not matter: what counts is when the caller sent the request.
 func (c *Checker) verified(directory *target.Accounts) bool {
 	if c.RevokeWithin == 0 {
 		return true
--- a/mesh/link/gate.go
+++ b/mesh/link/gate.go
@@ -104,20 +104,23 @@
 // NewGate returns a gate for a link of the given bandwidth in Mbit/s; 0 means that the
 // bandwidth is unknown and nothing is bounded.
 func NewGate(mbps int) *Gate {
-	rate := float64(mbps) * 1e6 / 8
+	rate := BytesPerSecond(mbps)
 	return &Gate{
 		rate: rate, measured: rate, window: rate * windowTime.Seconds(), overlap: rate * overlapTime.Seconds(),
 		free: int64(FreeBytes(mbps)), bodies: map[*Body]bool{},
 	}
 }
 
+// BytesPerSecond returns the rate of a link of the given bandwidth in Mbit/s.
+func BytesPerSecond(mbps int) float64 { return float64(mbps) * 1e6 / 8 }
+
 // FreeBytes returns the size in bytes up to which a body needs no grant of a host whose
 // link has the given bandwidth in Mbit/s. Without a known bandwidth none needs one.
 func FreeBytes(mbps int) int {
 	if mbps == 0 {
 		return math.MaxInt
 	}
-	return max(MinBytes, int(float64(mbps)*1e6/8*freeTime.Seconds()))
+	return max(MinBytes, int(BytesPerSecond(mbps)*freeTime.Seconds()))
 }
 
 // Slots is what is known of the slots at which a call runs once its body has arrived.
--- a/mesh/member/order.go
+++ b/mesh/member/order.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,7 +17,13 @@
 	case a.LinkMbps != b.LinkMbps:
 		return a.LinkMbps > b.LinkMbps
 	}
-	return xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server))
+	return CompareHash(a, b) < 0
+}
+
+// CompareHash compares the hashes of the servers' names, which gives all daemons the same
+// order without a preference for any name.
+func CompareHash(a, b *Record) int {
+	return cmp.Compare(xxhash.Sum64String(string(a.Server)), xxhash.Sum64String(string(b.Server)))
 }
 
 // Size returns the number of daemons that may be running: the live ones and those that
--- a/mesh/rollout/judge.go
+++ b/mesh/rollout/judge.go
@@ -34,8 +34,9 @@
 	// minTimed and minTimedOfClass are the least numbers of run times that are compared.
 	minTimed        = 15
 	minTimedOfClass = 10
-	// badDeviations, doubtfulDeviations and slightDeviations are how many standard deviations a slowdown must
-	// exceed no slowdown by; a single class needs classDeviations more, as there are many.
+	// badDeviations, doubtfulDeviations and slightDeviations are how many standard deviations
+	// a slowdown must exceed no slowdown by; a single class needs classDeviations more, as
+	// there are many.
 	badDeviations      = 4
 	classDeviations    = 0.5
 	doubtfulDeviations = 3.5
--- a/mesh/route/explain.go
+++ b/mesh/route/explain.go
@@ -98,8 +98,8 @@
 	return e
 }
 
-// draw makes one choice, as for a call of its own where a release gets a share of them. It holds the lock only for that, so that calls do not wait for an
-// explanation.
+// draw makes one choice, as for a call of its own where a release gets a share of them. It
+// holds the lock only for that, so that calls do not wait for an explanation.
 func (p *Picker) draw(s *Service, q Query) *member.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/mesh/route/link.go
+++ b/mesh/route/link.go
@@ -16,8 +16,7 @@
 
 // bodyTime returns how long the link of a server's host takes for the body of a call.
 func bodyTime(q Query, r *member.Record) time.Duration {
-	bits := float64(q.Body) * 8
-	return time.Duration(bits / (float64(r.LinkMbps) * 1e6) * float64(time.Second))
+	return time.Duration(float64(q.Body) / link.BytesPerSecond(r.LinkMbps) * float64(time.Second))
 }
 
 // linkTime estimates how long a call waits for the link of a server's host and its body
--- a/mesh/route/split.go
+++ b/mesh/route/split.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/rollout"
 )
@@ -37,12 +35,7 @@
 		}
 	}
 	s.alone = avoided && len(s.others) == 0
-	slices.SortFunc(s.release, func(a, b *member.Record) int {
-		if xxhash.Sum64String(string(a.Server)) < xxhash.Sum64String(string(b.Server)) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.release, member.CompareHash)
 	return s
 }
 
--- a/mesh/target/account.go
+++ b/mesh/target/account.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"fmt"
@@ -44,8 +43,13 @@
 // a change of one account sends only its group to the daemons.
 const AccountGroups = 16
 
-// accountGroupPrefix cannot begin the name of a host or service.
-const accountGroupPrefix = "accounts/"
+// accountGroupNames holds the names of the groups. None can be that of a host or service.
+var accountGroupNames = func() (names [AccountGroups]string) {
+	for i := range names {
+		names[i] = fmt.Sprintf("accounts/%02d", i)
+	}
+	return names
+}()
 
 // AccountGroup holds the accounts of one group, sorted by name.
 type AccountGroup struct {
@@ -56,8 +60,7 @@
 
 // IsAccountGroup reports whether a name is that of an account group.
 func IsAccountGroup(name string) bool {
-	number, found := strings.CutPrefix(name, accountGroupPrefix)
-	return found && len(number) == 2 && number >= "00" && number < fmt.Sprintf("%02d", AccountGroups) && number[1] >= '0' && number[1] <= '9'
+	return slices.Contains(accountGroupNames[:], name)
 }
 
 // GroupAccounts divides accounts into groups; empty groups are left out.
@@ -65,7 +68,7 @@
 	var groups [AccountGroups]AccountGroup
 	for i := range accounts {
 		n := xxhash.Sum64String(accounts[i].Name) % AccountGroups
-		groups[n].Name = fmt.Sprintf("%s%02d", accountGroupPrefix, n)
+		groups[n].Name = accountGroupNames[n]
 		groups[n].Accounts = append(groups[n].Accounts, accounts[i])
 	}
 	for i := range groups {
@@ -185,7 +188,7 @@
 	for _, k := range a.Keys {
 		if other := d.byKey[k]; other != nil && other.Name != a.Name {
 			first, second := other.Name, a.Name
-			if bytes.Compare([]byte(first), []byte(second)) > 0 {
+			if first > second {
 				first, second = second, first
 			}
 			problems = append(problems, Problem{Account: second, Field: "keys", Text: fmt.Sprintf("a key is held by account %q, too; a key must belong to one account", first)})
@@ -221,15 +224,3 @@
 
 // HasLimited reports whether an account has an allowance.
 func (d *Accounts) HasLimited() bool { return d != nil && d.limited > 0 }
-
-// Limited calls f for each account with an allowance, in no particular order.
-func (d *Accounts) Limited(f func(*Account)) {
-	if d == nil {
-		return
-	}
-	for _, a := range d.byName {
-		if a.Limited() {
-			f(a)
-		}
-	}
-}
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -129,7 +129,8 @@
 }
 
 // operations returns the changes of client accounts and the rollout, if the run
-// has one. They have a random sequence of their own, so that the faults of a seed do not depend on them.
+// has one. They have a random sequence of their own, so that the faults of a seed do not
+// depend on them.
 func operations(seed uint64, hosts int, length time.Duration) []Event {
 	rng := rand.New(rand.NewPCG(seed, ^uint64(hosts)))
 	events := []Event{{At: leadTime + time.Duration(rng.Float64()*float64(maxLowerTime-leadTime)), Kind: LowerAllowance, Hosts: pickHosts(rng, LowerAllowance, hosts)}}
