--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-const (
-	headerID       = "Fescuehoist-Request-Id"
-	headerDeadline = "Fescuehoist-Deadline-Ms"
+var (
+	headerID       = wire["request_id"]
+	headerDeadline = wire["deadline"]
 )
 
 var lastID atomic.Uint64
@@ -51,7 +51,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", a.method, a.path, a.host, headerID, a.id, headerDeadline, a.deadline.Milliseconds())
 	if a.key != "" {
-		fmt.Fprintf(&text, "X-Api-Key: %s\r\n", a.key)
+		fmt.Fprintf(&text, "%s: %s\r\n", wire["key"], a.key)
 	}
 	if a.method == http.MethodPost {
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(a.body))
@@ -68,6 +68,6 @@
 		return r
 	}
 	body, err := io.ReadAll(resp.Body)
-	r.status, r.body, r.seal, r.err = resp.StatusCode, string(body), resp.Header.Get("Fescuehoist-Response-Seal"), err
+	r.status, r.body, r.seal, r.err = resp.StatusCode, string(body), resp.Header.Get(wire["seal"]), err
 	return r
 }
--- a/review/standins/configvalues.go
+++ b/review/standins/configvalues.go
@@ -17,7 +17,7 @@
 func weights(a, b any) func(map[string]any) {
 	return func(steady map[string]any) {
 		delete(steady, "service")
-		steady["weighted_services"] = []any{map[string]any{"service": "lookup", "weight": a}, map[string]any{"service": "archive", "weight": b}}
+		steady[wire["parts"]] = []any{map[string]any{"service": "lookup", "weight": a}, map[string]any{"service": "archive", "weight": b}}
 	}
 }
 
@@ -38,7 +38,7 @@
 		c := configuration(version, to, "key-0").(map[string]any)
 		delete(c, "tenants")
 		if change != nil {
-			paths := c["virtual_hosts"].([]any)[0].(map[string]any)["paths"].([]any)
+			paths := c[wire["hosts"]].([]any)[0].(map[string]any)["paths"].([]any)
 			change(paths[1].(map[string]any))
 		}
 		s.store.put("config", "main", c)
@@ -93,10 +93,10 @@
 		c := configuration(version, "lookup", "key-0").(map[string]any)
 		var tenants []any
 		for i := range tenantCount {
-			tenants = append(tenants, map[string]any{"name": fmt.Sprintf("store-%d", i), "api_keys": []string{key(i, generation)}, "priority": 0, "rate_per_s": 0, "burst": 0})
+			tenants = append(tenants, map[string]any{"name": fmt.Sprintf("store-%d", i), wire["keys"]: []string{key(i, generation)}, "priority": 0, wire["rate"]: 0, "burst": 0})
 		}
 		if added != "" {
-			tenants = append(tenants, map[string]any{"name": added, "api_keys": []string{"key-of-the-added-tenant"}, "priority": 0, "rate_per_s": 0, "burst": 0})
+			tenants = append(tenants, map[string]any{"name": added, wire["keys"]: []string{"key-of-the-added-tenant"}, "priority": 0, wire["rate"]: 0, "burst": 0})
 		}
 		c["tenants"] = tenants
 		s.store.put("config", "main", c)
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -168,7 +168,7 @@
 }
 
 func (s *store) respond(r *http.Request) (int, any) {
-	path, found := strings.CutPrefix(r.URL.Path, "/-/objects/")
+	path, found := strings.CutPrefix(r.URL.Path, wire["objects"])
 	kind, name, _ := strings.Cut(path, "/")
 	if !found || kind == "" {
 		return http.StatusNotFound, nil
@@ -252,14 +252,14 @@
 	for _, name := range names[:min(len(names), storePage)] {
 		items = append(items, s.state.Objects[kind][name])
 	}
-	return map[string]any{"items": items, "has_more": len(names) > storePage, "at_rev": s.state.Revision}
+	return map[string]any{"items": items, wire["more"]: len(names) > storePage, wire["at"]: s.state.Revision}
 }
 
 // watch answers a watch: with 410 if the store does not have the revision, otherwise with
 // the events after it as soon as there is one.
 func (s *store) watch(r *http.Request, kind, text string) (int, any) {
 	after, err := strconv.ParseUint(text, 10, 64)
-	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	wait, err2 := strconv.Atoi(r.URL.Query().Get(wire["wait"]))
 	if err != nil || err2 != nil || wait < 0 || wait > 30_000 {
 		return http.StatusBadRequest, nil
 	}
@@ -287,7 +287,7 @@
 		at, changed := s.state.Revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 || expired {
-			return http.StatusOK, map[string]any{"events": events, "at_rev": at}
+			return http.StatusOK, map[string]any{"events": events, wire["at"]: at}
 		}
 		select {
 		case <-changed:
--- a/review/standins/storecopy.go
+++ b/review/standins/storecopy.go
@@ -30,8 +30,8 @@
 
 // path is one route of a configuration.
 func path(name, prefix, service, kind string) map[string]any {
-	return map[string]any{"name": name, "path_prefix": prefix, "kind": kind, "timeout_s": 1.0, "target_latency_s": 0.5,
-		"priority": 0, "service": service, "max_attempts": 2, "public": false}
+	return map[string]any{"name": name, wire["prefix"]: prefix, "kind": kind, "timeout_s": 1.0, wire["target_latency"]: 0.5,
+		"priority": 0, "service": service, wire["attempts"]: 2, "public": false}
 }
 
 // configuration returns a version in which the moved route leads to a service, and in which
@@ -45,10 +45,10 @@
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
 		"tenants": []any{
-			map[string]any{"name": "stays", "api_keys": []string{steadyKey}, "priority": 0, "rate_per_s": 0, "burst": 0},
-			map[string]any{"name": "leaves", "api_keys": []string{key}, "priority": 0, "rate_per_s": 0, "burst": 0},
+			map[string]any{"name": "stays", wire["keys"]: []string{steadyKey}, "priority": 0, wire["rate"]: 0, "burst": 0},
+			map[string]any{"name": "leaves", wire["keys"]: []string{key}, "priority": 0, wire["rate"]: 0, "burst": 0},
 		},
-		"virtual_hosts": []any{map[string]any{"hostname": siteHost, "paths": []any{
+		wire["hosts"]: []any{map[string]any{"hostname": siteHost, "paths": []any{
 			path("moved", movedPath, service, "idempotent"), path("steady", steadyPath, "lookup", "idempotent"),
 		}}},
 	}
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -71,7 +71,7 @@
 	text, _ := json.Marshal(map[string]any{
 		"address": u.address, "born": u.born,
 		"info":   map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
-		"status": map[string]any{"state": u.state, "sequence": u.sequence, "cold_left_s": 0},
+		"status": map[string]any{"state": u.state, "sequence": u.sequence, wire["cold_left"]: 0},
 	})
 	u.mu.Unlock()
 	return u.send(http.MethodPut, text)
@@ -102,7 +102,7 @@
 }
 
 func (u *upstream) send(method string, body []byte) bool {
-	req, err := http.NewRequest(method, "http://"+u.control+"/-/instances/"+u.instance, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+u.control+wire["instances"]+u.instance, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -125,22 +125,22 @@
 	if id != "" {
 		w.Header().Set(headerID, id)
 	}
-	if target := r.Header.Get("Fescuehoist-Target-Instance"); target != "" && target != u.instance {
-		w.Header().Set("Fescuehoist-Instance-Id", u.instance)
+	if target := r.Header.Get(wire["target"]); target != "" && target != u.instance {
+		w.Header().Set(wire["instance_id"], u.instance)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/healthz" {
-		w.Header().Set("Fescuehoist-Instance-Id", u.instance)
+		w.Header().Set(wire["instance_id"], u.instance)
 		return
 	}
 	if id == "" {
-		w.Header().Set("Fescuehoist-Not-Executed", "1")
+		w.Header().Set(wire["not_executed"], "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	if u.onRun != nil {
-		u.onRun(run{ID: id, Service: u.service, Instance: u.instance, Path: r.URL.RequestURI(), Tenant: r.Header.Get("Fescuehoist-Tenant"), At: time.Now()})
+		u.onRun(run{ID: id, Service: u.service, Instance: u.instance, Path: r.URL.RequestURI(), Tenant: r.Header.Get(wire["tenant"]), At: time.Now()})
 	}
 	work := u.work
 	if u.slow != nil {
@@ -151,6 +151,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("Fescuehoist-Response-Seal", "seal-"+u.instance+"-"+id)
+	w.Header().Set(wire["seal"], "seal-"+u.instance+"-"+id)
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", u.instance, r.Method, r.URL.RequestURI(), len(body))
 }
