--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,8 @@
 	"store-copy":    playStoreCopy,
 	"config-values": playConfigValues,
 	"tenant-name":   playTenantName,
+	"two-fleets":    playTwoFleets,
+	"order-number":  playOrderNumber,
 }
 
 func main() { os.Exit(run1()) }
--- a/review/standins/scene.go
+++ b/review/standins/scene.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// startGap is the time between the starts of two machines; all start within 0.3 s.
+const startGap = 40 * time.Millisecond
+
 // start starts all machines and waits until every daemon is ready.
 func (s *scene) start() error {
 	for i, d := range s.daemons {
@@ -96,6 +99,7 @@
 		if err := s.upstreams[i].start(); err != nil {
 			return err
 		}
+		time.Sleep(startGap)
 	}
 	for _, d := range s.daemons {
 		for end := time.Now().Add(10 * time.Second); !d.isReady(); time.Sleep(50 * time.Millisecond) {
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -140,6 +140,10 @@
 			continue
 		}
 		o := s.state.Objects[e.kind][e.Object.Metadata.Name]
+		if string(o.Spec) == string(e.Object.Spec) {
+			// The system had written the status.
+			continue
+		}
 		o.Metadata.Name, o.Spec = e.Object.Metadata.Name, e.Object.Spec
 		s.save(e.kind, o)
 	}
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -26,8 +26,8 @@
 	work                             time.Duration
 	record                           *record
 	onRun                            func(run)
-	// slow, if set, gives the time that a request works.
-	slow func(*http.Request) time.Duration
+	// fail means that every run ends with an error, as those of a bad version do.
+	fail bool
 
 	server   *http.Server
 	born     int64
@@ -142,15 +142,14 @@
 	if u.onRun != nil {
 		u.onRun(run{ID: id, Service: u.service, Instance: u.instance, Path: r.URL.RequestURI(), Tenant: r.Header.Get(wire["tenant"]), At: time.Now()})
 	}
-	work := u.work
-	if u.slow != nil {
-		work = u.slow(r)
-	}
 	select {
-	case <-time.After(work):
+	case <-time.After(u.work):
 	case <-r.Context().Done():
 		return
 	}
 	w.Header().Set(wire["seal"], "seal-"+u.instance+"-"+id)
+	if u.fail {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %s %d\n", u.instance, r.Method, r.URL.RequestURI(), len(body))
 }
