--- a/review/standins/ordernumber.go
+++ b/review/standins/ordernumber.go
@@ -21,8 +21,6 @@
 	secondMachines = 4
 	// reportTime is the time until a new upstream is known everywhere.
 	reportTime = 1500 * time.Millisecond
-	// restartDelay is how long a killed process is away.
-	restartDelay = time.Second
 )
 
 // rolloutState is what the system says of an order.
@@ -128,8 +126,8 @@
 }
 
 // playOrderNumber: a good version is brought in and completed. The store comes back from a copy
-// of the time before its order, and the process that last wrote to the store under a
-// condition is killed. Then a bad version is ordered.
+// of the time before its order, and the daemon that controls rollouts is stopped and started
+// again, as planned. Then a bad version is ordered.
 func playOrderNumber(s *scene) (string, error) {
 	s.bounds = map[string]any{"grace_s": 6, "budget_slack": 56, "exposure_share": exposureShare, "exposure_slack": exposureSlack, "rollback_s": 5}
 	s.addMachines()
@@ -177,15 +175,13 @@
 	}
 	time.Sleep(stableWindow)
 	if s.trouble {
-		killed := s.controller()
-		if killed == nil {
+		stopped := s.controller()
+		if stopped == nil {
 			first.end()
 			return "", fmt.Errorf("no daemon controls rollouts")
 		}
-		s.record.printf("%s controls rollouts and is killed", killed.name)
-		killed.kill()
-		time.Sleep(restartDelay)
-		if err := killed.start(s.dir); err != nil {
+		s.record.printf("%s controls rollouts and is stopped as planned", stopped.name)
+		if err := s.restart(stopped); err != nil {
 			return "", err
 		}
 	}
--- a/review/standins/scene.go
+++ b/review/standins/scene.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -118,3 +119,19 @@
 	s.record.printf("answer %s: status %d, seal %q, error %v", a.id, r.status, r.seal, r.err)
 	return r
 }
+
+// grace is how long a daemon may take after SIGTERM.
+const grace = 6 * time.Second
+
+// restart stops a daemon and starts it again on its own, as the platform does.
+func (s *scene) restart(d *daemon) error {
+	s.record.printf("%s gets SIGTERM", d.name)
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-d.exited:
+	case <-time.After(grace):
+		d.kill()
+	}
+	s.record.printf("%s has ended and is started again", d.name)
+	return d.start(s.dir)
+}
--- a/review/standins/twofleets.go
+++ b/review/standins/twofleets.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -50,15 +49,7 @@
 	}
 	time.Sleep(stableWindow + 500*time.Millisecond)
 	restarted := s.daemons[len(s.daemons)-1]
-	s.record.printf("%s gets SIGTERM", restarted.name)
-	restarted.signal(syscall.SIGTERM)
-	select {
-	case <-restarted.exited:
-	case <-time.After(6 * time.Second):
-		restarted.kill()
-	}
-	s.record.printf("%s has ended and is started again", restarted.name)
-	if err := restarted.start(s.dir); err != nil {
+	if err := s.restart(restarted); err != nil {
 		return "", err
 	}
 	// All machines are in touch, and the upstream has reported again.
