--- a/review/standins/twofleets.go
+++ b/review/standins/twofleets.go
@@ -32,7 +32,7 @@
 	slices.Reverse(s.daemons)
 	slices.Reverse(s.upstreams)
 	c := configuration(10, "lookup", "key-0").(map[string]any)
-	c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "limited", "api_keys": []string{limitedKey}, "priority": 0,
+	c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "limited", wire["keys"]: []string{limitedKey}, "priority": 0,
 		wire["rate"]: tenantRate, "burst": tenantBurst})
 	s.store.put("config", "main", c)
 	saved, started := s.store.copyNow(), time.Now()
