--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,6 +23,7 @@
 	"config-values": playConfigValues,
 	"tenant-name":   playTenantName,
 	"two-fleets":    playTwoFleets,
+	"late-report":   playLateReport,
 	"order-number":  playOrderNumber,
 }
 
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -68,13 +68,19 @@
 func (u *upstream) report() bool {
 	u.mu.Lock()
 	u.sequence++
+	text := u.text()
+	u.mu.Unlock()
+	return u.send(http.MethodPut, text)
+}
+
+// text returns a status report.
+func (u *upstream) text() []byte {
 	text, _ := json.Marshal(map[string]any{
 		"address": u.address, "born": u.born,
 		"info":   map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
 		"status": map[string]any{"state": u.state, "sequence": u.sequence, wire["cold_left"]: 0},
 	})
-	u.mu.Unlock()
-	return u.send(http.MethodPut, text)
+	return text
 }
 
 // drain reports that the upstream leaves and returns whether that was acknowledged.
