Fail answers without a length whose upload the server did not receive

Callers got a part of an answer as a complete 200, sealed, when their backend server answered a long upload at once without a length, sent a part of the body and reset or closed the connection while the upload was still being written.

Cause: an answer without a length ends with its connection, and httpconn took the end that the reader found as that of the answer. The kernel reports a reset once. If the goroutine that writes the request met it first, the reader found an end without an error, and endSending took the writer's error for that of a whole answer. A reset that follows a FIN never reaches the reader at all; if the rest of the request was still in the send buffer, it reached the writer neither.

Now an exchange with such an answer also waits for the end of the writing, whose error fails it, and for the acknowledgment of all bytes (SIOCOUTQ), unless the socket has an error. If some are missing, it closes its sending direction: the kernel then wakes the reader when the connection ends, by a reset or in order. The deadline of the call bounds both. So a server that ends its answer early and reads the request on still gets its answer through, and so does one that answers after it has read the request, where all bytes are acknowledged before the end and nothing is waited for. Answers with a length or in chunks are whole by their framing and pass as before, however the upload ends.

The tests of sound answers passed before and pass now.

--- a/adapters/httpconn/continue.go
+++ b/adapters/httpconn/continue.go
@@ -55,7 +55,7 @@
 	err := readAnswer(c, req, resp, o)
 	cancel(errExchangeEnded)
 	if sent != nil {
-		return endSending(c, resp, sent, err)
+		return endSending(c, req, resp, sent, err)
 	}
 	if err != nil {
 		return fmt.Errorf("before the body was asked for: %w", err)
--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -46,8 +46,9 @@
 	// answer is dropped and the next one is read; any other error fails the
 	// exchange and closes the connection.
 	Check func(resp *fasthttp.Response) error
-	// AllowCloseDelimited accepts an answer without a declared length, whose
-	// body ends with the connection.
+	// AllowCloseDelimited accepts an answer without a declared length, whose body ends
+	// with the connection. The exchange fails if the server did not receive the whole
+	// request, since the connection may then have broken.
 	AllowCloseDelimited bool
 	// AskFirst sends the head of the request alone, with "Expect: 100-continue", and
 	// the body once the server has asked for it. Until then the request has not run.
@@ -150,9 +151,19 @@
 const largeBodySize = 16 << 10
 
 func roundTrip(ctx context.Context, c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
+	var err error
 	if o.AskFirst {
-		return roundTripAsked(ctx, c, req, resp, o)
+		err = roundTripAsked(ctx, c, req, resp, o)
+	} else {
+		err = roundTripAtOnce(c, req, resp, o)
+	}
+	if err == nil && isCloseDelimited(req, resp) {
+		return awaitReceipt(c.Conn)
 	}
+	return err
+}
+
+func roundTripAtOnce(c *conn, req *fasthttp.Request, resp *fasthttp.Response, o *Options) error {
 	if len(req.Body()) <= largeBodySize {
 		if err := send(c, req); err != nil {
 			return err
@@ -161,7 +172,7 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(c, req) }()
-	return endSending(c, resp, sent, readAnswer(c, req, resp, o))
+	return endSending(c, req, resp, sent, readAnswer(c, req, resp, o))
 }
 
 // sendGrace is how long the sending of a body may go on after its answer. The answer may
@@ -171,8 +182,11 @@
 
 // endSending ends an exchange whose answer was read, or not with err, while the request
 // was being sent.
-func endSending(c *conn, resp *fasthttp.Response, sent <-chan error, err error) error {
+func endSending(c *conn, req *fasthttp.Request, resp *fasthttp.Response, sent <-chan error, err error) error {
 	if err == nil {
+		if isCloseDelimited(req, resp) {
+			return receiptError(<-sent)
+		}
 		grace := time.NewTimer(sendGrace)
 		defer grace.Stop()
 		select {
--- a/adapters/httpconn/reuse.go
+++ b/adapters/httpconn/reuse.go
@@ -8,10 +8,7 @@
 
 // isReusable reports whether an idle connection is open and has no bytes to read.
 func isReusable(c net.Conn) bool {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapped.NetConn()
-	}
-	sc, ok := c.(syscall.Conn)
+	sc, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -28,3 +25,11 @@
 	})
 	return err == nil && open
 }
+
+// unwrap returns the connection below TLS, or c.
+func unwrap(c net.Conn) net.Conn {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return wrapped.NetConn()
+	}
+	return c
+}
--- a/fescuehoistd/daemon/malformed_answer_test.go
+++ b/fescuehoistd/daemon/malformed_answer_test.go
@@ -27,7 +27,7 @@
 )
 
 // startRaw starts a server on an address of this process alone.
-func startRaw(t *testing.T, answer func(r *http.Request) string) *rawserver.Server {
+func startRaw(t *testing.T, answer func(r *http.Request) rawserver.Answer) *rawserver.Server {
 	t.Helper()
 	ln, err := platformtest.Listen()
 	if err != nil {
@@ -38,11 +38,12 @@
 
 // startRawBackend starts a backend server that answers by path, and other paths with
 // soundAnswer. In the answers, ID stands for the id of the request.
-func startRawBackend(t *testing.T, answers map[string]string) *rawserver.Server {
+func startRawBackend(t *testing.T, answers map[string]rawserver.Answer) *rawserver.Server {
 	t.Helper()
-	return startRaw(t, func(r *http.Request) string {
-		answer := cmp.Or(answers[r.URL.Path], soundAnswer)
-		return strings.ReplaceAll(answer, "ID", r.Header.Get(platformtest.HeaderRequestID))
+	return startRaw(t, func(r *http.Request) rawserver.Answer {
+		answer := answers[r.URL.Path]
+		answer.Text = strings.ReplaceAll(cmp.Or(answer.Text, soundAnswer), "ID", r.Header.Get(platformtest.HeaderRequestID))
+		return answer
 	})
 }
 
@@ -94,9 +95,9 @@
 		"coding of version 1.0":  strings.Replace(soundStart, "1.1", "1.0", 1) + chunkedOK + "\r\n",
 		"no answer":              "oops",
 	}
-	answers := map[string]string{}
-	for name, answer := range malformed {
-		path := strings.ReplaceAll(name, " ", "-")
+	answers := map[string]rawserver.Answer{}
+	for name, text := range malformed {
+		path, answer := strings.ReplaceAll(name, " ", "-"), rawserver.Answer{Text: text}
 		answers["/search/"+path], answers["/submit/"+path] = answer, answer
 	}
 	b := startRawBackend(t, answers)
@@ -154,9 +155,9 @@
 		"to-be-closed":  {raw: soundStart + "Connection: close, X\r\nX: y\r\nContent-Length: 2\r\n\r\nok", want: answer{200, "ok", sealed(textproto.MIMEHeader{})}},
 		"body-of-bytes": {raw: soundStart + "Content-Length: 13\r\n\r\nHTTP/1.1 000\x00", want: answer{200, "HTTP/1.1 000\x00", sealed(textproto.MIMEHeader{})}},
 	}
-	answers := map[string]string{}
+	answers := map[string]rawserver.Answer{}
 	for name, c := range cases {
-		answers["/search/"+name] = c.raw
+		answers["/search/"+name] = rawserver.Answer{Text: c.raw}
 	}
 	b := startRawBackend(t, answers)
 	beside, remote := startBesideRaw(t, b)
@@ -207,7 +208,9 @@
 // startMalformed starts a server that answers each request with a status that is none.
 func startMalformed(t *testing.T) *rawserver.Server {
 	t.Helper()
-	return startRaw(t, func(*http.Request) string { return "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}" })
+	return startRaw(t, func(*http.Request) rawserver.Answer {
+		return rawserver.Answer{Text: "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"}
+	})
 }
 
 func TestMalformedAnswerOfStoreIsLogged(t *testing.T) {
--- a/fescuehoistd/daemon/object_platform_test.go
+++ b/fescuehoistd/daemon/object_platform_test.go
@@ -144,7 +144,12 @@
 
 func sendRequest(t *testing.T, h *host, method, path, id string) response {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(strings.Repeat("b", 64)))
+	return sendBody(t, h, method, path, id, strings.Repeat("b", 64))
+}
+
+func sendBody(t *testing.T, h *host, method, path, id, body string) response {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.callers+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -157,11 +162,11 @@
 		t.Fatalf("%s %s: %v", method, path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	answered, err := io.ReadAll(resp.Body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response{resp.StatusCode, resp.Header.Get(platformtest.HeaderSeal), resp.Header.Get("Retry-After"), string(body)}
+	return response{resp.StatusCode, resp.Header.Get(platformtest.HeaderSeal), resp.Header.Get("Retry-After"), string(answered)}
 }
 
 // await waits for a condition.
