--- a/fescuehoist/status_test.go
+++ b/fescuehoist/status_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that is printed as the state of a daemon.
+func TestStatusOfDaemonAnswerBrokenOffIsAnError(t *testing.T) {
+	for name, text := range map[string]string{
+		"without length": "HTTP/1.1 200 OK\r\n\r\n{}",
+		"in the length":  "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
+		"in the chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+	} {
+		for ending, e := range map[string]rawserver.Ending{"reset": rawserver.Reset, "closed": rawserver.Close} {
+			t.Run(name+", "+ending, func(t *testing.T) {
+				daemon := rawserver.StartAnswers(t, func(*http.Request) rawserver.Answer { return rawserver.Answer{Text: text, Ending: e} })
+				var out bytes.Buffer
+				if err := (&statusCommand{Daemon: daemon.Address()}).Run(t.Context(), &output{&out}); err == nil || out.Len() > 0 {
+					t.Errorf("printed %q, error %v; want nothing but an error", out.String(), err)
+				}
+			})
+		}
+	}
+}
--- a/standin/rawserver/rawserver.go
+++ b/standin/rawserver/rawserver.go
@@ -41,6 +41,8 @@
 	Text string
 	// Early sends Text after the head of the request, and leaves the body unread.
 	Early bool
+	// Delay is the time before Text.
+	Delay time.Duration
 	// Pause is the time between Text and Ending.
 	Pause  time.Duration
 	Ending Ending
@@ -68,16 +70,22 @@
 // Start starts a server on a port of 127.0.0.1 until the end of the test. It answers each
 // request with the bytes that answer returns and keeps the connection open.
 func Start(t testing.TB, answer func(r *http.Request) string) *Server {
+	t.Helper()
+	return StartAnswers(t, func(r *http.Request) Answer { return Answer{Text: answer(r)} })
+}
+
+// StartAnswers is Start with answers that are sent before the request is read or end their
+// connections. answer is called with the body unread.
+func StartAnswers(t testing.TB, answer func(r *http.Request) Answer) *Server {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return StartOn(t, ln, func(r *http.Request) Answer { return Answer{Text: answer(r)} })
+	return StartOn(t, ln, answer)
 }
 
-// StartOn starts a server on an open TCP listener until the end of the test. It sends each
-// answer that answer returns, which is called with the body unread.
+// StartOn is StartAnswers on an open TCP listener.
 func StartOn(t testing.TB, ln net.Listener, answer func(r *http.Request) Answer) *Server {
 	s := &Server{listener: ln, answer: answer, stopping: make(chan struct{})}
 	s.tasks.Go(s.accept)
@@ -159,6 +167,7 @@
 		s.mu.Lock()
 		s.exchanges = append(s.exchanges, Exchange{Request: req, Connection: number})
 		s.mu.Unlock()
+		time.Sleep(answer.Delay)
 		if _, err := io.WriteString(c, answer.Text); err != nil {
 			return
 		}
