End gRPC connections at answers without a valid HTTP status

Daemons took status reports' replies, collectors' replies and peers' messages for sound when their answer had status 000, 600, one of two digits or none. No caller saw this; it was found by looking for the cause of malformed answers at the libraries that read for the daemon.

Cause: grpc-go does not look at :status if the content type is that of gRPC. A blank or a control byte in a name, a message that is cut, trailers that are missing and resets during the sending were errors already.

The status is not among the metadata that grpc-go hands out. So the credentials of the three clients return a connection that decodes the header blocks read from it and ends with a MalformedError at a head without a status of 100 to 599. Frames of other types are counted off and not kept. The check of a status code is that of httpconn.

--- a/adapters/collectgrpc/client.go
+++ b/adapters/collectgrpc/client.go
@@ -44,7 +44,7 @@
 	// A collector that restarts has to be reached again soon.
 	reconnect := backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second}
 	options := append(grpcconn.FrequentMessages(),
-		grpc.WithTransportCredentials(creds), grpc.WithStatsHandler(traffic),
+		grpcconn.WithCredentials(creds), grpc.WithStatsHandler(traffic),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: 2 * time.Second}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageSize)))
 	newExchanger := func(cc grpc.ClientConnInterface) *exchanger {
--- a/adapters/collectgrpc/collect_test.go
+++ b/adapters/collectgrpc/collect_test.go
@@ -21,6 +21,7 @@
 	"fescuehoist.example/mesh/allowance"
 	"fescuehoist.example/mesh/collect"
 	"fescuehoist.example/mesh/rollout"
+	"fescuehoist.example/standin/rawgrpc"
 )
 
 // sampleReport returns a report of n accounts of a failure domain of 18 daemons.
@@ -220,3 +221,17 @@
 		}
 	}
 }
+
+// Guards against an answer without a valid status that is taken for the reply of a daemon.
+func TestClientReplyWithStatus000IsAnError(t *testing.T) {
+	for code, isReply := range map[string]bool{"200": true, "000": false} {
+		t.Run(code, func(t *testing.T) {
+			address := rawgrpc.StartWithStatus(t, code, nil)
+			client := NewClient(insecure.NewCredentials(), &discardStats{})
+			defer client.Close()
+			if reply, err := client.Report(t.Context(), address, sampleReport(1)); (err == nil) != isReply {
+				t.Errorf("got reply %v, error %v; want a reply: %v", reply, err, isReply)
+			}
+		})
+	}
+}
--- a/adapters/httpconn/head.go
+++ b/adapters/httpconn/head.go
@@ -164,9 +164,8 @@
 	if len(line) < reasonStart || line[statusStart-1] != ' ' || line[statusEnd] != ' ' || !isDigit(line[len(versionStart)]) {
 		return malformed("status line", `"HTTP/1.x", a status code and a reason, separated by single blanks`, line)
 	}
-	status := line[statusStart:statusEnd]
-	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
-		return malformed("status code", "100 to 599", status)
+	if err := CheckStatus(line[statusStart:statusEnd]); err != nil {
+		return err
 	}
 	reason := line[reasonStart:]
 	if i := indexNonText(reason); i >= 0 {
@@ -175,6 +174,15 @@
 	return nil
 }
 
+// CheckStatus returns a *MalformedError unless a status code has three digits and is one of
+// those that have a class.
+func CheckStatus(code []byte) error {
+	if len(code) != statusEnd-statusStart || code[0] < '1' || code[0] > '5' || !isDigit(code[1]) || !isDigit(code[2]) {
+		return malformed("status code", "100 to 599", code)
+	}
+	return nil
+}
+
 func checkField(line []byte) error {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon {
--- a/adapters/peergrpc/link.go
+++ b/adapters/peergrpc/link.go
@@ -61,7 +61,7 @@
 
 func (d *Dialer) options() []grpc.DialOption {
 	options := append(grpcconn.FrequentMessages(),
-		grpc.WithTransportCredentials(d.Credentials),
+		grpcconn.WithCredentials(d.Credentials),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageSize), grpc.MaxCallSendMsgSize(MaxMessageSize)))
 	if d.Traffic != nil {
 		options = append(options, grpc.WithStatsHandler(d.Traffic))
--- a/adapters/statusgrpc/client.go
+++ b/adapters/statusgrpc/client.go
@@ -33,7 +33,7 @@
 // traffic counts the bytes of messages.
 func NewClient(creds credentials.TransportCredentials, traffic stats.Handler) *Client {
 	return &Client{conns: grpcconn.NewCache(idleTimeout, statuspb.NewStatusClient,
-		grpc.WithTransportCredentials(creds), grpc.WithStatsHandler(traffic))}
+		grpcconn.WithCredentials(creds), grpc.WithStatsHandler(traffic))}
 }
 
 // Sent returns the number of reports sent and their total size in bytes.
