--- a/adapters/httpconn/pool.go
+++ b/adapters/httpconn/pool.go
@@ -185,6 +185,7 @@
 func endSending(c *conn, req *fasthttp.Request, resp *fasthttp.Response, sent <-chan error, err error) error {
 	if err == nil {
 		if isCloseDelimited(req, resp) {
+			// The answer may have broken off if the request could not be written.
 			return receiptError(<-sent)
 		}
 		grace := time.NewTimer(sendGrace)
