Name the ways in which an answer breaks off once for all tests

The tests of readers had each a list of the endings of a connection, and two tests of daemons the same check of a cut upload. The test of uploads plays a close in two steps as often as the others now.

--- a/adapters/callhttp/upload_answer_test.go
+++ b/adapters/callhttp/upload_answer_test.go
@@ -21,9 +21,7 @@
 		"in the length":  strings.TrimSuffix(answerOfDaemon, "}"),
 		"in the chunks":  strings.Replace(answerOfDaemon, "Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", 1),
 	} {
-		for ending, e := range map[string]rawserver.Ending{
-			"reset": rawserver.Reset, "closed": rawserver.Close, "closed in two steps": rawserver.HalfCloseThenClose,
-		} {
+		for ending, e := range rawserver.Breaks {
 			t.Run(name+", "+ending, func(t *testing.T) {
 				daemon := rawserver.StartAnswers(t, func(r *http.Request) rawserver.Answer {
 					answer := rawserver.Answer{Text: strings.Replace(text, "NUMBER", r.Header.Get("F-Call"), 1), Early: true, Ending: e}
--- a/adapters/platformhttp/cut_answer_test.go
+++ b/adapters/platformhttp/cut_answer_test.go
@@ -22,9 +22,7 @@
 		"in the length":  "HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\n" + object,
 		"in the chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n" + object + "\r\n",
 	} {
-		for ending, e := range map[string]rawserver.Ending{
-			"reset": rawserver.Reset, "closed": rawserver.Close, "closed in two steps": rawserver.HalfCloseThenClose,
-		} {
+		for ending, e := range rawserver.Breaks {
 			t.Run(name+", "+ending, func(t *testing.T) {
 				server := rawserver.StartAnswers(t, func(*http.Request) rawserver.Answer {
 					return rawserver.Answer{Text: text, Early: true, Ending: e}
--- a/fescuehoist/status_test.go
+++ b/fescuehoist/status_test.go
@@ -39,7 +39,7 @@
 		"in the length":  "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
 		"in the chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
 	} {
-		for ending, e := range map[string]rawserver.Ending{"reset": rawserver.Reset, "closed": rawserver.Close} {
+		for ending, e := range rawserver.Breaks {
 			t.Run(name+", "+ending, func(t *testing.T) {
 				daemon := rawserver.StartAnswers(t, func(*http.Request) rawserver.Answer { return rawserver.Answer{Text: text, Ending: e} })
 				var out bytes.Buffer
--- a/fescuehoistd/daemon/upload_answer_test.go
+++ b/fescuehoistd/daemon/upload_answer_test.go
@@ -22,35 +22,26 @@
 // server answers at once without a length, and ends the connection while the request is
 // still being written. Whether the reader or the writer meets a reset first is a race.
 func TestAnswerBrokenOffDuringUploadReachesNoClient(t *testing.T) {
-	const pauses = 4
-	endings := []struct {
-		name   string
-		ending rawserver.Ending
-		rounds int
-	}{
-		{name: "reset", ending: rawserver.Reset, rounds: 24},
-		{name: "closed", ending: rawserver.Close, rounds: 24},
-		{name: "closed-in-two-steps", ending: rawserver.HalfCloseThenClose, rounds: pauses},
-	}
+	const pauses, rounds = 4, 24
 	answers := map[string]rawserver.Answer{}
 	pathOf := func(class, ending string, pause int) string { return fmt.Sprintf("/%s/%s-%d", class, ending, pause) }
-	for _, e := range endings {
+	for name, ending := range rawserver.Breaks {
 		for pause := range pauses {
-			answer := rawserver.Answer{Text: soundStart + "\r\na part", Early: true, Pause: time.Duration(pause) * time.Millisecond, Ending: e.ending}
-			answers[pathOf("search", e.name, pause)], answers[pathOf("submit", e.name, pause)] = answer, answer
+			answer := rawserver.Answer{Text: soundStart + "\r\na part", Early: true, Pause: time.Duration(pause) * time.Millisecond, Ending: ending}
+			answers[pathOf("search", name, pause)], answers[pathOf("submit", name, pause)] = answer, answer
 		}
 	}
 	b := startRawBackend(t, answers)
 	beside, remote := startBesideRaw(t, b)
 	for hops, h := range map[string]*host{"beside": beside, "remote": remote} {
-		for _, e := range endings {
+		for ending := range rawserver.Breaks {
 			for _, class := range []string{"search", "submit"} {
-				t.Run(hops+"/"+class+"/"+e.name, func(t *testing.T) {
+				t.Run(hops+"/"+class+"/"+ending, func(t *testing.T) {
 					beside.report(t)
 					taken := 0
-					for n := range e.rounds {
-						id := fmt.Sprintf("%s-%s-%s-%d", hops, class, e.name, n)
-						got := sendBody(t, h, "POST", pathOf(class, e.name, n%pauses), id, longBody)
+					for n := range rounds {
+						id := fmt.Sprintf("%s-%s-%s-%d", hops, class, ending, n)
+						got := sendBody(t, h, "POST", pathOf(class, ending, n%pauses), id, longBody)
 						if got.status == 200 {
 							taken++
 						} else if got.status != 502 || got.seal != "" {
@@ -61,7 +52,7 @@
 						}
 					}
 					if taken > 0 {
-						t.Errorf("%d parts of %d answers reached the client as whole ones, want none", taken, e.rounds)
+						t.Errorf("%d parts of %d answers reached the client as whole ones, want none", taken, rounds)
 					}
 				})
 			}
@@ -106,6 +97,18 @@
 	}
 }
 
+// expectCutUpload sends an upload that must not be repeated, and expects an error and one
+// run at the server that does not answer it well.
+func expectCutUpload(t *testing.T, h *host, server *rawserver.Server, path, id string) {
+	t.Helper()
+	if got := sendBody(t, h, "POST", path, id, longBody); got.status != 502 || got.seal != "" {
+		t.Errorf("got %+v, want status 502 without a seal", got)
+	}
+	if runs, _ := seen(server, id); runs != 1 {
+		t.Errorf("a request that must not be repeated ran %d times, want 1", runs)
+	}
+}
+
 // Guards against a malformed answer that reaches a client since it came while the request
 // was still being written, or since only the end of its connection delimits it.
 func TestMalformedAnswerDuringUploadReachesNoClient(t *testing.T) {
@@ -131,12 +134,7 @@
 			t.Run(hops+path, func(t *testing.T) {
 				beside.report(t)
 				id := hops + strings.ReplaceAll(path, "/", "-")
-				if got := sendBody(t, h, "POST", path, id, longBody); got.status != 502 || got.seal != "" {
-					t.Errorf("got %+v, want status 502 without a seal", got)
-				}
-				if runs, _ := seen(b, id); runs != 1 {
-					t.Errorf("a request that must not be repeated ran %d times, want 1", runs)
-				}
+				expectCutUpload(t, h, b, path, id)
 			})
 		}
 	}
@@ -152,9 +150,7 @@
 		"in-the-length":  head + "Content-Length: 7\r\n\r\na part",
 		"in-the-chunks":  head + "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
 	} {
-		for ending, e := range map[string]rawserver.Ending{
-			"reset": rawserver.Reset, "closed": rawserver.Close, "closed-in-two-steps": rawserver.HalfCloseThenClose,
-		} {
+		for ending, e := range rawserver.Breaks {
 			answers["/submit/"+name+"-"+ending] = rawserver.Answer{Text: text, Early: true, Ending: e}
 		}
 	}
@@ -174,13 +170,7 @@
 		t.Run(path, func(t *testing.T) {
 			announcing.report(t)
 			for n := range rounds {
-				id := fmt.Sprint(strings.ReplaceAll(path, "/", "-"), "-", n)
-				if got := sendBody(t, caller, "POST", path, id, longBody); got.status != 502 || got.seal != "" {
-					t.Errorf("got %+v, want status 502 without a seal", got)
-				}
-				if runs, _ := seen(daemon, id); runs != 1 {
-					t.Errorf("a request that must not be repeated ran %d times, want 1", runs)
-				}
+				expectCutUpload(t, caller, daemon, path, fmt.Sprint(strings.ReplaceAll(path, "/", "-"), "-", n))
 			}
 		})
 	}
@@ -244,6 +234,9 @@
 			time.Sleep(1100 * time.Millisecond)
 			copied := 0
 			for n := range rounds {
+				for _, h := range hosts {
+					h.report(t)
+				}
 				for i := range 4 {
 					sendRequest(t, entry, "GET", "/search/usual", fmt.Sprintf("between-%d-%d", n, i))
 				}
--- a/standin/rawserver/rawserver.go
+++ b/standin/rawserver/rawserver.go
@@ -32,6 +32,9 @@
 	HalfCloseThenClose
 )
 
+// Breaks are the endings by which an answer may break off, by name.
+var Breaks = map[string]Ending{"reset": Reset, "closed": Close, "closed-in-two-steps": HalfCloseThenClose}
+
 // closeDelay is the time between the two steps of HalfCloseThenClose, in which a client
 // reads the end of the answer.
 const closeDelay = 5 * time.Millisecond
