End a connection whose answer is written while its server stops

A stop could last until the idle timeout of a connection, 60 s, though none of its requests ran; a daemon is killed at the end of its grace then.

Cause: when the idle connections are closed, one whose request still counts as being read is left to its reader, which ends it before the next wait unless the answer is still being written. Then nobody did: the answer had been begun before the stop, so it was not the last one, and its writer set the idle timeout.

Now the writer ends a connection that has become idle after the stop, as the reader does. A connection on which a request is being read is left alone as before.

--- a/adapters/httpconn/server_test.go
+++ b/adapters/httpconn/server_test.go
@@ -153,6 +153,63 @@
 	})
 }
 
+// signalingConn tells when a read begins.
+type signalingConn struct {
+	net.Conn
+	reads chan struct{}
+}
+
+func (c *signalingConn) Read(b []byte) (int, error) {
+	c.reads <- struct{}{}
+	return c.Conn.Read(b)
+}
+
+// Guards against a stop that waits for a connection until its idle timeout. The server
+// stops when the answer is being written and its request still counts as being read; then
+// the wait for the next request begins, before the answer is written.
+func TestServerStopEndsConnectionWhoseAnswerIsBeingWritten(t *testing.T) {
+	client, conn := net.Pipe()
+	defer client.Close()
+	reads := make(chan struct{}, 1)
+	server := NewServer(echoHandler{}, 0)
+	n := newSession(server, &signalingConn{conn, reads})
+	n.cancel = func() {}
+	if !server.add(n) {
+		t.Fatal("the server does not take the connection")
+	}
+	n.reading = true
+	x := newExchange(server)
+	if !n.enqueue(x) {
+		t.Fatal("the connection does not take the request")
+	}
+	written, ended := make(chan struct{}), make(chan bool, 1)
+	go func() {
+		defer close(written)
+		n.deliver(x)
+	}()
+	// The answer is written until the client has read all of it.
+	r := bufio.NewReaderSize(client, 16)
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	server.closeIdle()
+	go func() { ended <- n.awaitRequest() }()
+	<-reads
+	if _, err := http.ReadResponse(r, nil); err != nil {
+		t.Fatal(err)
+	}
+	<-written
+	select {
+	case hasRequest := <-ended:
+		if hasRequest {
+			t.Error("got a request, want the end of the connection")
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the connection waits for another request")
+		_ = n.Close()
+	}
+}
+
 // Guards against a stop that waits for the idle timeout: a connection whose answer was
 // written, but which does not wait for the next request yet, was neither idle nor in use.
 func TestServerStopDoesNotWaitForConnectionThatWasJustAnswered(t *testing.T) {
--- a/adapters/httpconn/session.go
+++ b/adapters/httpconn/session.go
@@ -370,10 +370,17 @@
 		return
 	}
 	n.drained.Broadcast()
-	if !n.closing && !n.reading {
-		n.idleSince = time.Now()
-		n.setIdleDeadline()
+	if n.closing || n.reading {
+		return
+	}
+	if n.server.stopping.Load() {
+		// The request counted as being read when the idle connections were closed.
+		n.closing = true
+		n.stopReading()
+		return
 	}
+	n.idleSince = time.Now()
+	n.setIdleDeadline()
 }
 
 // write writes one answer.
