Number the revisions of the platform's store by epoch

A revision that the store gives out again after it came back from an older copy stood for two states. mesh/revision puts the epoch beside the number, and holds the latest epoch that a daemon has heard of. The client of the store decodes the field in one place (platform/epoch.go), believes no answer of an earlier or unknown epoch, turns a write on the condition of a revision of an earlier epoch into a conflict, and ends watches from there as compacted.

--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"fescuehoist.example/mesh/quarantine"
 	"fescuehoist.example/mesh/reader"
 	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/status"
 	"fescuehoist.example/mesh/stop"
@@ -135,9 +136,11 @@
 	listeners *Listeners
 	transport *transport
 
-	members         *member.Table
-	advisories      *advisory.Book
-	configs         *manifest.Store
+	members    *member.Table
+	advisories *advisory.Book
+	configs    *manifest.Store
+	// epochs holds the latest epoch of the platform's store.
+	epochs          *revision.Epochs
 	node            *gossip.Node
 	platformAdapter platformAdapter
 	router          *route.Router
@@ -188,6 +191,7 @@
 		members:    member.NewTable(self),
 		advisories: advisory.NewBook(),
 		configs:    manifest.NewStore(),
+		epochs:     &revision.Epochs{},
 		gate:       cfg.Policy.Gate,
 		link:       link.NewGate(s.Limits.LinkMbps),
 		uplink:     link.NewGate(s.Limits.LinkMbps),
--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -40,8 +40,10 @@
 func newObjectPlatform(d *Daemon) *objectPlatform {
 	s := d.cfg.Settings
 	self := member.ServerID(s.Server)
-	o := &objectPlatform{d: d, store: platform.NewStore(s.Platform, d.transport.dialPlatform)}
+	o := &objectPlatform{d: d, store: platform.NewStore(s.Platform, d.transport.dialPlatform, d.epochs)}
 	o.store.OnMalformed(d.logMalformed)
+	disbelieved := &throttledLog{logger: d.partLogger("platform")}
+	o.store.OnDisbelieved(func(err error) { disbelieved.warnf("not believing the platform's store: %v", err) })
 	d.configs.ApplyByService()
 	d.cfg.ConfigWatch.VerifyAge = time.Duration(verifyShare * float64(s.Accounts.RevokeWithin))
 	o.watcher = configwatch.New(d.cfg.ConfigWatch, self, s.Domain, &platform.ConfigurationSource{Store: o.store},
@@ -66,6 +68,7 @@
 }
 
 func (o *objectPlatform) run(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { return o.logEpochs(ctx) })
 	g.Go(func() error { return o.watcher.Run(ctx) })
 	g.Go(func() error { return o.discovery.Run(ctx) })
 	if ln := o.d.listeners.Announcements; ln != nil {
@@ -80,6 +83,21 @@
 	}
 }
 
+// logEpochs logs each later epoch of the store until ctx ends.
+func (o *objectPlatform) logEpochs(ctx context.Context) error {
+	logger := o.d.partLogger("platform")
+	for known := uint64(0); ; {
+		epoch, err := o.d.epochs.AwaitAfter(ctx, known)
+		if err != nil {
+			return nil
+		}
+		if known > 0 {
+			logger.Warnf("the platform's store came back from an older copy: epoch %d, previously %d; known version %d", epoch, known, o.d.configs.KnownVersion())
+		}
+		known = epoch
+	}
+}
+
 func (o *objectPlatform) dialect() callhttp.Dialect { return platform.Dialect{} }
 
 // registered returns the number of daemons in the platform's store as last read.
@@ -99,6 +117,10 @@
 	return []telemetry.Metric{
 		{Name: "fescuehoist.platform.calls.failed", Description: "Calls to the platform without a usable response.", Monotonic: true,
 			Read: func() []telemetry.Point { return telemetry.SinglePoint(o.store.FailedCalls()) }},
+		{Name: "fescuehoist.platform.epoch", Description: "Latest known epoch of the platform's store, which rises when it comes back from an older copy; 0 if it counts none.",
+			Read: func() []telemetry.Point { return telemetry.SinglePoint(o.d.epochs.Latest()) }},
+		{Name: "fescuehoist.platform.answers.disbelieved", Description: "Answers of the platform's store that were not believed, since their epoch was unknown or an earlier one.", Monotonic: true,
+			Read: func() []telemetry.Point { return telemetry.SinglePoint(o.store.DisbelievedAnswers()) }},
 		{Name: "fescuehoist.version.confirmation.age", Unit: "ms", Description: "Age of the latest confirmation that the known configuration version is the newest; no point before the first one.",
 			Read: o.confirmationAge},
 		{Name: "fescuehoist.version.verification.age", Unit: "ms", Description: "Age of the latest proof that the known configuration version was the newest, by a clock that counts suspension; no point before the first one.",
--- a/mesh/discover/advisories.go
+++ b/mesh/discover/advisories.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"fescuehoist.example/mesh/revision"
 )
 
 // minStoreInterval is the time between two writes of the daemon's entry.
@@ -32,7 +34,7 @@
 
 // replaceEntry writes the entry of this daemon with the advisories that it issued.
 func (f *Finder) replaceEntry(ctx context.Context) error {
-	if f.revision == 0 {
+	if f.revision.IsZero() {
 		if err := f.readOwn(ctx); err != nil {
 			return err
 		}
@@ -40,12 +42,12 @@
 	e := f.self
 	e.Advisories, e.Revision = f.advisories.Issued(), f.revision
 	// A failed write may be carried out later, so the entry is read before the next one.
-	f.revision = 0
-	revision, err := f.registry.Write(ctx, e)
+	f.revision = revision.Revision{}
+	written, err := f.registry.Write(ctx, e)
 	if err != nil {
 		return err
 	}
-	f.revision = revision
+	f.revision = written
 	f.advisories.MarkStored(e.Advisories)
 	return nil
 }
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -16,6 +16,7 @@
 
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/wait"
 )
 
@@ -27,8 +28,8 @@
 	PeerAddress string
 	// Advisories are those that the daemon issued.
 	Advisories []advisory.Aged
-	// Revision is that of the entry's last change, or 0 if there is no entry.
-	Revision uint64
+	// Revision is that of the entry's last change, or zero if there is no entry.
+	Revision revision.Revision
 }
 
 // ErrChanged means that a registry made no change since the entry has another revision
@@ -38,9 +39,9 @@
 // Registry stores entries in the platform. Writes name the revision that they change,
 // since one that got no response may be carried out later.
 type Registry interface {
-	// Write creates a daemon's entry if its revision is 0, and otherwise replaces it.
+	// Write creates a daemon's entry if its revision is zero, and otherwise replaces it.
 	// It returns the new revision, or ErrChanged.
-	Write(ctx context.Context, e Entry) (revision uint64, err error)
+	Write(ctx context.Context, e Entry) (revision.Revision, error)
 	// Get returns a daemon's entry, which is empty if there is none.
 	Get(ctx context.Context, server member.ServerID) (Entry, error)
 	// List returns the entries, without those that cannot be decoded.
@@ -114,8 +115,8 @@
 	// outdated means that the entry of this daemon, as it was listed at the start, is
 	// missing or names another address.
 	outdated bool
-	// revision is that of this daemon's entry, or 0 if it is not known.
-	revision uint64
+	// revision is that of this daemon's entry, or zero if it is not known.
+	revision revision.Revision
 
 	// listed is closed after the first listing, which found neighbors entries of the
 	// own failure domain.
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -12,13 +12,14 @@
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/discover"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 // fakeDeps implements Registry, Peers and Members.
 type fakeDeps struct {
 	mu       sync.Mutex
 	entries  []discover.Entry
-	revision uint64
+	revision revision.Revision
 	failures int
 	contacts []string
 	streams  int
@@ -41,18 +42,18 @@
 	return slices.IndexFunc(w.entries, func(e discover.Entry) bool { return e.Server == server })
 }
 
-func (w *fakeDeps) Write(_ context.Context, e discover.Entry) (uint64, error) {
+func (w *fakeDeps) Write(_ context.Context, e discover.Entry) (revision.Revision, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.nextError(); err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	i, stored := w.index(e.Server), discover.Entry{}
 	if i >= 0 {
 		stored = w.entries[i]
 	}
 	if stored.Revision != e.Revision {
-		return 0, discover.ErrChanged
+		return revision.Revision{}, discover.ErrChanged
 	}
 	w.put(e)
 	return w.revision, nil
@@ -60,7 +61,8 @@
 
 // put adds or replaces an entry.
 func (w *fakeDeps) put(e discover.Entry) {
-	w.revision = max(w.revision, e.Revision) + 1
+	w.revision = revision.Latest(w.revision, e.Revision)
+	w.revision.Number++
 	e.Revision = w.revision
 	if i := w.index(e.Server); i >= 0 {
 		w.entries[i] = e
@@ -154,7 +156,7 @@
 }
 
 func newEntry(server, address string) discover.Entry {
-	return discover.Entry{Server: member.ServerID(server), PeerAddress: address, Revision: 1}
+	return discover.Entry{Server: member.ServerID(server), PeerAddress: address, Revision: revision.Revision{Number: 1}}
 }
 
 func TestFinderRegistersAndAddsContactsAfterOutage(t *testing.T) {
