--- a/adapters/collectgrpc/codec_rollout.go
+++ b/adapters/collectgrpc/codec_rollout.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"fescuehoist.example/adapters/collectgrpc/collectpb"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/rollout"
 	"fescuehoist.example/mesh/target"
 )
 
 func encodeCount(c *rollout.Count) *collectpb.Release {
 	return &collectpb.Release{
-		Service: c.Service, Release: c.Release, Class: c.Class, Order: c.Order, Target: c.Target, State: uint32(c.State),
+		Service: c.Service, Release: c.Release, Class: c.Class, Order: c.Order.Number, OrderEpoch: c.Order.Epoch, Target: c.Target, State: uint32(c.State),
 		HeardMicros: encodeMicros(c.Heard), Servers: uint32(c.Servers), Idle: uint32(c.Idle), Active: uint32(c.Active), Failing: uint32(c.Failing),
 		Answered: c.Answered, Failed: c.Failed, TotalMicros: encodeMicros(c.Total), Timed: c.Timed, LogSum: c.LogSum, LogSquares: c.LogSquares,
 	}
@@ -32,7 +33,7 @@
 		return rollout.Count{}, fmt.Errorf("run times of service %.80q add up to %g and %g, want finite numbers", in.GetService(), in.GetLogSum(), in.GetLogSquares())
 	}
 	return rollout.Count{
-		Service: in.GetService(), Release: in.GetRelease(), Class: in.GetClass(), Order: in.GetOrder(), Target: in.GetTarget(), State: rollout.State(in.GetState()),
+		Service: in.GetService(), Release: in.GetRelease(), Class: in.GetClass(), Order: revision.Revision{Epoch: in.GetOrderEpoch(), Number: in.GetOrder()}, Target: in.GetTarget(), State: rollout.State(in.GetState()),
 		Heard: micros(in.GetHeardMicros()), Servers: servers(in.GetServers()), Idle: servers(in.GetIdle()), Active: servers(in.GetActive()), Failing: servers(in.GetFailing()),
 		Answered: in.GetAnswered(), Failed: in.GetFailed(), Total: micros(in.GetTotalMicros()), Timed: in.GetTimed(), LogSum: in.GetLogSum(), LogSquares: in.GetLogSquares(),
 	}, nil
@@ -46,7 +47,7 @@
 func encodeDirection(d *rollout.Direction) *collectpb.Direction {
 	return &collectpb.Direction{
 		Service: d.Service, Release: d.Release, Share: uint32(round(d.Share, tenThousandths)), State: uint32(d.State),
-		Servers: uint32(d.Servers), Order: d.Order, AgeMicros: encodeAge(d.Age),
+		Servers: uint32(d.Servers), Order: d.Order.Number, OrderEpoch: d.Order.Epoch, AgeMicros: encodeAge(d.Age),
 	}
 }
 
@@ -58,6 +59,6 @@
 	}
 	return rollout.Direction{
 		Service: in.GetService(), Release: in.GetRelease(), Share: fraction(in.GetShare()), State: rollout.State(in.GetState()),
-		Servers: servers(in.GetServers()), Order: in.GetOrder(), Age: micros(in.GetAgeMicros()),
+		Servers: servers(in.GetServers()), Order: revision.Revision{Epoch: in.GetOrderEpoch(), Number: in.GetOrder()}, Age: micros(in.GetAgeMicros()),
 	}, nil
 }
--- a/adapters/collectgrpc/codec_rollout_test.go
+++ b/adapters/collectgrpc/codec_rollout_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"fescuehoist.example/adapters/collectgrpc/collectpb"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/rollout"
 )
 
@@ -15,8 +16,8 @@
 // directions that look younger than they are.
 func TestCountsAndDirectionsKeepTheirContent(t *testing.T) {
 	counts := []rollout.Count{
-		{Service: "lookup", Release: "v2", Order: 7, Target: "v2", Servers: 3, Idle: 2, Active: 3, Failing: 1, State: rollout.Completed, Heard: 2 * time.Second},
-		{Service: "lookup", Release: "v1", Class: "r-search", Order: 7, Answered: 9, Failed: 2, Total: time.Second, Timed: 5, LogSum: -12.5, LogSquares: 40},
+		{Service: "lookup", Release: "v2", Order: revision.Revision{Epoch: 3, Number: 7}, Target: "v2", Servers: 3, Idle: 2, Active: 3, Failing: 1, State: rollout.Completed, Heard: 2 * time.Second},
+		{Service: "lookup", Release: "v1", Class: "r-search", Order: revision.Revision{Epoch: 3, Number: 7}, Answered: 9, Failed: 2, Total: time.Second, Timed: 5, LogSum: -12.5, LogSquares: 40},
 	}
 	for _, c := range counts {
 		got, err := decodeCount(encodeCount(&c))
@@ -24,7 +25,7 @@
 			t.Errorf("counts arrived as %+v, error %v; want %+v", got, err, c)
 		}
 	}
-	for _, d := range []rollout.Direction{{Age: time.Second}, {Service: "lookup", Release: "v2", Share: 0.25, Servers: 2, State: rollout.Completed, Order: 7}} {
+	for _, d := range []rollout.Direction{{Age: time.Second}, {Service: "lookup", Release: "v2", Share: 0.25, Servers: 2, State: rollout.Completed, Order: revision.Revision{Epoch: 3, Number: 7}}} {
 		got, err := decodeDirection(encodeDirection(&d))
 		if got.Age < d.Age {
 			t.Errorf("age %s arrived as %s", d.Age, got.Age)
--- a/fescuehoistd/daemon/rollout_test.go
+++ b/fescuehoistd/daemon/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,7 +69,17 @@
 // call sends about 80 requests a second through all daemons until stopCalls. Each must get
 // status 200, or 500 if some versions are bad.
 func (f *rolloutFleet) call(t *testing.T, bad bool) {
-	for n, h := range append(f.old, f.new...) {
+	allowed := []int{200}
+	if bad {
+		allowed = append(allowed, 500)
+	}
+	f.callThrough(t, append(f.old, f.new...), allowed...)
+}
+
+// callThrough is call through the daemons of some hosts; each request must get one of the
+// allowed statuses.
+func (f *rolloutFleet) callThrough(t *testing.T, hosts []*host, allowed ...int) {
+	for n, h := range hosts {
 		f.callers.Go(func() {
 			for i := 0; ; i++ {
 				select {
@@ -82,8 +93,8 @@
 					method, path = "POST", "/submit/x"
 				}
 				got := sendRequest(t, h, method, path, fmt.Sprintf("rollout-%d-%d", n, i))
-				if got.status != 200 && (!bad || got.status != 500) {
-					t.Errorf("%s %s: got %+v at %s, want status 200", method, path, got, time.Now().Format("05.000"))
+				if !slices.Contains(allowed, got.status) {
+					t.Errorf("%s %s: got %+v at %s, want a status of %v", method, path, got, time.Now().Format("05.000"), allowed)
 				}
 			}
 		})
--- a/fescuehoistd/daemon/rollouts.go
+++ b/fescuehoistd/daemon/rollouts.go
@@ -123,7 +123,8 @@
 	// Share is that in use: 0 if the direction is out of date.
 	Share   float64 `json:"share"`
 	Servers int     `json:"servers,omitempty"`
-	Order   uint64  `json:"order"`
+	// Order is the revision at which the order began.
+	Order string `json:"order"`
 }
 
 // state returns the state, or nil without rollouts.
@@ -133,7 +134,7 @@
 	}
 	out := &Rollouts{Orders: r.controller.Status()}
 	for _, a := range r.follower.Current().All() {
-		out.Directions = append(out.Directions, Direction{a.Service, a.Release, a.State.String(), a.CurrentShare(), a.Servers, a.Order})
+		out.Directions = append(out.Directions, Direction{a.Service, a.Release, a.State.String(), a.CurrentShare(), a.Servers, a.Order.String()})
 	}
 	return out
 }
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 const (
 	// idleTimeout is how long after the last counts a controller forgets the orders: another
 	// daemon is the fleet's collector then.
 	idleTimeout = 2 * time.Second
-	// adoptTimeout is how long a controller that finds a running order waits for daemons
+	// adoptTimeout is how long a controller that did not see an order begin waits for daemons
 	// that know its number and how long it has been running.
 	adoptTimeout = 1500 * time.Millisecond
 	// storeLifetime is how long after a response the store counts as reachable.
@@ -89,15 +90,17 @@
 // controlled is the rollout of one service.
 type controlled struct {
 	order Order
-	// number is that of the order in directions; 0 while it is not known.
-	number uint64
+	// number is that of the order in directions; zero while it is not known.
+	number revision.Revision
 	// adoptBy is when a number is assigned if no daemon knows one.
-	adoptBy   time.Duration
-	state     State
-	startedAt time.Duration
-	progress  *progress
-	step      step
-	verdict   verdict
+	adoptBy time.Duration
+	// superseded means that daemons follow a later order, which the store has lost.
+	superseded bool
+	state      State
+	startedAt  time.Duration
+	progress   *progress
+	step       step
+	verdict    verdict
 	// written is the state that the store has, checkedAt when it last responded to a write.
 	written   State
 	checkedAt time.Duration
@@ -169,8 +172,12 @@
 		}
 	}
 	for _, r := range c.rollouts {
-		if r.number > 0 {
+		switch {
+		case !r.number.IsZero():
 			list = append(list, r.direction())
+		case !r.superseded:
+			// What daemons follow is not known yet, so the list confirms nothing.
+			list[0].Share = 0
 		}
 	}
 	return list
@@ -187,7 +194,7 @@
 // advance decides on the next step of one rollout.
 func (c *Controller) advance(r *controlled, counts []Count, covered float64) {
 	now := c.now()
-	if r.number == 0 && !c.adopt(r, counts, now) {
+	if r.number.IsZero() && !c.adopt(r, counts, covered, now) {
 		return
 	}
 	counts = slices.DeleteFunc(counts, func(n Count) bool { return n.Order != r.number })
@@ -211,24 +218,54 @@
 	c.takeStep(r, now)
 }
 
-// adopt finds out the number and the age of an order that another controller has begun.
+// adopt finds out the number and the age of an order that the controller did not see begin.
 // It reports whether the order has a number.
-func (c *Controller) adopt(r *controlled, counts []Count, now time.Duration) bool {
+func (c *Controller) adopt(r *controlled, counts []Count, covered float64, now time.Duration) bool {
+	if r.order.isSupersededBy(counts) && (r.order.Status.Final() || now < r.adoptBy) {
+		if !r.superseded {
+			c.logger.Warnf("service %s: not following the order for release %s, which the store has as %s: daemons follow a later one that the store has lost",
+				r.order.Service, r.order.Release, r.order.Status)
+		}
+		r.superseded = true
+		return false
+	}
+	r.superseded = false
 	for i := range counts {
-		if n := &counts[i]; n.Target == r.order.Release && n.Order <= r.order.Revision {
-			r.number = max(r.number, n.Order)
+		if r.order.isFollowedBy(&counts[i]) {
+			r.number = revision.Latest(r.number, counts[i].Order)
 		}
 	}
-	if r.number == 0 && now < r.adoptBy {
+	switch {
+	case !r.number.IsZero():
+		c.logger.Infof("service %s: going on with order %s for release %s, which the store has as %s", r.order.Service, r.number, r.order.Release, r.written)
+	case now < r.adoptBy && covered < minCovered:
 		return false
-	}
-	if r.number == 0 {
+	default:
 		r.number = r.order.Revision
+		c.logger.Infof("service %s: order %s for release %s, time limit %s, which the store has as %s", r.order.Service, r.number, r.order.Release, r.order.Duration, r.written)
 	}
-	c.logger.Infof("service %s: going on with order %d for release %s, which the store has as %s", r.order.Service, r.number, r.order.Release, r.written)
+	c.wakeWriter()
 	return true
 }
 
+// isFollowedBy reports whether daemons follow the order. One without a status may have had
+// one before the store came back from an older copy; its number is of an earlier epoch then.
+func (o *Order) isFollowedBy(n *Count) bool {
+	if n.Target != o.Release || n.Order.After(o.Revision) {
+		return false
+	}
+	return o.Status != 0 || n.Order == o.Revision || n.Order.Epoch < o.Revision.Epoch
+}
+
+// isSupersededBy reports whether daemons follow an order of an earlier epoch for another
+// release although the order has a status: the store came back from a copy of the time
+// before theirs, which the operator has not written again yet.
+func (o *Order) isSupersededBy(counts []Count) bool {
+	return o.Status != 0 && slices.ContainsFunc(counts, func(n Count) bool {
+		return n.Target != o.Release && n.Order.Epoch < o.Revision.Epoch
+	})
+}
+
 func (c *Controller) takeStep(r *controlled, now time.Duration) {
 	servers := c.fleet.Servers(r.order.Service)
 	s := r.progress.situation(servers)
@@ -268,7 +305,7 @@
 	if s == RolledBack {
 		log = c.logger.Warnf
 	}
-	log("service %s: release %s %s in phase %s after %s, order %d: %s; %.0f requests, %.0f of them to the release",
+	log("service %s: release %s %s in phase %s after %s, order %s: %s; %.0f requests, %.0f of them to the release",
 		r.order.Service, r.order.Release, s, r.step.phase, (c.now() - r.startedAt).Round(time.Millisecond), r.number, reason,
 		r.progress.requests, r.progress.exposed)
 	c.wakeWriter()
@@ -296,7 +333,7 @@
 	case o.Err != nil:
 		c.refuse(o)
 		if r != nil {
-			r.order.Revision = max(r.order.Revision, o.Revision)
+			r.order.Revision = revision.Latest(r.order.Revision, o.Revision)
 		}
 	default:
 		delete(c.refused, o.Name)
@@ -315,7 +352,7 @@
 
 func (c *Controller) refuse(o Order) {
 	if known, refused := c.refused[o.Name]; !refused || known.Revision != o.Revision {
-		c.logger.Warnf("order %.80q of revision %d refused, nothing changes: %v", o.Name, o.Revision, o.Err)
+		c.logger.Warnf("order %.80q of revision %s refused, nothing changes: %v", o.Name, o.Revision, o.Err)
 	}
 	c.refused[o.Name] = o
 }
@@ -335,7 +372,7 @@
 // rolled back one stay.
 func (c *Controller) remove(o Order, r *controlled) {
 	delete(c.refused, o.Name)
-	if r != nil && r.state == Running && o.Revision > r.order.Revision {
+	if r != nil && r.state == Running && o.Revision.After(r.order.Revision) {
 		r.written = RolledBack
 		c.end(r, RolledBack, "the order was deleted")
 	}
@@ -344,15 +381,35 @@
 // accept takes a valid order: a new one, or the one that is known with a new status.
 func (c *Controller) accept(o Order) {
 	r := c.rollouts[o.Service]
-	if r == nil || r.replacedBy(&o) {
-		if r == nil || o.Revision > r.order.Revision {
-			c.begin(o, r)
-		}
-		return
+	switch {
+	case r == nil:
+		c.begin(o, nil)
+	case !o.Revision.After(r.order.Revision):
+	case o.Revision.Epoch > r.order.Revision.Epoch && !r.number.IsZero():
+		c.acceptFromCopy(o, r)
+	case r.replacedBy(&o):
+		c.begin(o, r)
+	default:
+		c.update(o, r)
 	}
-	if o.Revision <= r.order.Revision {
-		return
+}
+
+// acceptFromCopy takes an order from a store that came back from an older copy. The order
+// that the controller knows has been written again, or is still there; what the store lacks
+// of its state is written again. Another one that has ended is from the time before it.
+func (c *Controller) acceptFromCopy(o Order, r *controlled) {
+	switch {
+	case r.order.isSameAs(&o):
+		r.written = o.Status
+		c.update(o, r)
+		c.wakeWriter()
+	case !o.Status.Final():
+		c.begin(o, r)
 	}
+}
+
+// update takes a new revision and status of an order.
+func (c *Controller) update(o Order, r *controlled) {
 	r.order = o
 	r.written = max(r.written, o.Status)
 	if o.Status > r.state || (o.Status.Final() && !r.state.Final()) {
@@ -360,37 +417,41 @@
 	}
 }
 
-// replacedBy reports whether a stored order is another one than that of the rollout. A
+// isSameAs reports whether two orders say the same.
+func (o *Order) isSameAs(other *Order) bool {
+	return o.Name == other.Name && o.Release == other.Release && o.Duration == other.Duration
+}
+
+// replacedBy reports whether a later order is another one than that of the rollout. A
 // status for the release stays with the order; an order that changes after its end was
 // known to be stored has been given again.
 func (r *controlled) replacedBy(o *Order) bool {
 	switch {
-	case o.Name != r.order.Name || o.Release != r.order.Release || o.Duration != r.order.Duration:
+	case !r.order.isSameAs(o):
 		return true
-	case o.Revision <= r.order.Revision:
-		return false
 	case o.Status == 0:
 		return r.written != 0
 	}
 	return r.written.Final()
 }
 
+// begin begins an order. Its number is assigned with the next counts, which may show that
+// daemons follow it already. Not all of them need have reported if the controller has just
+// begun to read orders, or if another controller has written a status.
 func (c *Controller) begin(o Order, replaced *controlled) {
 	now := c.now()
-	r := &controlled{order: o, state: Running, startedAt: now, progress: newProgress(o.Release, c.cfg.Limits), written: o.Status}
-	takenOver := o.Status != 0 && (replaced == nil || replaced.order.Release != o.Release)
-	switch {
-	case takenOver && o.Status.Final():
-		r.state, r.number = o.Status, o.Revision
-	case takenOver:
-		r.adoptBy = now + adoptTimeout
-	default:
-		// The status may be left from an earlier order for the same release.
-		r.number, r.written = o.Revision, 0
-		c.logger.Infof("service %s: order %d for release %s, time limit %s", o.Service, r.number, o.Release, o.Duration)
+	if replaced != nil && replaced.order.Release == o.Release {
+		// The status is left from the earlier order.
+		o.Status = 0
+	}
+	r := &controlled{order: o, state: Running, startedAt: now, adoptBy: now, progress: newProgress(o.Release, c.cfg.Limits), written: o.Status}
+	if o.Status.Final() {
+		r.state = o.Status
+	}
+	if !c.known || o.Status == Running || (replaced != nil && replaced.number.IsZero()) {
+		r.adoptBy += adoptTimeout
 	}
 	c.rollouts[o.Service] = r
-	c.wakeWriter()
 }
 
 // Refused is the state of an order that is not valid, in a Status.
--- a/mesh/rollout/controller_test.go
+++ b/mesh/rollout/controller_test.go
@@ -160,8 +160,8 @@
 	f.control = f.startController()
 	f.run(timeLimit + overtime - at - 1700*time.Millisecond)
 	f.expectStatus(Completed)
-	if after := f.servers[0].Current().Of("lookup").Order; after < order {
-		f.t.Errorf("order %d became %d", order, after)
+	if after := f.servers[0].Current().Of("lookup").Order; order.After(after) {
+		f.t.Errorf("order %s became %s", order, after)
 	}
 }
 
--- a/mesh/rollout/count.go
+++ b/mesh/rollout/count.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"fescuehoist.example/mesh/revision"
 )
 
 // Count is what daemons have counted at the servers of one release of a service, in
@@ -12,7 +14,7 @@
 type Count struct {
 	Service, Release, Class string
 	// Order is the order that the daemons have heard of, Target its release.
-	Order  uint64
+	Order  revision.Revision
 	Target string
 
 	// Servers is the number of servers, Idle the number of those that refuse requests
@@ -40,7 +42,7 @@
 
 type countKey struct {
 	service, release, class string
-	order                   uint64
+	order                   revision.Revision
 }
 
 func (c *Count) key() countKey { return countKey{c.Service, c.Release, c.Class, c.Order} }
@@ -81,7 +83,7 @@
 	}
 	slices.SortFunc(merged, func(a, b Count) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Release, b.Release),
-			cmp.Compare(a.Class, b.Class), cmp.Compare(a.Order, b.Order))
+			cmp.Compare(a.Class, b.Class), a.Order.Compare(b.Order))
 	})
 	return merged
 }
--- a/mesh/rollout/counter.go
+++ b/mesh/rollout/counter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/call"
+	"fescuehoist.example/mesh/revision"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // counter counts the calls to one server since its daemon heard of an order.
 type counter struct {
-	order   uint64
+	order   revision.Revision
 	heardAt time.Duration
 
 	mu sync.Mutex
@@ -43,7 +44,7 @@
 // recentAnswers tells when servers of a release answered last; 0 means never.
 type recentAnswers struct{ answeredAt, failedAt time.Duration }
 
-func newCounter(order uint64, now time.Duration) *counter {
+func newCounter(order revision.Revision, now time.Duration) *counter {
 	return &counter{
 		order: order, heardAt: now, since: now, cutAt: now - minCutInterval,
 		classes: map[classKey]*Count{}, servers: map[string]*recentAnswers{},
@@ -176,7 +177,7 @@
 
 // count counts a call that started at a time of the clock, under an order, and ends now. One
 // that ends under a later order tells nothing about that.
-func (f *Follower) count(order uint64, release, class string, r result, start time.Duration) {
+func (f *Follower) count(order revision.Revision, release, class string, r result, start time.Duration) {
 	f.mu.Lock()
 	c := f.counter
 	f.mu.Unlock()
--- a/mesh/rollout/counter_test.go
+++ b/mesh/rollout/counter_test.go
@@ -7,6 +7,7 @@
 
 	"fescuehoist.example/mesh/call"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 type handlerFunc func(context.Context, *call.Request) (*call.Answer, error)
@@ -24,7 +25,7 @@
 	}
 	f := NewFollower(func() time.Duration { now += time.Millisecond; return now }, own, func() int { return 0 })
 	order := func(number uint64) {
-		f.Apply([]Direction{{Share: 1}, {Service: "lookup", Release: "v2", State: Running, Share: 0.1, Order: number}})
+		f.Apply([]Direction{{Share: 1}, {Service: "lookup", Release: "v2", State: Running, Share: 0.1, Order: revision.Revision{Number: number}}})
 	}
 	order(1)
 	h := &Handler{Follower: f, Handler: handlerFunc(func(context.Context, *call.Request) (*call.Answer, error) {
@@ -35,7 +36,7 @@
 		t.Fatal(err)
 	}
 	for _, c := range f.Counts() {
-		if c.Order != 2 || c.Answered > 0 {
+		if c.Order.Number != 2 || c.Answered > 0 {
 			t.Errorf("got %+v, want no answers under order 2", c)
 		}
 	}
--- a/mesh/rollout/fleet_test.go
+++ b/mesh/rollout/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 const (
@@ -22,7 +24,7 @@
 // orders is an Orders port in memory.
 type orders struct {
 	mu       sync.Mutex
-	revision uint64
+	revision revision.Revision
 	order    map[string]Order
 	changed  chan struct{}
 	down     bool
@@ -32,22 +34,22 @@
 }
 
 func newOrders() *orders {
-	return &orders{revision: 1, order: map[string]Order{}, changed: make(chan struct{})}
+	return &orders{revision: revision.Revision{Epoch: 1, Number: 1}, order: map[string]Order{}, changed: make(chan struct{})}
 }
 
 var errDown = fmt.Errorf("down")
 
-// put stores an order; a revision of 0 or the stored one is its condition.
-func (s *orders) put(o Order) (uint64, error) {
+// put stores an order; a revision of zero or the stored one is its condition.
+func (s *orders) put(o Order) (revision.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, errDown
+		return revision.Revision{}, errDown
 	}
-	if o.Revision != 0 && o.Revision != s.order[o.Name].Revision {
-		return 0, ErrChanged
+	if !o.Revision.IsZero() && o.Revision != s.order[o.Name].Revision {
+		return revision.Revision{}, ErrChanged
 	}
-	s.revision++
+	s.revision.Number++
 	o.Revision = s.revision
 	s.order[o.Name] = o
 	close(s.changed)
@@ -67,32 +69,61 @@
 	return s.order["lookup"].Status
 }
 
-func (s *orders) since(after uint64) ([]Order, uint64, chan struct{}, bool) {
+func (s *orders) since(after revision.Revision) ([]Order, revision.Revision, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []Order
 	for _, o := range s.order {
-		if o.Revision > after {
+		if o.Revision.After(after) {
 			all = append(all, o)
 		}
 	}
 	return all, s.revision, s.changed, s.down
 }
 
-func (s *orders) List(context.Context) ([]Order, uint64, error) {
-	all, at, _, down := s.since(0)
+// storeCopy is what the store held at one time.
+type storeCopy struct {
+	number uint64
+	order  map[string]Order
+}
+
+func (s *orders) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision.Number, maps.Clone(s.order)}
+}
+
+// restore brings the store back from a copy.
+func (s *orders) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision.Revision{Epoch: s.revision.Epoch + 1, Number: c.number}
+	s.order = map[string]Order{}
+	for name, o := range c.order {
+		o.Revision.Epoch = s.revision.Epoch
+		s.order[name] = o
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *orders) List(context.Context) ([]Order, revision.Revision, error) {
+	all, at, _, down := s.since(revision.Revision{})
 	if down {
-		return nil, 0, errDown
+		return nil, revision.Revision{}, errDown
 	}
 	return all, at, nil
 }
 
-func (s *orders) Next(ctx context.Context, after uint64, limit time.Duration) ([]Order, uint64, error) {
+func (s *orders) Next(ctx context.Context, after revision.Revision, limit time.Duration) ([]Order, revision.Revision, error) {
 	timer := time.After(limit)
 	for {
 		all, at, changed, down := s.since(after)
 		if down {
-			return nil, 0, errDown
+			return nil, revision.Revision{}, errDown
+		}
+		if at.Epoch != after.Epoch {
+			return nil, revision.Revision{}, ErrCompacted
 		}
 		s.mu.Lock()
 		deaf := s.deaf
@@ -105,20 +136,20 @@
 		case <-timer:
 			return nil, after, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 }
 
-func (s *orders) WriteStatus(_ context.Context, o Order, state State) (uint64, error) {
+func (s *orders) WriteStatus(_ context.Context, o Order, state State) (revision.Revision, error) {
 	o.Status = state
-	revision, err := s.put(o)
+	written, err := s.put(o)
 	if err == nil {
 		s.mu.Lock()
 		s.statuses = append(s.statuses, state)
 		s.mu.Unlock()
 	}
-	return revision, err
+	return written, err
 }
 
 type testLogger struct{ t *testing.T }
--- a/mesh/rollout/follower.go
+++ b/mesh/rollout/follower.go
@@ -188,7 +188,7 @@
 
 // supersedes reports whether a direction that was issued later replaces another one.
 func (d *Direction) supersedes(held *Direction) bool {
-	return d.Order > held.Order || (d.Order == held.Order && d.State >= held.State)
+	return d.Order.After(held.Order) || (d.Order == held.Order && d.State >= held.State)
 }
 
 // Of returns the direction for a service, or nil.
--- a/mesh/rollout/rollout.go
+++ b/mesh/rollout/rollout.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"fescuehoist.example/mesh/revision"
 )
 
 // State is how far a rollout has come. Of two states of one order the higher one holds:
@@ -58,8 +60,8 @@
 	Service, Release string
 	// Duration is the time in which a good release takes over all traffic.
 	Duration time.Duration
-	// Revision grows with each change of the stored order, its status included.
-	Revision uint64
+	// Revision is that of the latest change of the stored order, its status included.
+	Revision revision.Revision
 	// Status is the state that is stored for this release, 0 if none is.
 	Status State
 	// Err says why the order is not valid; it is nil if it is.
@@ -71,13 +73,13 @@
 // Orders is the store of orders.
 type Orders interface {
 	// List returns all orders and the revision from which Next continues.
-	List(ctx context.Context) ([]Order, uint64, error)
+	List(ctx context.Context) ([]Order, revision.Revision, error)
 	// Next waits for changes after a revision, for limit at most. It returns them with the
 	// revision from which the next call continues, or ErrCompacted.
-	Next(ctx context.Context, after uint64, limit time.Duration) ([]Order, uint64, error)
+	Next(ctx context.Context, after revision.Revision, limit time.Duration) ([]Order, revision.Revision, error)
 	// WriteStatus stores the state of an order that has the given revision and returns the
 	// new revision, or ErrChanged. After another error the outcome is unknown.
-	WriteStatus(ctx context.Context, o Order, s State) (uint64, error)
+	WriteStatus(ctx context.Context, o Order, s State) (revision.Revision, error)
 }
 
 // Direction says which servers of a service the daemons use. One without a service marks a
@@ -92,8 +94,8 @@
 	// all.
 	Servers int
 	State   State
-	// Order numbers the orders of a service; a later one has a higher number.
-	Order uint64
+	// Order is the revision at which the order began; that of a later one is later.
+	Order revision.Revision
 	// Age is how long ago the direction was issued.
 	Age time.Duration
 }
--- a/mesh/rollout/watch.go
+++ b/mesh/rollout/watch.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/errgroup"
 
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/wait"
 )
 
@@ -80,7 +81,7 @@
 // watch follows the orders until ctx ends.
 func (c *Controller) watch(ctx context.Context) {
 	delay := c.newBackOff()
-	after, reachable := uint64(0), true
+	after, reachable := revision.Revision{}, true
 	for ctx.Err() == nil {
 		start := time.Now()
 		next, err := c.read(ctx, after)
@@ -91,7 +92,7 @@
 			continue
 		}
 		if errors.Is(err, ErrCompacted) {
-			after = 0
+			after = revision.Revision{}
 			continue
 		}
 		if reachable && ctx.Err() == nil {
@@ -102,16 +103,17 @@
 	}
 }
 
-// read makes one call: it lists all orders if after is 0, and waits for changes otherwise.
-func (c *Controller) read(ctx context.Context, after uint64) (uint64, error) {
-	if after == 0 {
+// read makes one call: it lists all orders if after is zero, and waits for changes
+// otherwise.
+func (c *Controller) read(ctx context.Context, after revision.Revision) (revision.Revision, error) {
+	if after.IsZero() {
 		return c.list(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.WatchTimeout+c.cfg.CallTimeout)
 	defer cancel()
 	orders, next, err := c.orders.Next(ctx, after, c.cfg.WatchTimeout)
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,14 +123,15 @@
 	return next, nil
 }
 
-// list reads all orders. Those that are missing were deleted.
-func (c *Controller) list(ctx context.Context) (uint64, error) {
+// list reads all orders. One that is missing was deleted, unless it was read in an earlier
+// epoch: then the store may have lost it, and its operator writes it again.
+func (c *Controller) list(ctx context.Context) (revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	before := c.mixedServices()
 	orders, at, err := c.orders.List(ctx)
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,7 +145,7 @@
 	}
 	for _, r := range c.rollouts {
 		r.checkedAt = c.now()
-		if !listed[r.order.Name] {
+		if !listed[r.order.Name] && r.order.Revision.Epoch == at.Epoch {
 			c.apply(Order{Name: r.order.Name, Revision: at, Removed: true})
 		}
 	}
@@ -152,7 +155,11 @@
 		}
 	}
 	c.known = true
-	return max(at, 1), nil
+	if at.IsZero() {
+		// The next call waits for changes, whatever the store says of its revision.
+		at.Number = 1
+	}
+	return at, nil
 }
 
 // mixedServices returns the services with several releases that the controller knows.
@@ -224,7 +231,7 @@
 // mustWrite reports whether the state has to be written. A final state that the store has
 // is never written again, since a change of the order after it means a new order.
 func (r *controlled) mustWrite() bool {
-	return r.number > 0 && !r.written.Final() && (r.check || r.wanted() != r.written)
+	return !r.number.IsZero() && !r.written.Final() && (r.check || r.wanted() != r.written)
 }
 
 // wanted returns the state that the store should have.
@@ -244,7 +251,7 @@
 	if !must {
 		return true
 	}
-	revision, err := c.orders.WriteStatus(ctx, order, state)
+	written, err := c.orders.WriteStatus(ctx, order, state)
 	if errors.Is(err, ErrChanged) {
 		// The watch may be waiting on a connection that stopped responding.
 		_, err = c.list(ctx)
@@ -262,7 +269,7 @@
 		return false
 	}
 	r.written, r.check, r.checkedAt, r.unreachable = state, false, c.now(), false
-	r.order.Revision = max(r.order.Revision, revision)
+	r.order.Revision = revision.Latest(r.order.Revision, written)
 	if state == Completed && c.rollouts[order.Service] == r && r.state != Completed {
 		// It holds, too, if the release turned out to be bad in the meantime: the other
 		// servers are being stopped.
--- a/mesh/route/split_test.go
+++ b/mesh/route/split_test.go
@@ -8,6 +8,7 @@
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/rollout"
 )
 
@@ -78,7 +79,7 @@
 	f.expect(t, "a release that has just appeared", "v1")
 	direct := func(order uint64, release string, s rollout.State, share float64, servers int) {
 		f.now += time.Millisecond
-		f.follower.Apply([]rollout.Direction{{}, {Service: "lookup", Release: release, State: s, Share: share, Servers: servers, Order: order}})
+		f.follower.Apply([]rollout.Direction{{}, {Service: "lookup", Release: release, State: s, Share: share, Servers: servers, Order: revision.Revision{Number: order}}})
 	}
 	direct(1, "v2", rollout.Running, 0.1, 1)
 	f.expect(t, "canary", "v1", "v2")
