Watch the configuration from a revision with its epoch (CONFIG)

What callers saw: after the store came back from an older copy, requests with a key that a later version had taken away ran on, by the service that its route had left, on all daemons and until another version was written.

Cause: daemons kept the highest revision that anybody had seen and watched from it. The store, back below it, answered 410; each daemon read everything and watched from the higher revision in turn. A version that took that revision in between was not after it, and the empty watches verified the configuration before it.

Now a confirmation holds a revision with its epoch, in the daemon and in heartbeats: a later epoch replaces a higher number, an earlier one confirms nothing, and a watch from an earlier epoch ends as if the history had been dropped, after which everything is read once.

--- a/adapters/peergrpc/codec.go
+++ b/adapters/peergrpc/codec.go
@@ -8,6 +8,7 @@
 	"fescuehoist.example/mesh/gossip"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -19,7 +20,7 @@
 		return &peerpb.Frame{Body: &peerpb.Frame_Hello{Hello: hello}}, nil
 	case *gossip.Heartbeat:
 		heartbeat := &peerpb.Heartbeat{Version: uint64(m.Version), Confirmation: m.Confirmation.Number,
-			Revision: m.Confirmation.Revision, AgeMs: uint64(max(m.Confirmation.Age.Milliseconds(), 0))}
+			Revision: m.Confirmation.Revision.Number, Epoch: m.Confirmation.Revision.Epoch, AgeMs: uint64(max(m.Confirmation.Age.Milliseconds(), 0))}
 		return &peerpb.Frame{Body: &peerpb.Frame_Heartbeat{Heartbeat: heartbeat}}, nil
 	case *gossip.Records:
 		records := &peerpb.Records{Records: encodeRecords(m.Records), Compared: m.FromAntiEntropy}
@@ -89,7 +90,8 @@
 
 func decodeHeartbeat(in *peerpb.Heartbeat) *gossip.Heartbeat {
 	age := time.Duration(min(in.GetAgeMs(), uint64(maxConfirmationAge.Milliseconds()))) * time.Millisecond
-	confirmation := gossip.Confirmation{Number: in.GetConfirmation(), Revision: in.GetRevision(), Age: age}
+	at := revision.Revision{Epoch: in.GetEpoch(), Number: in.GetRevision()}
+	confirmation := gossip.Confirmation{Number: in.GetConfirmation(), Revision: at, Age: age}
 	return &gossip.Heartbeat{Version: manifest.Version(in.GetVersion()), Confirmation: confirmation}
 }
 
--- a/adapters/peergrpc/contract_test.go
+++ b/adapters/peergrpc/contract_test.go
@@ -16,6 +16,7 @@
 	"fescuehoist.example/mesh/gossip/gossiptest"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -202,7 +203,7 @@
 	}
 	return []gossip.Message{
 		&gossip.Hello{From: "a", Mesh: "nuqta", Version: 3, Advisories: true, Domain: "cairo-a"}, &gossip.Heartbeat{Version: 4},
-		&gossip.Heartbeat{Version: 4, Confirmation: gossip.Confirmation{Number: 7, Revision: 19, Age: 300 * time.Millisecond}},
+		&gossip.Heartbeat{Version: 4, Confirmation: gossip.Confirmation{Number: 7, Revision: revision.Revision{Epoch: 3, Number: 19}, Age: 300 * time.Millisecond}},
 		&gossip.Records{Records: []member.Record{record}, FromAntiEntropy: true},
 		&gossip.Configuration{Update: update}, &gossip.Have{Versions: versions},
 		&gossip.Pull{Servers: []member.ServerID{"a"}, Configure: true, Version: 2, Graft: true},
--- a/adapters/peergrpc/wire_test.go
+++ b/adapters/peergrpc/wire_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"fescuehoist.example/mesh/gossip"
+	"fescuehoist.example/mesh/revision"
 )
 
 // countingListener counts the bytes of its connections in both directions.
@@ -62,7 +63,7 @@
 	}
 	defer link.Close()
 	send := func() {
-		if err := link.Send(&gossip.Heartbeat{Version: 300, Confirmation: gossip.Confirmation{Number: 70, Revision: 5000, Age: 1}}); err != nil {
+		if err := link.Send(&gossip.Heartbeat{Version: 300, Confirmation: gossip.Confirmation{Number: 70, Revision: revision.Revision{Number: 5000}, Age: 1}}); err != nil {
 			t.Fatal(err)
 		}
 		<-received
--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -232,7 +232,7 @@
 		CallAddress: cmp.Or(s.AdvertiseCalls, d.listeners.Calls.Addr().String()),
 		PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String()),
 	}
-	d.node.Advisories = d.advisories
+	d.node.Advisories, d.node.Epochs = d.advisories, d.epochs
 	d.advisories.Spread, d.advisories.Completed = d.node.SpreadAdvisories, d.node.SendAllAdvisories
 	d.announcer = announce.New(own, d.node, d.backend, d.gate, d.advisories, s.AnnounceLifetime)
 	d.meter = status.NewMeter()
--- a/mesh/configwatch/fleet_test.go
+++ b/mesh/configwatch/fleet_test.go
@@ -15,6 +15,7 @@
 	"fescuehoist.example/mesh/gossip/gossiptest"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -82,28 +83,28 @@
 	return nil
 }
 
-func (s *cutSource) Latest(ctx context.Context) (*configwatch.Configuration, configwatch.Revision, error) {
+func (s *cutSource) Latest(ctx context.Context) (*configwatch.Configuration, revision.Revision, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	return s.source.Latest(ctx)
 }
 
-func (s *cutSource) Next(ctx context.Context, after configwatch.Revision, limit time.Duration) (*configwatch.Configuration, configwatch.Revision, error) {
+func (s *cutSource) Next(ctx context.Context, after revision.Revision, limit time.Duration) (*configwatch.Configuration, revision.Revision, error) {
 	if err := s.enter(ctx); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	s.mu.Lock()
 	s.waiting++
 	s.mu.Unlock()
-	c, revision, err := s.source.Next(ctx, after, limit)
+	c, at, err := s.source.Next(ctx, after, limit)
 	s.mu.Lock()
 	s.waiting--
 	s.mu.Unlock()
 	if lost := s.leave(ctx); lost != nil {
-		return nil, 0, lost
+		return nil, revision.Revision{}, lost
 	}
-	return c, revision, err
+	return c, at, err
 }
 
 func (s *cutSource) Ping(ctx context.Context) error {
@@ -259,6 +260,31 @@
 	}
 }
 
+// Guards against a version that daemons never read since the source, which came back from
+// an older copy, gives it a revision that they have seen before.
+func TestChangeOfLaterEpochReachesAllDaemonsInTime(t *testing.T) {
+	for name, number := range map[string]uint64{"lower revision": 60, "the same revision": 90, "higher revision": 120} {
+		t.Run(name, func(t *testing.T) {
+			runWatchingFleet(t, 12, func(f *watchingFleet) {
+				f.source.update(func() { f.source.version, f.source.number = 2, 90 })
+				time.Sleep(changeBound)
+				f.requireVersion(2, f.daemons)
+				readers, others := f.readers()
+				// Daemons that do not reach the source hear of the epoch from peers.
+				setSourceCut(readers, true)
+				f.source.update(func() { f.source.epoch, f.source.number = 2, 20 })
+				time.Sleep(recoveryBound)
+				f.source.update(func() { f.source.version, f.source.number = 3, number })
+				time.Sleep(changeBound)
+				f.requireVersion(3, others)
+				setSourceCut(readers, false)
+				time.Sleep(recoveryBound)
+				f.requireVersion(3, f.daemons)
+			})
+		})
+	}
+}
+
 func TestChangeReachesDaemonWithoutPeersInTime(t *testing.T) {
 	runWatchingFleet(t, 9, func(f *watchingFleet) {
 		_, others := f.readers()
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -16,6 +16,7 @@
 
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/target"
 	"fescuehoist.example/mesh/wait"
 )
@@ -24,9 +25,9 @@
 var (
 	// ErrUnchanged means that the wait ended without a later configuration.
 	ErrUnchanged = errors.New("no later configuration yet")
-	// ErrCompacted means that the source has dropped the changes after the
-	// requested revision.
-	ErrCompacted = errors.New("the source has dropped the changes after the requested revision")
+	// ErrCompacted means that the source no longer has the changes after the
+	// requested revision: it has dropped them, or came back from an older copy.
+	ErrCompacted = errors.New("the source no longer has the changes after the requested revision")
 	// ErrMalformed means that the source responded with a configuration that
 	// cannot be decoded.
 	ErrMalformed = errors.New("malformed configuration")
@@ -34,10 +35,6 @@
 	ErrNoConfiguration = errors.New("there is no configuration yet")
 )
 
-// Revision numbers the states of the source in the order in which the source had
-// them; 0 means none.
-type Revision uint64
-
 // Configuration is one version of the configuration as the operator wrote it.
 type Configuration struct {
 	Version  manifest.Version
@@ -49,11 +46,11 @@
 type Source interface {
 	// Latest returns the newest configuration and its revision,
 	// ErrNoConfiguration, or ErrMalformed with the revision.
-	Latest(ctx context.Context) (*Configuration, Revision, error)
+	Latest(ctx context.Context) (*Configuration, revision.Revision, error)
 	// Next waits for a configuration after a revision, for limit at most. It
 	// returns ErrUnchanged or ErrMalformed with the revision from which the next
 	// call continues, or ErrCompacted.
-	Next(ctx context.Context, after Revision, limit time.Duration) (*Configuration, Revision, error)
+	Next(ctx context.Context, after revision.Revision, limit time.Duration) (*Configuration, revision.Revision, error)
 	// Ping makes a cheap call that returns nil if the source is reachable.
 	Ping(ctx context.Context) error
 }
@@ -166,11 +163,11 @@
 // responded, too; the next call reads the whole configuration.
 func (w *Watcher) callSource(ctx context.Context, limit time.Duration) error {
 	known := w.configs.Confirmation().Revision
-	if known == 0 || w.reread {
+	if known.IsZero() || w.reread {
 		limit = 0
 	}
 	start, asked := time.Now(), w.configs.Now()
-	c, revision, err := w.query(ctx, Revision(known), limit)
+	c, at, err := w.query(ctx, known, limit)
 	switch {
 	case err == nil:
 		w.reread = false
@@ -179,7 +176,7 @@
 		w.reread = false
 		w.reject(err)
 	case errors.Is(err, ErrCompacted):
-		w.logger.Infof("the platform's store has dropped the changes after revision %d, reading the whole configuration", known)
+		w.logger.Infof("the platform's store no longer has the changes after revision %s, reading the whole configuration", known)
 		w.reread = true
 		return nil
 	case !errors.Is(err, ErrUnchanged):
@@ -187,8 +184,8 @@
 	}
 	// An answer that was delayed on its way says nothing about the time after the
 	// source gave it.
-	at := start.Add(min(time.Since(start), limit))
-	w.configs.ConfirmFromSource(uint64(revision), at)
+	confirmed := start.Add(min(time.Since(start), limit))
+	w.configs.ConfirmFromSource(at, confirmed)
 	if !w.unapplied {
 		w.configs.Verify(w.configs.KnownVersion(), asked)
 	}
@@ -198,10 +195,10 @@
 
 // query waits for a change after a revision, or reads the whole configuration if
 // the changes since then are unknown.
-func (w *Watcher) query(ctx context.Context, after Revision, limit time.Duration) (*Configuration, Revision, error) {
+func (w *Watcher) query(ctx context.Context, after revision.Revision, limit time.Duration) (*Configuration, revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit+w.cfg.CallTimeout)
 	defer cancel()
-	if after == 0 || w.reread {
+	if after.IsZero() || w.reread {
 		return w.source.Latest(ctx)
 	}
 	return w.source.Next(ctx, after, limit)
--- a/mesh/configwatch/watcher_test.go
+++ b/mesh/configwatch/watcher_test.go
@@ -1,6 +1,7 @@
 package configwatch_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -12,6 +13,7 @@
 	"fescuehoist.example/mesh/configwatch"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/target"
 )
 
@@ -20,14 +22,16 @@
 // source is a configwatch.Source in memory that can be taken down and can drop
 // its history.
 type source struct {
-	mu        sync.Mutex
-	version   int
-	down      bool
-	compacted bool
-	malformed bool
-	accounts  []target.Account
-	changed   chan struct{}
-	reads     int
+	mu      sync.Mutex
+	version int
+	// epoch and number are the revision of the version; number may be 0 for the version.
+	epoch, number uint64
+	down          bool
+	compacted     bool
+	malformed     bool
+	accounts      []target.Account
+	changed       chan struct{}
+	reads         int
 }
 
 func newSource() *source { return &source{changed: make(chan struct{})} }
@@ -40,54 +44,60 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *source) configuration() (*configwatch.Configuration, configwatch.Revision, error) {
+// at returns the revision of the current version.
+func (s *source) at() revision.Revision {
+	return revision.Revision{Epoch: s.epoch, Number: cmp.Or(s.number, uint64(s.version))}
+}
+
+func (s *source) configuration() (*configwatch.Configuration, revision.Revision, error) {
 	if s.malformed {
-		return nil, configwatch.Revision(s.version), configwatch.ErrMalformed
+		return nil, s.at(), configwatch.ErrMalformed
 	}
 	class := target.Class{Name: "search", Path: "/", Rank: 1, Latency: time.Second, Timeout: time.Second, Success: 0.9}
 	return &configwatch.Configuration{
 		Version:  manifest.Version(s.version),
 		Services: []target.Service{{Name: "lookup", Classes: []target.Class{class}}},
 		Accounts: s.accounts,
-	}, configwatch.Revision(s.version), nil
+	}, s.at(), nil
 }
 
-func (s *source) Latest(context.Context) (*configwatch.Configuration, configwatch.Revision, error) {
+func (s *source) Latest(context.Context) (*configwatch.Configuration, revision.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	switch {
 	case s.down:
-		return nil, 0, errDown
+		return nil, revision.Revision{}, errDown
 	case s.version == 0:
-		return nil, 0, configwatch.ErrNoConfiguration
+		return nil, revision.Revision{}, configwatch.ErrNoConfiguration
 	}
 	s.compacted = false
 	return s.configuration()
 }
 
-func (s *source) Next(ctx context.Context, after configwatch.Revision, limit time.Duration) (*configwatch.Configuration, configwatch.Revision, error) {
+func (s *source) Next(ctx context.Context, after revision.Revision, limit time.Duration) (*configwatch.Configuration, revision.Revision, error) {
 	timer := time.After(limit)
 	for {
 		s.mu.Lock()
 		s.reads++
-		down, compacted, newer, changed := s.down, s.compacted, configwatch.Revision(s.version) > after, s.changed
-		c, revision, err := s.configuration()
+		down, compacted, newer, changed := s.down, s.compacted, s.at().After(after), s.changed
+		c, at, err := s.configuration()
+		restored := at.Epoch != after.Epoch
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, errDown
-		case compacted:
-			return nil, 0, configwatch.ErrCompacted
+			return nil, revision.Revision{}, errDown
+		case compacted || restored:
+			return nil, revision.Revision{}, configwatch.ErrCompacted
 		case newer:
-			return c, revision, err
+			return c, at, err
 		}
 		select {
 		case <-changed:
 		case <-timer:
 			return nil, after, configwatch.ErrUnchanged
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 }
--- a/mesh/gossip/confirmation.go
+++ b/mesh/gossip/confirmation.go
@@ -34,6 +34,7 @@
 		return
 	}
 	p.observeConfirmation(c.Number)
+	n.Epochs.Observe(c.Revision.Epoch)
 	n.configs.ConfirmFromPeer(m.Version, manifest.Confirmation{Number: c.Number, Revision: c.Revision, At: time.Now().Add(-c.Age)})
 }
 
--- a/mesh/gossip/confirmation_test.go
+++ b/mesh/gossip/confirmation_test.go
@@ -3,21 +3,25 @@
 import (
 	"testing"
 	"time"
+
+	"fescuehoist.example/mesh/revision"
 )
 
 // confirmationSpread bounds the time for a confirmation to reach all daemons of a
 // connected fleet.
 const confirmationSpread = 500 * time.Millisecond
 
+var confirmedAt = revision.Revision{Epoch: 2, Number: 19}
+
 func TestConfirmationReachesAllDaemonsAndItsAgeIsKept(t *testing.T) {
 	runInBubble(t, 24, 3, func(f *fleet) {
 		at := time.Now().Add(-300 * time.Millisecond)
-		f.daemons[0].configs.ConfirmFromSource(19, at)
+		f.daemons[0].configs.ConfirmFromSource(confirmedAt, at)
 		time.Sleep(confirmationSpread)
 		for _, d := range f.daemons {
 			c := d.configs.Confirmation()
-			if c.Revision != 19 {
-				t.Errorf("%s has a confirmation of revision %d, want 19", d.id, c.Revision)
+			if c.Revision != confirmedAt {
+				t.Errorf("%s has a confirmation of revision %s, want %s", d.id, c.Revision, confirmedAt)
 			}
 			if later := c.At.Sub(at); later < 0 || later > confirmationSpread {
 				t.Errorf("%s takes the confirmation to be %s younger than it is, want 0 to %s", d.id, later, confirmationSpread)
@@ -29,7 +33,7 @@
 func TestConfirmationAgesWhileNoDaemonReachesSource(t *testing.T) {
 	runInBubble(t, 12, 3, func(f *fleet) {
 		at := time.Now()
-		f.daemons[0].configs.ConfirmFromSource(19, at)
+		f.daemons[0].configs.ConfirmFromSource(confirmedAt, at)
 		time.Sleep(time.Minute)
 		for _, d := range f.daemons {
 			if later := d.configs.Confirmation().At.Sub(at); later > confirmationSpread {
@@ -46,7 +50,7 @@
 		time.Sleep(time.Minute)
 		_, idle := f.net.Counts()
 		for range 100 {
-			f.daemons[0].configs.ConfirmFromSource(19, time.Now())
+			f.daemons[0].configs.ConfirmFromSource(confirmedAt, time.Now())
 			time.Sleep(600 * time.Millisecond)
 		}
 		_, confirming := f.net.Counts()
@@ -61,3 +65,17 @@
 		}
 	})
 }
+
+// Guards against daemons that keep relying on a state of the source which it has left,
+// since they do not reach the source themselves.
+func TestEpochReachesAllDaemonsWithConfirmation(t *testing.T) {
+	runInBubble(t, 12, 3, func(f *fleet) {
+		f.daemons[0].configs.ConfirmFromSource(confirmedAt, time.Now())
+		time.Sleep(confirmationSpread)
+		for _, d := range f.daemons[1:] {
+			if got := d.node.Epochs.Latest(); got != confirmedAt.Epoch {
+				t.Errorf("%s knows epoch %d, want %d", d.id, got, confirmedAt.Epoch)
+			}
+		}
+	})
+}
--- a/mesh/gossip/fleet_test.go
+++ b/mesh/gossip/fleet_test.go
@@ -15,6 +15,7 @@
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/manifest/manifesttest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 type nopLogger struct{}
@@ -69,7 +70,7 @@
 func (f *fleet) startAt(address string, id member.ServerID, domain string, incarnation uint64) *daemon {
 	d := &daemon{id: id, domain: domain, table: member.NewTable(id), configs: manifest.NewStore(), advisories: advisory.NewBook()}
 	d.node = gossip.NewNode(f.cfg, id, d.domain, f.seeds, f.net.Dialer(address), d.table, d.configs, nopLogger{})
-	d.node.Advisories = d.advisories
+	d.node.Advisories, d.node.Epochs = d.advisories, &revision.Epochs{}
 	d.advisories.Spread, d.advisories.Completed = d.node.SpreadAdvisories, d.node.SendAllAdvisories
 	d.node.Announce(member.Record{
 		Server: id, Incarnation: incarnation, State: member.Ready,
--- a/mesh/gossip/message.go
+++ b/mesh/gossip/message.go
@@ -15,6 +15,7 @@
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 // Message is a message between peers.
@@ -53,7 +54,7 @@
 // the clocks of two daemons cannot be compared.
 type Confirmation struct {
 	Number   uint64
-	Revision uint64
+	Revision revision.Revision
 	Age      time.Duration
 }
 
--- a/mesh/gossip/node.go
+++ b/mesh/gossip/node.go
@@ -10,6 +10,7 @@
 	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/manifest"
 	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 // Logger receives the log messages of a Node.
@@ -24,6 +25,8 @@
 type Node struct {
 	// Advisories are exchanged with the peers; nil means that the daemon takes no part.
 	Advisories *advisory.Book
+	// Epochs records the epochs of the platform's store that peers tell of; it may be nil.
+	Epochs *revision.Epochs
 
 	cfg     Config
 	self    member.ServerID
--- a/mesh/manifest/confirmation.go
+++ b/mesh/manifest/confirmation.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "time"
+import (
+	"time"
+
+	"fescuehoist.example/mesh/revision"
+)
 
 // Confirmation is a statement of the source that it has no later configuration
 // than the known one. It spreads from the daemons that call the source to all
@@ -10,7 +14,7 @@
 	// It identifies copies that arrive late or on several streams.
 	Number uint64
 	// Revision is the revision of the source from which a watch continues.
-	Revision uint64
+	Revision revision.Revision
 	// At is when the source was known to be in that state.
 	At time.Time
 }
@@ -31,10 +35,10 @@
 
 // ConfirmFromSource records that this daemon received a confirmation from the
 // source.
-func (s *Store) ConfirmFromSource(revision uint64, at time.Time) {
+func (s *Store) ConfirmFromSource(r revision.Revision, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirm(Confirmation{Number: s.confirmation.Number + 1, Revision: revision, At: at})
+	s.confirm(Confirmation{Number: s.confirmation.Number + 1, Revision: r, At: at})
 }
 
 // ConfirmFromPeer records a confirmation from a peer that knows a version. It is
@@ -48,12 +52,15 @@
 	s.confirm(c)
 }
 
-// confirm merges a confirmation with a new number into the recorded one.
+// confirm merges a confirmation with a new number into the recorded one. A source of an
+// earlier epoch confirms nothing: it is a state that the source has left.
 func (s *Store) confirm(c Confirmation) {
 	s.confirmation.Number = c.Number
-	s.confirmation.Revision = max(s.confirmation.Revision, c.Revision)
-	if c.At.After(s.confirmation.At) {
-		s.confirmation.At = c.At
+	if c.Revision.Epoch >= s.confirmation.Revision.Epoch {
+		s.confirmation.Revision = revision.Latest(s.confirmation.Revision, c.Revision)
+		if c.At.After(s.confirmation.At) {
+			s.confirmation.At = c.At
+		}
 	}
 	close(s.confirmed)
 	s.confirmed = make(chan struct{})
--- a/mesh/proxy/outbound_test.go
+++ b/mesh/proxy/outbound_test.go
@@ -12,6 +12,7 @@
 	"fescuehoist.example/mesh/member"
 	"fescuehoist.example/mesh/proxy"
 	"fescuehoist.example/mesh/retry"
+	"fescuehoist.example/mesh/revision"
 	"fescuehoist.example/mesh/route"
 	"fescuehoist.example/mesh/target"
 )
@@ -129,7 +130,7 @@
 			outbound := newOutbound(t, 1, &silentForwarder{})
 			configs := manifest.NewStore()
 			if c.confirmed > 0 {
-				configs.ConfirmFromSource(1, time.Now().Add(-c.confirmed))
+				configs.ConfirmFromSource(revision.Revision{Number: 1}, time.Now().Add(-c.confirmed))
 			}
 			outbound.Configs = configs
 			_, err := outbound.Call(context.Background(), &call.Request{Service: "unknown", Method: "GET", URI: "/"})
@@ -155,7 +156,7 @@
 	apply(1, "old.example")
 	outbound.Configs, outbound.Routes = configs, route.NewRouter(configs, member.NewTable("entry"))
 	apply(2, "new.example")
-	configs.ConfirmFromSource(1, time.Now())
+	configs.ConfirmFromSource(revision.Revision{Number: 1}, time.Now())
 	_, err := outbound.Call(t.Context(), &call.Request{Service: "new.example", Method: "GET", URI: "/"})
 	var f *call.Failure
 	if !errors.As(err, &f) || f.Verdict != call.NotRun || f.Reason != call.Unconfigured {
