--- a/adapters/peergrpc/codec_service.go
+++ b/adapters/peergrpc/codec_service.go
@@ -44,7 +44,7 @@
 			Name: c.Name, Method: c.Method, Path: c.Path, Rank: int32(c.Rank),
 			LatencyNanos: int64(c.Latency), Success: c.Success, Keep: c.GuaranteedShare, TimeoutNanos: int64(c.Timeout),
 			Idempotent: c.Idempotent, Internal: c.Internal, NoticeNanos: int64(c.Notice),
-			Attempts: int32(c.Attempts), Parts: encodeParts(c.Parts), Public: c.Public,
+			Attempts: int32(c.Attempts), Parts: encodeParts(c.Parts), Public: c.Public, Fault: c.Fault,
 		})
 	}
 	return out
@@ -58,7 +58,7 @@
 			Latency: time.Duration(c.GetLatencyNanos()), Success: c.GetSuccess(), GuaranteedShare: c.GetKeep(),
 			Timeout: time.Duration(c.GetTimeoutNanos()), Idempotent: c.GetIdempotent(),
 			Internal: c.GetInternal(), Notice: time.Duration(c.GetNoticeNanos()),
-			Attempts: int(c.GetAttempts()), Parts: decodeParts(c.GetParts()), Public: c.GetPublic(),
+			Attempts: int(c.GetAttempts()), Parts: decodeParts(c.GetParts()), Public: c.GetPublic(), Fault: c.GetFault(),
 		})
 	}
 	return classes
--- a/mesh/account/checker.go
+++ b/mesh/account/checker.go
@@ -13,7 +13,8 @@
 var (
 	errMissingKey = errors.New("expected the key of a client account, found none")
 	errUnknownKey = errors.New("no client account holds the key")
-	errIncomplete = errors.New("the configuration has client accounts that are not valid, and no earlier ones are known")
+	errRefusedKey = errors.New("the client account that holds the key is not valid")
+	errIncomplete = errors.New("the content of some client accounts is not known")
 	errUnverified = errors.New("the configuration may be older than the time within which revoked keys must be refused")
 )
 
@@ -47,6 +48,9 @@
 	if !presented {
 		return deny(t.Accounts(), errMissingKey)
 	}
+	if t.Accounts().RefusesKey(key) {
+		return call.Refuse(call.Unconfigured, errRefusedKey)
+	}
 	return c.assign(r, t.Accounts(), t.Accounts().ByKey(key))
 }
 
--- a/mesh/configwatch/follow.go
+++ b/mesh/configwatch/follow.go
@@ -47,7 +47,7 @@
 // verifies reports whether the daemon has to know how old its configuration may be, to
 // refuse revoked keys of client accounts.
 func (w *Watcher) verifies() bool {
-	return w.cfg.VerifyAge > 0 && w.configs.Snapshot().Accounts().Len() > 0
+	return w.cfg.VerifyAge > 0 && w.configs.Snapshot().Accounts().Required()
 }
 
 // nextVerification returns the time at which the verification gets too old.
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -40,6 +40,8 @@
 	Version  manifest.Version
 	Services []target.Service
 	Accounts []target.Account
+	// Problems are those of parts that could not be translated and are left out.
+	Problems []target.Problem
 }
 
 // Source provides the configurations that operators write.
@@ -206,7 +208,7 @@
 
 func (w *Watcher) apply(c *Configuration) {
 	known := w.configs.KnownVersion()
-	changed, err := w.configs.ApplyFull(c.Version, c.Services, c.Accounts)
+	changed, err := w.configs.ApplyFull(c.Version, c.Services, c.Accounts, c.Problems)
 	w.unapplied = err != nil
 	switch {
 	case err != nil:
--- a/mesh/manifest/content.go
+++ b/mesh/manifest/content.go
@@ -21,11 +21,11 @@
 }
 
 // content is a body with the validation problems of its service and the index of its
-// classes, which are computed once.
+// classes, which are computed once. Those of accounts depend on the accounts of all groups.
 type content struct {
 	body     Body
 	problems []target.Problem
-	// index is nil if there are problems.
+	// index is nil if the body has no service.
 	index *target.Index
 }
 
@@ -54,16 +54,13 @@
 		return &content{body: Body{Digest: b.Digest, Fault: b.Fault}}, nil
 	}
 	if b.Accounts != nil && b.Accounts.Digest() == b.Digest {
-		return &content{body: *b, problems: b.Accounts.Validate()}, nil
+		return &content{body: *b}, nil
 	}
 	if b.Service == nil || b.Service.Digest() != b.Digest {
 		return nil, fmt.Errorf("%w: the content of body %s is missing or has another digest", ErrIncomplete, b.Digest)
 	}
-	c := &content{body: *b, problems: target.WithoutOperatorOnly(b.Service.Validate())}
-	if len(c.problems) == 0 {
-		c.index = target.NewIndex(b.Service)
-	}
-	return c, nil
+	problems := target.WithoutOperatorOnly(b.Service.Validate())
+	return &content{body: *b, problems: problems, index: target.NewIndex(b.Service, problems)}, nil
 }
 
 // name returns the name of the service or account group, or "" for a fault.
@@ -77,20 +74,20 @@
 	return ""
 }
 
-// problemsFor returns the problems that prevent the content from being the
-// configuration of the service or account group.
-func (c *content) problemsFor(name string) []target.Problem {
+// problemsFor returns the problems of the content as the configuration of the service or
+// account group, and whether they concern single classes only.
+func (c *content) problemsFor(name string) (problems []target.Problem, ofClasses bool) {
 	if c.body.Fault != "" {
-		return []target.Problem{{Service: name, Text: c.body.Fault}}
+		return []target.Problem{{Service: name, Text: c.body.Fault}}, false
 	}
 	if found := c.body.name(); found != name {
 		noun := "service"
 		if c.body.Accounts != nil {
 			noun = "account group"
 		}
-		return []target.Problem{{Service: name, Text: fmt.Sprintf("its body names %s %.80q", noun, found)}}
+		return []target.Problem{{Service: name, Text: fmt.Sprintf("its body names %s %.80q", noun, found)}}, false
 	}
-	return c.problems
+	return c.problems, !slices.ContainsFunc(c.problems, func(p target.Problem) bool { return p.Position == 0 })
 }
 
 // maxObsoleteClasses bounds the number of classes in contents that are kept
--- a/mesh/manifest/full.go
+++ b/mesh/manifest/full.go
@@ -11,10 +11,10 @@
 // ApplyFull applies a complete configuration whose version number was assigned
 // by another system, as a change from the known version. It reports whether the
 // version is above the known one. Services that no daemon can name are left out, and
-// recorded as a rejection; so are the accounts if they have problems, and those of the known
-// version stay.
-func (s *Store) ApplyFull(v Version, services []target.Service, accounts []target.Account) (bool, error) {
+// recorded as a rejection together with the problems of what the caller has left out.
+func (s *Store) ApplyFull(v Version, services []target.Service, accounts []target.Account, leftOut []target.Problem) (bool, error) {
 	services, problems := namedServices(services)
+	problems = append(problems, leftOut...)
 	changed, err := s.applyFull(v, newBodies(services, accounts))
 	if changed && err == nil && len(problems) > 0 {
 		s.SetRejection(&Refusal{Version: v, Problems: problems, InPart: true})
@@ -30,7 +30,7 @@
 	seen := make(map[string]bool, len(services))
 	for i := range services {
 		switch name := services[i].Name; {
-		case !target.ValidHost(name):
+		case !target.UsableHost(name):
 			problems = append(problems, target.Problem{Service: fmt.Sprintf("%.80s", name), Field: "name", Text: "not a name of a host or service"})
 		case seen[name]:
 			problems = append(problems, target.Problem{Service: name, Field: "name", Text: "declared twice; the first declaration counts"})
--- a/mesh/manifest/limits.go
+++ b/mesh/manifest/limits.go
@@ -92,7 +92,7 @@
 }
 
 // validRefName reports whether a version may have content of this name.
-func validRefName(name string) bool { return target.ValidHost(name) || target.IsAccountGroup(name) }
+func validRefName(name string) bool { return target.UsableHost(name) || target.IsAccountGroup(name) }
 
 func (r *Ref) check() error {
 	if !validRefName(r.Service) {
--- a/mesh/manifest/snapshot.go
+++ b/mesh/manifest/snapshot.go
@@ -11,8 +11,9 @@
 	version  Version
 	services map[string]*content
 	// groups holds the account groups by name, accounts the directory of them all.
-	groups   map[string]*content
-	accounts *target.Accounts
+	groups          map[string]*content
+	accounts        *target.Accounts
+	accountProblems []target.Problem
 	// refused holds the services of the version that have no valid content.
 	refused map[string]bool
 }
@@ -53,31 +54,29 @@
 func (s *Snapshot) Refused(service string) bool { return s.refused[service] }
 
 // buildSnapshot returns the snapshot of a table and the refusal with all problems of its
-// contents, or nil if there are none. With keepInvalid, what has problems keeps its content
-// in the earlier snapshot; otherwise there is no snapshot of a version with problems.
-func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content, earlier *Snapshot, keepInvalid bool) (*Snapshot, *Refusal) {
-	var kept *Snapshot
-	if keepInvalid {
-		kept = earlier
-	}
+// contents, or nil if there are none. With inPart, the classes and accounts that have
+// problems are refused, and a service without usable content keeps that of the earlier
+// snapshot; otherwise there is no snapshot of a version with problems.
+func buildSnapshot(table *Table, editID string, contents map[target.Digest]*content, earlier *Snapshot, inPart bool) (*Snapshot, *Refusal) {
 	s := &Snapshot{version: table.Version, services: make(map[string]*content, len(table.Refs)), groups: map[string]*content{}, refused: map[string]bool{}}
 	var problems []target.Problem
 	for i := range table.Refs {
 		ref := &table.Refs[i]
 		c := contents[ref.Digest]
-		if ps := c.problemsFor(ref.Service); len(ps) > 0 {
-			problems = append(problems, ps...)
-			s.keep(ref.Service, kept)
+		ps, ofClasses := c.problemsFor(ref.Service)
+		problems = append(problems, ps...)
+		if len(ps) == 0 || ofClasses {
+			s.set(ref.Service, c)
 			continue
 		}
-		s.set(ref.Service, c)
+		s.keep(ref.Service, earlier)
 	}
 	problems = append(problems, s.buildAccounts(earlier)...)
 	if len(problems) == 0 {
 		return s, nil
 	}
-	refusal := &Refusal{Version: table.Version, EditID: editID, Problems: problems, InPart: kept != nil}
-	if kept == nil {
+	refusal := &Refusal{Version: table.Version, EditID: editID, Problems: problems, InPart: inPart}
+	if !inPart {
 		s = nil
 	}
 	return s, refusal
@@ -92,49 +91,33 @@
 	s.services[name] = c
 }
 
-// keep takes over the content of a service or account group from an earlier snapshot, if
-// that has one.
+// keep takes over the content of a service from an earlier snapshot, if that has one. An
+// account group is not kept, as it may hold keys that were revoked.
 func (s *Snapshot) keep(name string, earlier *Snapshot) {
-	switch {
-	case earlier == nil:
-	case earlier.services[name] != nil:
-		s.services[name] = earlier.services[name]
-		return
-	case earlier.groups[name] != nil:
-		s.groups[name] = earlier.groups[name]
+	if c := earlier.services[name]; c != nil {
+		s.services[name] = c
 		return
 	}
 	s.refused[name] = true
 }
 
 // buildAccounts builds the directory of the accounts, or takes that of the earlier snapshot
-// if no group has changed. If the groups contradict each other, all accounts stay as they
-// were. Where there are none to stay, the directory is incomplete.
+// if no group has changed. It is incomplete if the content of a group is not known.
 func (s *Snapshot) buildAccounts(earlier *Snapshot) []target.Problem {
-	hasEarlier := earlier != nil && earlier.version > 0
-	wasComplete := hasEarlier && !earlier.accounts.Incomplete()
-	incomplete := !wasComplete && s.refusesAccounts()
-	if wasComplete && maps.Equal(s.groups, earlier.groups) {
-		s.accounts = earlier.accounts
-		return nil
+	incomplete := s.refusesAccounts()
+	if maps.Equal(s.groups, earlier.groups) && earlier.accounts != nil && incomplete == earlier.accounts.Incomplete() {
+		s.accounts, s.accountProblems = earlier.accounts, earlier.accountProblems
+		return s.accountProblems
 	}
 	groups := make([]*target.AccountGroup, 0, len(s.groups))
 	for _, c := range s.groups {
 		groups = append(groups, c.body.Accounts)
 	}
-	accounts, problems := target.NewAccounts(groups)
-	switch {
-	case len(problems) > 0 && hasEarlier:
-		s.groups, s.accounts = earlier.groups, earlier.accounts
-	case len(problems) > 0:
-		none, _ := target.NewAccounts(nil)
-		s.groups, s.accounts = map[string]*content{}, none.AsIncomplete()
-	case incomplete:
-		s.accounts = accounts.AsIncomplete()
-	default:
-		s.accounts = accounts
+	s.accounts, s.accountProblems = target.NewAccounts(groups)
+	if incomplete {
+		s.accounts = s.accounts.AsIncomplete()
 	}
-	return problems
+	return s.accountProblems
 }
 
 // refusesAccounts reports whether the version has an account group without valid content.
--- a/mesh/manifest/store.go
+++ b/mesh/manifest/store.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -89,10 +90,12 @@
 func (s *Store) Refusal() *Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejection != nil {
-		return s.rejection
+	if s.rejection == nil || s.refusal == nil || s.rejection.Version != s.refusal.Version {
+		return cmp.Or(s.rejection, s.refusal)
 	}
-	return s.refusal
+	both := *s.refusal
+	both.Problems = slices.Concat(s.rejection.Problems, s.refusal.Problems)
+	return &both
 }
 
 // Changed returns a channel that is closed at the next change of the known
--- a/mesh/proxy/inbound.go
+++ b/mesh/proxy/inbound.go
@@ -18,6 +18,7 @@
 	errNoConfiguration = errors.New("this daemon has no configuration in force yet")
 	errNoService       = errors.New("the configuration in force has no such service")
 	errServiceRefused  = errors.New("the service's part of the configuration is not valid")
+	errClassRefused    = errors.New("the class's part of the configuration is not valid")
 	errNoClass         = errors.New("method and path match no class of the service")
 	errOutdated        = errors.New("no such route or key in a configuration that may be outdated")
 	errOverAllowance   = errors.New("the client account has used up its allowance")
@@ -187,6 +188,9 @@
 	if r.Class == nil {
 		return call.Refuse(call.NoRoute, errNoClass)
 	}
+	if s.Index.Refuses(r.Class) {
+		return call.Refuse(call.Unconfigured, errClassRefused)
+	}
 	r.ClassName = r.Class.Name
 	return nil
 }
--- a/mesh/target/account.go
+++ b/mesh/target/account.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"math"
@@ -29,12 +28,17 @@
 	// Rate is the number of requests a second, and Burst the number in addition, that
 	// all daemons together admit. A Rate of 0 means no limit.
 	Rate, Burst float64
+	// Fault says why the declaration could not be read; its keys are refused.
+	Fault string
 }
 
+// rankSpan is above the ranks of all classes.
+const rankSpan = 1 << 32
+
 // RankFor returns the rank of a call of the account in a class with the given rank. The
 // account's rank takes precedence; calls without an account precede all others, since
 // backend servers make them while they run a request of an account.
-func (a *Account) RankFor(class int) int { return a.Rank*(MaxRank+1) + class }
+func (a *Account) RankFor(class int) int { return a.Rank*rankSpan + class }
 
 // Limited reports whether the account has an allowance.
 func (a *Account) Limited() bool { return a.Rate > 0 }
@@ -92,31 +96,26 @@
 		h.WriteUint64(uint64(a.Rank))
 		h.WriteUint64(math.Float64bits(a.Rate))
 		h.WriteUint64(math.Float64bits(a.Burst))
+		if a.Fault != "" {
+			h.WriteString(a.Fault)
+		}
 	}
 	return h.Digest()
 }
 
-// MaxAccountNameLength bounds the name of an account, in bytes.
-const MaxAccountNameLength = 128
-
-// Validate returns the problems of the group's accounts.
-func (g *AccountGroup) Validate() []Problem {
-	var problems []Problem
-	for i := range g.Accounts {
-		problems = append(problems, g.Accounts[i].validate()...)
-	}
-	return problems
-}
-
 func (a *Account) validate() []Problem {
 	var problems []Problem
 	add := func(field, format string, args ...any) {
 		problems = append(problems, Problem{Account: fmt.Sprintf("%.80s", a.Name), Field: field, Text: fmt.Sprintf(format, args...)})
 	}
+	if a.Fault != "" {
+		add("", "%s", a.Fault)
+		return problems
+	}
 	if a.Name == "" {
-		add("name", "an account has no name; write 1 to %d printable characters without spaces", MaxAccountNameLength)
-	} else if !validAccountName(a.Name) {
-		add("name", "%.80q; write 1 to %d printable characters without spaces", a.Name, MaxAccountNameLength)
+		add("name", "an account has no name; write 1 to %d bytes", MaxAccountNameLength)
+	} else if !UsableAccount(a.Name) {
+		add("name", "%.80q; write 1 to %d bytes without control characters, and no space at either end", a.Name, MaxAccountNameLength)
 	}
 	if a.Rank < 0 {
 		add("rank", "%d; write 1 (most urgent) or more, or 0 to leave the order to the ranks of classes", a.Rank)
@@ -130,11 +129,6 @@
 	return problems
 }
 
-// validAccountName reports whether a name can be sent in a header field.
-func validAccountName(name string) bool {
-	return name != "" && len(name) <= MaxAccountNameLength && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' })
-}
-
 // Accounts is an immutable directory of the accounts of one version. A nil directory
 // has none.
 type Accounts struct {
@@ -142,60 +136,81 @@
 	byName map[string]*Account
 	// limited is the number of accounts with an allowance.
 	limited int
-	// incomplete means that the version has more accounts.
+	// refusedKeys are the keys that accounts with problems or several accounts hold.
+	refusedKeys map[KeyDigest]bool
+	// refused is the number of accounts that are left out because of problems.
+	refused int
+	// incomplete means that the version has accounts whose content is not known.
 	incomplete bool
 }
 
-// AsIncomplete returns the directory for a version that has more accounts, of which the
-// daemon has no valid ones.
+// AsIncomplete returns the directory for a version that has more accounts, whose content the
+// daemon does not know.
 func (d *Accounts) AsIncomplete() *Accounts {
 	c := *d
 	c.incomplete = true
 	return &c
 }
 
-// Incomplete reports whether the version has accounts that the directory lacks.
+// Incomplete reports whether the version has accounts that the daemon does not know.
 func (d *Accounts) Incomplete() bool { return d != nil && d.incomplete }
 
 // Required reports whether calls need the key of an account.
-func (d *Accounts) Required() bool { return d.Len() > 0 || d.Incomplete() }
+func (d *Accounts) Required() bool {
+	return d != nil && (len(d.byName) > 0 || d.refused > 0 || d.incomplete)
+}
 
-// NewAccounts returns the directory of groups, or problems if a name or key belongs to
-// two accounts.
+// NewAccounts returns the directory of groups, with the problems of accounts. An account
+// with a problem is left out, and so is a key that belongs to two accounts; nothing else is.
+// Of two accounts with one name the first declaration counts.
 func NewAccounts(groups []*AccountGroup) (*Accounts, []Problem) {
-	d := &Accounts{byKey: map[KeyDigest]*Account{}, byName: map[string]*Account{}}
-	var problems []Problem
+	var accounts []*Account
 	for _, g := range groups {
 		for i := range g.Accounts {
-			problems = append(problems, d.add(&g.Accounts[i])...)
+			accounts = append(accounts, &g.Accounts[i])
 		}
 	}
-	slices.SortFunc(problems, func(a, b Problem) int {
-		return cmp.Or(strings.Compare(a.Account, b.Account), strings.Compare(a.Text, b.Text))
-	})
+	slices.SortStableFunc(accounts, func(a, b *Account) int { return strings.Compare(a.Name, b.Name) })
+	d := &Accounts{byKey: map[KeyDigest]*Account{}, byName: map[string]*Account{}, refusedKeys: map[KeyDigest]bool{}}
+	var problems []Problem
+	var shared []KeyDigest
+	for _, a := range accounts {
+		found, keys := d.add(a)
+		problems, shared = append(problems, found...), append(shared, keys...)
+	}
+	for _, k := range shared {
+		delete(d.byKey, k)
+		d.refusedKeys[k] = true
+	}
 	return d, problems
 }
 
-func (d *Accounts) add(a *Account) []Problem {
-	var problems []Problem
+// add adds an account and returns its problems and the keys that another account holds.
+func (d *Accounts) add(a *Account) (problems []Problem, shared []KeyDigest) {
+	problems = a.validate()
 	if d.byName[a.Name] != nil {
 		problems = append(problems, Problem{Account: a.Name, Field: "name", Text: "declared twice; declare each account once"})
 	}
+	if len(problems) > 0 {
+		d.refused++
+		for _, k := range a.Keys {
+			d.refusedKeys[k] = true
+		}
+		return problems, nil
+	}
 	d.byName[a.Name] = a
 	if a.Limited() {
 		d.limited++
 	}
 	for _, k := range a.Keys {
-		if other := d.byKey[k]; other != nil && other.Name != a.Name {
-			first, second := other.Name, a.Name
-			if first > second {
-				first, second = second, first
-			}
-			problems = append(problems, Problem{Account: second, Field: "keys", Text: fmt.Sprintf("a key is held by account %q, too; a key must belong to one account", first)})
+		if other := d.byKey[k]; other != nil && other != a {
+			problems = append(problems, Problem{Account: a.Name, Field: "keys", Text: fmt.Sprintf("a key is held by account %q, too; a key must belong to one account", other.Name)})
+			shared = append(shared, k)
+			continue
 		}
 		d.byKey[k] = a
 	}
-	return problems
+	return problems, shared
 }
 
 // ByKey returns the account that holds a key, or nil.
@@ -206,6 +221,12 @@
 	return d.byKey[k]
 }
 
+// RefusesKey reports whether a key that no account of the directory holds belongs to a part
+// of the version that has problems.
+func (d *Accounts) RefusesKey(k KeyDigest) bool {
+	return d != nil && d.byKey[k] == nil && d.refusedKeys[k]
+}
+
 // ByName returns the named account, or nil.
 func (d *Accounts) ByName(name string) *Account {
 	if d == nil {
--- a/mesh/target/class.go
+++ b/mesh/target/class.go
@@ -42,6 +42,9 @@
 	// Parts split the calls among services by weight. Without parts, the calls
 	// go to the service that declares the class.
 	Parts []Part
+	// Fault says why a part of the declaration that calls need could not be read. Daemons
+	// refuse the calls of such a class and of no other.
+	Fault string
 }
 
 // Destination returns the service that a call goes to, chosen by the weights of
--- a/mesh/target/digest.go
+++ b/mesh/target/digest.go
@@ -44,6 +44,9 @@
 		h.writeBool(c.Internal)
 		h.WriteUint64(uint64(c.Notice))
 		h.writeSplit(c)
+		if c.Fault != "" {
+			h.WriteString(c.Fault)
+		}
 	}
 	return h.Digest()
 }
--- a/mesh/target/index.go
+++ b/mesh/target/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -9,22 +10,36 @@
 // Index finds the class of a call in logarithmic time. It is immutable.
 type Index struct {
 	// classes are sorted by path; of those with the same path, the one without a
-	// method comes last.
+	// method comes last, and of those with the same method, a refused one.
 	classes []*Class
+	refused map[*Class]bool
 }
 
-// NewIndex returns the index of a service's classes, which must not change.
-func NewIndex(s *Service) *Index {
-	x := &Index{classes: make([]*Class, len(s.Classes))}
+// NewIndex returns the index of a service's classes, which must not change. Classes that
+// problems name by their position are refused.
+func NewIndex(s *Service, problems []Problem) *Index {
+	x := &Index{classes: make([]*Class, 0, len(s.Classes)), refused: map[*Class]bool{}}
+	for _, p := range problems {
+		if p.Position > 0 {
+			x.refused[&s.Classes[p.Position-1]] = true
+		}
+	}
 	for i := range s.Classes {
-		x.classes[i] = &s.Classes[i]
+		if c := &s.Classes[i]; !x.refused[c] {
+			x.classes = append(x.classes, c)
+		}
 	}
-	slices.SortFunc(x.classes, func(a, b *Class) int {
+	x.classes = slices.AppendSeq(x.classes, maps.Keys(x.refused))
+	slices.SortStableFunc(x.classes, func(a, b *Class) int {
 		return cmp.Or(strings.Compare(a.Path, b.Path), strings.Compare(b.Method, a.Method))
 	})
 	return x
 }
 
+// Refuses reports whether calls of a class in the index are refused, since the class is not
+// valid.
+func (x *Index) Refuses(c *Class) bool { return x.refused[c] }
+
 // Classify returns the class with the longest matching path, or nil. Of classes with the
 // same path, one with a method takes precedence over one without. A path prefix matches
 // whole segments only, and nothing behind the question mark of the query.
--- a/mesh/target/validate.go
+++ b/mesh/target/validate.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Limits on declared values. Those on sizes bind operators, not daemons.
+// Limits on declared values. Those on sizes bind operators, not daemons. A platform that
+// accepts configurations itself may have others.
 const (
 	MaxNameLength     = 63
 	MaxClasses        = 4096
@@ -73,7 +74,7 @@
 func (s *Service) Validate() []Problem {
 	v := validator{service: s.Name}
 	if !ValidHost(s.Name) {
-		v.checkName("", "name", s.Name)
+		v.addRange(UsableHost(s.Name), "", "name", nameProblem(s.Name))
 	}
 	if len(s.Classes) == 0 {
 		v.addOperatorOnly("", "class", "declare at least one class")
@@ -124,7 +125,13 @@
 }
 
 func (v *validator) checkClass(c *Class) {
-	v.checkName(c.Name, "name", c.Name)
+	if c.Fault != "" {
+		v.add(c.Name, "", c.Fault)
+		return
+	}
+	if !ValidName(c.Name) {
+		v.add(c.Name, "name", nameProblem(c.Name))
+	}
 	if valid := validPath(c.Path); !valid || len(c.Path) > MaxPathLength {
 		v.addRange(valid, c.Name, "path", fmt.Sprintf("%.80q; write a path that starts with /, has at most %d bytes, and no space, ? or #", c.Path, MaxPathLength))
 	}
@@ -132,13 +139,13 @@
 		v.add(c.Name, "method", fmt.Sprintf("%.80q; write an HTTP method in capitals, such as GET, or leave it out to match any", c.Method))
 	}
 	if c.Rank < 1 || c.Rank > MaxRank {
-		v.add(c.Name, "rank", fmt.Sprintf("%d; write 1 (most urgent) to %d", c.Rank, MaxRank))
+		v.addRange(c.Rank > MaxRank, c.Name, "rank", fmt.Sprintf("%d; write 1 (most urgent) to %d", c.Rank, MaxRank))
 	}
 	if c.Latency < MinLatency || c.Latency > MaxTimeout {
-		v.addRange(c.Latency > MaxTimeout, c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
+		v.addRange(c.Latency > 0, c.Name, "latency", fmt.Sprintf("%s; write a duration from %s to %s", c.Latency, MinLatency, MaxTimeout))
 	}
 	if c.Timeout < max(c.Latency, MinLatency) || c.Timeout > MaxTimeout {
-		v.addRange(c.Timeout > MaxTimeout && c.Timeout >= c.Latency, c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, max(c.Latency, MinLatency), MaxTimeout))
+		v.addRange(c.Timeout > 0 && c.Timeout >= c.Latency, c.Name, "timeout", fmt.Sprintf("%s; write a duration from the latency, %s, to %s", c.Timeout, max(c.Latency, MinLatency), MaxTimeout))
 	}
 	if !(c.Success > 0 && c.Success < 1) {
 		v.add(c.Name, "success", fmt.Sprintf("%v; write a share above 0 and below 1", c.Success))
@@ -162,7 +169,9 @@
 	}
 	total := 0.0
 	for _, p := range c.Parts {
-		v.checkName(c.Name, "parts", p.Service)
+		if !ValidName(p.Service) {
+			v.addRange(UsableService(p.Service), c.Name, "parts", nameProblem(p.Service))
+		}
 		if p.Weight < 0 || p.Weight > MaxWeight {
 			v.addRange(p.Weight > MaxWeight, c.Name, "parts", fmt.Sprintf("weight %d; write 0 to %d", p.Weight, MaxWeight))
 		}
@@ -173,10 +182,8 @@
 	}
 }
 
-func (v *validator) checkName(class, field, name string) {
-	if !ValidName(name) {
-		v.add(class, field, fmt.Sprintf("%.80q; write 1 to %d of a-z, 0-9 and -, with a letter first", name, MaxNameLength))
-	}
+func nameProblem(name string) string {
+	return fmt.Sprintf("%.80q; write 1 to %d of a-z, 0-9 and -, with a letter first", name, MaxNameLength)
 }
 
 // checkDuplicates reports classes with the same name or with the same method
@@ -223,49 +230,3 @@
 	}
 	return true
 }
-
-// ValidHost reports whether name may name a service or a virtual host: a valid
-// name, or labels joined by dots, where a label may start with a digit.
-func ValidHost(name string) bool {
-	if ValidName(name) {
-		return true
-	}
-	if len(name) > MaxHostLength || !strings.Contains(name, ".") {
-		return false
-	}
-	for label := range strings.SplitSeq(name, ".") {
-		if !validLabel(label) {
-			return false
-		}
-	}
-	return true
-}
-
-func validLabel(label string) bool {
-	if len(label) == 0 || len(label) > MaxNameLength {
-		return false
-	}
-	for i := 0; i < len(label); i++ {
-		c := label[i]
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return true
-}
-
-// ValidName reports whether name may name a service, class or client.
-func ValidName(name string) bool {
-	if len(name) == 0 || len(name) > MaxNameLength {
-		return false
-	}
-	for i := 0; i < len(name); i++ {
-		c := name[i]
-		letter := c >= 'a' && c <= 'z'
-		other := (c >= '0' && c <= '9') || c == '-'
-		if !letter && (i == 0 || !other) {
-			return false
-		}
-	}
-	return true
-}
