Neither confirm nor verify a configuration that cannot be read (CONFIG)

What callers saw: none did; found by asking what else lets a key live that a version took away. A configuration that no daemon can read (no version, lists that are none) may take keys away. Its reader confirmed the revision behind it, other daemons asked the store from there, found nothing newer and verified the version before, so its keys stayed in use beyond accounts.revoke_within.

Cause: the reader alone knew that the newest configuration was not applied.

Now a configuration that cannot be applied is an error of the call: its revision is not confirmed, so every daemon that asks the store meets it, and nothing is verified until a later version is applied. The store counts as reachable; the cause is logged once.

Evidence: TestUnreadableConfigurationIsNeitherConfirmedNorVerified failed before at all daemons (verified 0 to 2.1 s ago after 10 s).

--- a/mesh/configwatch/fleet_test.go
+++ b/mesh/configwatch/fleet_test.go
@@ -378,3 +378,32 @@
 		}
 	})
 }
+
+// Guards against keys that stay in use although the newest configuration, which cannot be
+// read, may have taken them away: other daemons ask the source from a revision behind it.
+func TestUnreadableConfigurationIsNeitherConfirmedNorVerified(t *testing.T) {
+	runWatchingFleetWith(t, 9, func(cfg *configwatch.Config) { cfg.VerifyAge = 2 * time.Second }, func(f *watchingFleet) {
+		f.source.update(func() { f.source.version, f.source.accounts = 2, []target.Account{{Name: "a"}} })
+		time.Sleep(3 * time.Second)
+		f.source.update(func() { f.source.version, f.source.malformed = 3, true })
+		// A watch that ended just before the change may still confirm and verify.
+		const silence = 10 * time.Second
+		time.Sleep(silence)
+		for _, d := range f.daemons {
+			if _, age, known := d.configs.VerificationAge(); known && age < silence-time.Second {
+				t.Errorf("%s: configuration verified %s ago, want at least %s", d.id, age, silence-time.Second)
+			}
+			if age := time.Since(d.configs.Confirmation().At); age < silence-time.Second {
+				t.Errorf("%s: configuration confirmed %s ago, want at least %s", d.id, age, silence-time.Second)
+			}
+			d.mu.Lock()
+			if d.own.StoreUnreachable {
+				t.Errorf("%s: the source counts as unreachable although it responds", d.id)
+			}
+			d.mu.Unlock()
+		}
+		f.source.update(func() { f.source.version, f.source.malformed = 4, false })
+		time.Sleep(changeBound)
+		f.requireVersion(4, f.daemons)
+	})
+}
--- a/mesh/configwatch/follow.go
+++ b/mesh/configwatch/follow.go
@@ -79,7 +79,7 @@
 	pause := w.checkDelay.NextBackOff() * time.Duration(max(r.size, w.cfg.RetryDomainSize)) / time.Duration(w.cfg.RetryDomainSize)
 	w.checkAfter = time.Now().Add(pause)
 	if ctx.Err() == nil {
-		w.logger.Warnf("cannot confirm version %d, the platform's store did not respond; the previous confirmation arrived %s, retrying in %s: %v",
+		w.logger.Warnf("cannot confirm version %d by the platform's store; the previous confirmation arrived %s, retrying in %s: %v",
 			w.configs.KnownVersion(), formatAge(confirmed), pause.Round(time.Millisecond), err)
 	}
 }
--- a/mesh/configwatch/watcher.go
+++ b/mesh/configwatch/watcher.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -33,6 +34,7 @@
 	ErrMalformed = errors.New("malformed configuration")
 	// ErrNoConfiguration means that no configuration was written yet.
 	ErrNoConfiguration = errors.New("there is no configuration yet")
+	errNotApplied      = errors.New("the newest configuration cannot be applied")
 )
 
 // Configuration is one version of the configuration as the operator wrote it.
@@ -82,8 +84,9 @@
 	// start. It must be set before Run.
 	Neighborhood Neighborhood
 
-	// unapplied means that the newest configuration of the source could not be applied.
-	unapplied bool
+	// refused is why the newest configuration of the source could not be applied, empty if it
+	// was.
+	refused string
 	// reread means that the source no longer has the changes after the known
 	// revision.
 	reread           bool
@@ -156,13 +159,14 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	w.setReachable(err == nil || errors.Is(err, ErrNoConfiguration), err)
+	w.setReachable(err == nil || errors.Is(err, ErrNoConfiguration) || errors.Is(err, errNotApplied), err)
 	return err == nil
 }
 
 // callSource makes one call to the source, which waits for a change for limit at
 // most, and records what it returns. A source that has dropped its history has
-// responded, too; the next call reads the whole configuration.
+// responded, too; the next call reads the whole configuration. A configuration that cannot be
+// applied confirms and verifies nothing, here or at other daemons: it may take away keys.
 func (w *Watcher) callSource(ctx context.Context, limit time.Duration) error {
 	known := w.configs.Confirmation().Revision
 	if known.IsZero() || w.reread {
@@ -173,24 +177,25 @@
 	switch {
 	case err == nil:
 		w.reread = false
-		w.apply(c)
+		err = w.apply(c)
 	case errors.Is(err, ErrMalformed):
 		w.reread = false
-		w.reject(err)
+		err = w.reject(0, fmt.Errorf("expected a configuration, found: %w", err))
 	case errors.Is(err, ErrCompacted):
 		w.logger.Infof("the platform's store no longer has the changes after revision %s, reading the whole configuration", known)
 		w.reread = true
 		return nil
-	case !errors.Is(err, ErrUnchanged):
+	case errors.Is(err, ErrUnchanged):
+		err = nil
+	}
+	if err != nil {
 		return err
 	}
 	// An answer that was delayed on its way says nothing about the time after the
 	// source gave it.
 	confirmed := start.Add(min(time.Since(start), limit))
 	w.configs.ConfirmFromSource(at, confirmed)
-	if !w.unapplied {
-		w.configs.Verify(w.configs.KnownVersion(), asked)
-	}
+	w.configs.Verify(w.configs.KnownVersion(), asked)
 	w.configs.SkipQuorum()
 	return nil
 }
@@ -206,24 +211,28 @@
 	return w.source.Next(ctx, after, limit)
 }
 
-func (w *Watcher) apply(c *Configuration) {
+func (w *Watcher) apply(c *Configuration) error {
 	known := w.configs.KnownVersion()
 	changed, err := w.configs.ApplyFull(c.Version, c.Services, c.Accounts, c.Problems)
-	w.unapplied = err != nil
-	switch {
-	case err != nil:
-		w.logger.Warnf("version %d not applied, keeping version %d: %v", c.Version, known, err)
-	case changed:
+	if err != nil {
+		return w.reject(c.Version, err)
+	}
+	w.refused = ""
+	if changed {
 		w.logger.Infof("version %d read from the platform, previous version %d", c.Version, known)
 	}
+	return nil
 }
 
-// reject records a configuration that cannot be decoded. The known version stays
-// in force until a later one is written.
-func (w *Watcher) reject(err error) {
-	w.unapplied = true
-	w.logger.Warnf("configuration not applied, keeping version %d: %v", w.configs.KnownVersion(), err)
-	w.configs.SetRejection(manifest.NewRefusal(0, "", "expected a configuration, found: %v", err))
+// reject records a configuration that cannot be applied, with its version if that is known,
+// and returns the error. The known version stays in force until a later one is written.
+func (w *Watcher) reject(v manifest.Version, err error) error {
+	if w.refused != err.Error() {
+		w.refused = err.Error()
+		w.logger.Warnf("configuration not applied, keeping version %d: %v", w.configs.KnownVersion(), err)
+	}
+	w.configs.SetRejection(manifest.NewRefusal(v, "", "%v", err))
+	return fmt.Errorf("%w: %w", errNotApplied, err)
 }
 
 // setReachable records whether the source is reachable and announces a change to
