Leave the number of hosts to the platform (CONFIG)

A version with more than 6,000 hosts, which fit into one object of the users' store, is refused as a whole, and a daemon that starts serves nothing.

Cause: MaxServices bounds what fits into one value of the product's own platform, and daemons held every version to it.

Now that bound (MaxDeclaredServices) is the editor's. Daemons take as many services as one message between them may have.

Evidence: TestApplyFullLeavesNumberOfHostsToPlatform failed before (malformed update).

--- a/mesh/manifest/editor.go
+++ b/mesh/manifest/editor.go
@@ -172,6 +172,9 @@
 	if err == nil {
 		err = next.Check()
 	}
+	if n := len(next.Refs); err == nil && n > MaxDeclaredServices {
+		err = fmt.Errorf("table %d: %d services, want at most %d", next.Version, n, MaxDeclaredServices)
+	}
 	if err != nil {
 		return nil, newInvalidError("%v", err)
 	}
--- a/mesh/manifest/full_test.go
+++ b/mesh/manifest/full_test.go
@@ -1,6 +1,7 @@
 package manifest_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -190,3 +191,24 @@
 		t.Errorf("%d hosts in force, want a.example as declared first and under_score", s.Len())
 	}
 }
+
+// Guards against a version that no daemon applies since it has more hosts than operators of
+// the native platform may declare.
+func TestApplyFullLeavesNumberOfHostsToPlatform(t *testing.T) {
+	reader, peer := manifest.NewStore(), manifest.NewStore()
+	for v := manifest.Version(1); v <= 2; v++ {
+		hosts := make([]target.Service, manifest.MaxDeclaredServices+1)
+		for i := range hosts {
+			hosts[i] = newHost(fmt.Sprint("host-", i, ".example"), int(v))
+		}
+		if _, err := reader.ApplyFull(v, hosts, nil, nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := peer.ApplyUpdate(reader.UpdateSince(peer.KnownVersion())); err != nil {
+			t.Fatal(err)
+		}
+		if peer.Snapshot().Version() != v || peer.Snapshot().Len() != len(hosts) {
+			t.Errorf("version %d with %d hosts in force, want version %d with %d", peer.Snapshot().Version(), peer.Snapshot().Len(), v, len(hosts))
+		}
+	}
+}
--- a/mesh/manifest/limits.go
+++ b/mesh/manifest/limits.go
@@ -6,14 +6,18 @@
 	"fescuehoist.example/mesh/target"
 )
 
-// Limits on configuration from other processes. A table of MaxServices services
-// with names of the greatest length fits into one value of the platform.
+// Limits on configuration from other processes. They leave the number of services to
+// platforms that accept configurations themselves.
 const (
-	MaxServices     = 6000
+	MaxServices     = 1 << 17
 	MaxEditIDLength = 128
 	MaxAuthorLength = 128
 )
 
+// MaxDeclaredServices is the number of services that operators may declare. A table of as many
+// with names of the greatest length fits into one value of the platform.
+const MaxDeclaredServices = 6000
+
 // Limits on the head. An edit that would exceed one of them moves the older
 // changes into a new base table.
 const (
