Take any name of a service and version in orders and reports (EXPOSURE, CONFIG)

A service whose name is not of a-z, 0-9 and - was not served, and the daemon beside it did not start. An order for it, for a version of more than 128 bytes or with a long time limit was refused, so a release was used without one. Servers of two versions that differ behind the 128th byte counted as one release. A server with an id of more than 128 bytes was announced, and all peers rejected the messages of its daemon.

--- a/adapters/collectgrpc/codec_rollout.go
+++ b/adapters/collectgrpc/codec_rollout.go
@@ -25,7 +25,7 @@
 func encodeAge(d time.Duration) uint64 { return encodeMicros(d) + 1 }
 
 func decodeCount(in *collectpb.Release) (rollout.Count, error) {
-	if !target.ValidName(in.GetService()) || len(in.GetClass()) > maxName || len(in.GetRelease()) > rollout.MaxReleaseLength || len(in.GetTarget()) > rollout.MaxReleaseLength || in.GetState() > uint32(rollout.Completed) {
+	if !target.UsableService(in.GetService()) || len(in.GetClass()) > maxName || len(in.GetRelease()) > rollout.MaxReleaseLength || len(in.GetTarget()) > rollout.MaxReleaseLength || in.GetState() > uint32(rollout.Completed) {
 		return rollout.Count{}, fmt.Errorf("counts of service %.80q, class %.80q, release %.80q, target %.80q, state %d; want valid names and a state of at most %d",
 			in.GetService(), in.GetClass(), in.GetRelease(), in.GetTarget(), in.GetState(), rollout.Completed)
 	}
@@ -53,7 +53,7 @@
 
 // decodeDirection decodes a direction. One without a service marks the list as complete.
 func decodeDirection(in *collectpb.Direction) (rollout.Direction, error) {
-	if (in.GetService() != "" && !target.ValidName(in.GetService())) || len(in.GetRelease()) > rollout.MaxReleaseLength || in.GetState() > uint32(rollout.Completed) {
+	if (in.GetService() != "" && !target.UsableService(in.GetService())) || len(in.GetRelease()) > rollout.MaxReleaseLength || in.GetState() > uint32(rollout.Completed) {
 		return rollout.Direction{}, fmt.Errorf("direction for service %.80q, release %.80q, state %d; want valid names and a state of at most %d",
 			in.GetService(), in.GetRelease(), in.GetState(), rollout.Completed)
 	}
--- a/adapters/peergrpc/limits.go
+++ b/adapters/peergrpc/limits.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"fescuehoist.example/adapters/peergrpc/peerpb"
+	"fescuehoist.example/mesh/advisory"
 	"fescuehoist.example/mesh/member"
 )
 
@@ -57,7 +58,7 @@
 	}{
 		{"service", r.GetService(), maxName}, {"failure domain", r.GetDomain(), maxName},
 		{"call address", r.GetCallAddress(), maxAddress}, {"peer address", r.GetPeerAddress(), maxAddress},
-		{"instance", r.GetInstance(), maxName}, {"release", r.GetRelease(), maxName},
+		{"instance", r.GetInstance(), advisory.MaxSubjectLength}, {"release", r.GetRelease(), maxName},
 	} {
 		if err := checkLength(field.name, field.text, field.limit); err != nil {
 			return err
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -244,7 +244,7 @@
 		Platform: checkAddress(f, "platform.address", in.Platform.Address),
 		API:      checkAPI(f, in.Platform.API),
 
-		Service:          checkOptional(in.Server.Service, func(t string) string { return checkName(f, "server.service", t) }),
+		Service:          checkOptional(in.Server.Service, func(t string) string { return checkService(f, "server.service", t) }),
 		Backend:          checkOptional(in.Backend.Address, func(t string) string { return checkAddress(f, "backend.address", t) }),
 		Announcements:    checkOptional(in.Listen.Announcements, func(t string) string { return checkAddress(f, "listen.announcements", t) }),
 		Ready:            checkOptional(in.Listen.Ready, func(t string) string { return checkAddress(f, "listen.ready", t) }),
@@ -357,6 +357,15 @@
 	return text
 }
 
+// checkService takes any name that daemons can use, since a platform may give the services
+// their names.
+func checkService(f *tomlfile.File, key, text string) string {
+	if !target.UsableService(text) {
+		f.AddProblem(key, fmt.Sprintf("%.80q; write 1 to %d bytes without control characters, and no space at either end", text, target.MaxServiceNameLength))
+	}
+	return text
+}
+
 func checkAddress(f *tomlfile.File, key, text string) string {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil || port == "" {
