Write entries of daemons again when the store comes back from an older copy (DRAIN, QUOTA)

Cause, one for both: an entry, and the advisories in it, were written once and taken as stored for good.

Now a rise of the store's epoch marks the advisories as not stored, so that no withdrawal is confirmed on them, and each daemon writes its entry again: at once if it has issued advisories, within a second otherwise, and not at all if the store still has it. The sweeper also stores the advisories of others, since the daemons that issued them may have ended. An entry names the epoch in which it is known to be whole; a daemon that starts and finds an earlier one takes its advisories for doubtful, which asks for a second report.

--- a/fescuehoistd/daemon/object_platform.go
+++ b/fescuehoistd/daemon/object_platform.go
@@ -54,6 +54,7 @@
 	}}
 	own := discover.Entry{Server: self, Domain: s.Domain, PeerAddress: cmp.Or(s.AdvertisePeers, d.listeners.Peers.Addr().String())}
 	o.discovery = discover.New(d.cfg.Discover, own, registry, d.node, &sweeper{self: self, members: d.members}, d.advisories, logger)
+	o.discovery.Epochs = d.epochs
 	o.watcher.Neighborhood = o.discovery
 	rejected := &throttledLog{logger: d.partLogger("announce")}
 	unconfirmed := &throttledLog{logger: d.partLogger("announce")}
--- a/fescuehoistd/daemon/store_copy_test.go
+++ b/fescuehoistd/daemon/store_copy_test.go
@@ -121,3 +121,56 @@
 	<-read
 	await(t, "the removal of the route", respondsWith(t, h, "/export/x", 404))
 }
+
+// Guards against routing to a backend server whose confirmed withdrawal the store lost, when
+// all daemons are killed as it comes back and a status report arrives late.
+func TestConfirmedWithdrawalOutlivesStoreCopyAndAllDaemons(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// restored means that the daemons live until the store has their entries again.
+		restored bool
+	}{{"killed at once", false}, {"killed later", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			store := platformtest.NewStore()
+			defer store.Close()
+			a, b := startPair(t, store, "cairo-b")
+			awaitEntries(t, store, 1, a, b)
+			copied := store.Copy()
+			if status := a.withdraw(t); status != 200 {
+				t.Fatalf("withdrawal: status %d, want 200", status)
+			}
+			store.Restore(copied)
+			if c.restored {
+				awaitEntries(t, store, 2, a, b)
+			}
+			restart(t, daemon.ErrAborted, a, b)
+			checkLateReports(t, a, b, 1)
+		})
+	}
+}
+
+// awaitEntries waits until the entries of hosts have an epoch.
+func awaitEntries(t *testing.T, store *platformtest.Store, epoch uint64, hosts ...*host) {
+	t.Helper()
+	for _, h := range hosts {
+		await(t, "the entry of "+h.settings.Server, func() bool { return store.DaemonEpoch(h.settings.Server) == epoch })
+	}
+}
+
+// Guards against a daemon that finds no other after the store came back without their
+// entries, and so decides on allowances alone and reaches no server of others.
+func TestDaemonsFindEachOtherAfterStoreCopy(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	copied := store.Copy()
+	a, b := startPair(t, store, "cairo-b")
+	store.Restore(copied)
+	for _, h := range []*host{a, b} {
+		await(t, "the entry of "+h.settings.Server, func() bool { return slices.Contains(store.ObjectNames(platformtest.DaemonKind), h.settings.Server) })
+	}
+	restart(t, nil, b)
+	b.report(t)
+	await(t, "the daemons to know each other", func() bool { return len(a.daemon.State().Members) == 2 && len(b.daemon.State().Members) == 2 })
+	b.backend.SetRefuse(true)
+	await(t, "a request of the restarted daemon at the other server", respondsWith(t, b, "/search/x", 200))
+}
--- a/mesh/advisory/book.go
+++ b/mesh/advisory/book.go
@@ -302,6 +302,26 @@
 	b.notify()
 }
 
+// MarkLost records that the store may have lost the advisories of this daemon.
+func (b *Book) MarkLost() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.advisories {
+		r.stored = false
+	}
+	b.notify()
+}
+
+// Adopt has this daemon store the advisories of other daemons, too.
+func (b *Book) Adopt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.advisories {
+		r.own = true
+	}
+	b.notify()
+}
+
 // AwaitStored waits until all advisories of a kind that this daemon issued are stored,
 // and returns an error if ctx ends first.
 func (b *Book) AwaitStored(ctx context.Context, kind Kind) error {
--- a/mesh/discover/discover.go
+++ b/mesh/discover/discover.go
@@ -28,6 +28,9 @@
 	PeerAddress string
 	// Advisories are those that the daemon issued.
 	Advisories []advisory.Aged
+	// Epoch is the latest epoch of the platform's store in which the entry is known to hold
+	// all of them, or 0 if none is. If it is an earlier one than the store's, some may be lost.
+	Epoch uint64
 	// Revision is that of the entry's last change, or zero if there is no entry.
 	Revision revision.Revision
 }
@@ -78,6 +81,12 @@
 	// IsolationCheckInterval is the mean interval between checks for open streams; a
 	// daemon without any lists the entries again.
 	IsolationCheckInterval time.Duration
+	// EarlyCheckInterval is that interval in the EarlyPeriod after the start: entries may be
+	// missing then that their daemons are about to write again.
+	EarlyCheckInterval, EarlyPeriod time.Duration
+	// RestoreSpread is the longest time after which a daemon writes its entry again when the
+	// store came back from an older copy. Advisories are written at once.
+	RestoreSpread time.Duration
 	// MaxContacts is the number of random entries that are added as contacts.
 	MaxContacts int
 	// Retention is the minimum time for which an entry outlives its daemon; the
@@ -89,7 +98,8 @@
 func DefaultConfig() Config {
 	return Config{
 		CallTimeout: time.Second, RetryBase: 100 * time.Millisecond, RetryMax: time.Second,
-		IsolationCheckInterval: 4 * time.Second, MaxContacts: 8, Retention: 10 * time.Minute,
+		IsolationCheckInterval: 4 * time.Second, EarlyCheckInterval: time.Second, EarlyPeriod: 10 * time.Second,
+		RestoreSpread: time.Second, MaxContacts: 8, Retention: 10 * time.Minute,
 	}
 }
 
@@ -108,15 +118,29 @@
 	members    Members
 	advisories *advisory.Book
 	logger     Logger
+	// Epochs holds the epochs of the platform's store; nil means that it counts none. It must
+	// be set before Run.
+	Epochs *revision.Epochs
 
+	startedAt time.Time
 	// goneAtLastSweep holds the daemons that were gone at the last sweep.
 	goneAtLastSweep map[member.ServerID]bool
 
 	// outdated means that the entry of this daemon, as it was listed at the start, is
 	// missing or names another address.
 	outdated bool
-	// revision is that of this daemon's entry, or zero if it is not known.
-	revision revision.Revision
+	// stored is the entry of this daemon as it was last read or written; its revision is zero
+	// if that is not known.
+	stored Entry
+	// epoch is the epoch of the store for which the entry was last checked, and storeAt when
+	// it has to be written at the latest; zero if it need not.
+	epoch   uint64
+	storeAt time.Time
+	// lostAt is when the store was last found to have come back from an older copy, adoptAt
+	// when it is checked next whether this daemon stores the advisories of others, or zero.
+	lostAt, adoptAt time.Time
+	// lost means that the listed entries include some that were written in an earlier epoch.
+	lost bool
 
 	// listed is closed after the first listing, which found neighbors entries of the
 	// own failure domain.
@@ -153,6 +177,7 @@
 // before the others are read, so that of two daemons that start at the same time
 // at least one finds the other.
 func (f *Finder) Run(ctx context.Context) error {
+	f.startedAt = time.Now()
 	if f.withTimeout(ctx, f.create) == nil {
 		failed := f.retry(ctx, "list the registered daemons", f.readEntries)
 		f.setCompleteness(ctx, failed)
@@ -167,7 +192,7 @@
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.maintainContacts(ctx) })
-	g.Go(func() error { return f.storeAdvisories(ctx) })
+	g.Go(func() error { return f.maintainEntry(ctx) })
 	return g.Wait()
 }
 
@@ -181,13 +206,14 @@
 }
 
 // setCompleteness records that the advisories in all entries have been read. While the
-// registry failed, other daemons could not store theirs either.
+// registry failed, other daemons could not store theirs either, and the store may have lost
+// those in entries of an earlier epoch.
 func (f *Finder) setCompleteness(ctx context.Context, failed bool) {
 	if ctx.Err() != nil {
 		return
 	}
 	c := advisory.Complete
-	if failed {
+	if failed || f.lost {
 		c = advisory.Doubtful
 	}
 	f.advisories.SetCompleteness(c)
@@ -198,7 +224,7 @@
 // ctx ends.
 func (f *Finder) maintainContacts(ctx context.Context) error {
 	sweepAt := time.Now().Add(f.cfg.Retention)
-	for wait.For(ctx, wait.Jitter(f.cfg.IsolationCheckInterval)) == nil {
+	for wait.For(ctx, wait.Jitter(f.checkInterval())) == nil {
 		if f.peers.PeerCount() == 0 {
 			f.retry(ctx, "list the registered daemons", f.findContacts)
 			continue
@@ -211,6 +237,13 @@
 	return nil
 }
 
+func (f *Finder) checkInterval() time.Duration {
+	if time.Since(f.startedAt) < f.cfg.EarlyPeriod {
+		return f.cfg.EarlyCheckInterval
+	}
+	return f.cfg.IsolationCheckInterval
+}
+
 // trySweep sweeps if this daemon is the sweeper. A failed sweep is not retried
 // before the next one is due.
 func (f *Finder) trySweep(ctx context.Context) {
@@ -281,6 +314,7 @@
 	if err != nil {
 		return err
 	}
+	f.epoch = f.Epochs.Latest()
 	f.recordOwn(entries)
 	f.neighbors = f.addContacts(entries)
 	close(f.listed)
@@ -292,7 +326,7 @@
 	f.outdated = true
 	for _, e := range entries {
 		if e.Server == f.self.Server {
-			f.revision = e.Revision
+			f.stored = e
 			f.outdated = e.PeerAddress != f.self.PeerAddress || e.Domain != f.self.Domain
 		}
 	}
@@ -338,7 +372,9 @@
 		return nil, err
 	}
 	f.registered.Store(int64(len(entries)))
+	f.lost = false
 	for _, e := range entries {
+		f.lost = f.lost || (e.Epoch > 0 && e.Epoch < e.Revision.Epoch)
 		if e.Server == f.self.Server {
 			f.advisories.Restore(e.Advisories)
 			continue
--- a/mesh/discover/discover_test.go
+++ b/mesh/discover/discover_test.go
@@ -25,12 +25,37 @@
 	streams  int
 	calls    int
 	gone     map[member.ServerID]bool
-	// book holds the advisories of the finder that runs.
-	book *advisory.Book
+	// book holds the advisories of the finder that runs, epochs the epochs that it hears of.
+	book   *advisory.Book
+	epochs *revision.Epochs
+	// notSweeper means that another daemon is the sweeper.
+	notSweeper bool
+}
+
+// setEpoch makes the registry count its epochs.
+func (w *fakeDeps) setEpoch(epoch uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision.Epoch = epoch
+	for i := range w.entries {
+		w.entries[i].Revision.Epoch = epoch
+	}
+}
+
+// restore brings the registry back from a copy with some entries.
+func (w *fakeDeps) restore(entries ...discover.Entry) {
+	w.mu.Lock()
+	w.entries = entries
+	epoch := w.revision.Epoch + 1
+	w.revision.Number = 1
+	w.mu.Unlock()
+	w.setEpoch(epoch)
+	w.epochs.Observe(epoch)
 }
 
 func (w *fakeDeps) nextError() error {
 	w.calls++
+	w.epochs.Observe(w.revision.Epoch)
 	if w.failures > 0 {
 		w.failures--
 		return errors.New("registry unavailable")
@@ -105,7 +130,11 @@
 	return w.streams
 }
 
-func (w *fakeDeps) IsSweeper() bool { return true }
+func (w *fakeDeps) IsSweeper() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.notSweeper
+}
 
 func (w *fakeDeps) Gone(server member.ServerID) bool {
 	w.mu.Lock()
@@ -140,13 +169,15 @@
 
 func runFinder(t *testing.T, w *fakeDeps, test func(discover.Config)) {
 	synctest.Test(t, func(*testing.T) {
-		w.book = advisory.NewBook()
+		w.book, w.epochs = advisory.NewBook(), &revision.Epochs{}
 		cfg := discover.DefaultConfig()
 		own := discover.Entry{Server: "self", Domain: "cairo-a", PeerAddress: "10.0.0.1:1"}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
-			_ = discover.New(cfg, own, w, w, w, w.book, nopLogger{}).Run(ctx)
+			f := discover.New(cfg, own, w, w, w, w.book, nopLogger{})
+			f.Epochs = w.epochs
+			_ = f.Run(ctx)
 			close(done)
 		}()
 		test(cfg)
@@ -292,3 +323,137 @@
 		}
 	})
 }
+
+// Guards against a daemon that others never find, or whose confirmed withdrawals are
+// forgotten, since the store came back from a copy without its entry; and against writes of
+// entries that need none.
+func TestFinderWritesEntryAgainAfterStoreCopy(t *testing.T) {
+	withdrawn := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-1", Number: 20}
+	for name, copied := range map[string][]discover.Entry{
+		"without the entry": nil, "with an earlier entry": {newEntry("self", "10.0.0.1:1")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &fakeDeps{streams: 1}
+			w.setEpoch(1)
+			runFinder(t, w, func(cfg discover.Config) {
+				time.Sleep(10 * time.Second)
+				w.book.Issue(withdrawn)
+				time.Sleep(time.Second)
+				if e := w.entry("self"); e.Epoch != 1 || len(e.Advisories) != 1 {
+					t.Errorf("stored %+v before the return, want epoch 1 and one advisory", e)
+				}
+				// The store comes back twice in quick succession.
+				for range 2 {
+					w.restore(slices.Clone(copied)...)
+					synctest.Wait()
+					if err := w.book.AwaitStored(t.Context(), advisory.Withdrawn); err != nil {
+						t.Error(err)
+					}
+				}
+				if e := w.entry("self"); e.Epoch != 3 || len(e.Advisories) != 1 || e.Advisories[0].Advisory != withdrawn {
+					t.Errorf("stored %+v at once after the return, want epoch 3 and the advisory", e)
+				}
+				time.Sleep(cfg.RestoreSpread)
+				_, before := w.observed()
+				w.restore(w.entry("self"))
+				time.Sleep(time.Minute)
+				// The sweeper looks once more whether advisories of others are to be stored.
+				if _, after := w.observed(); after-before > 3 {
+					t.Errorf("%d calls of the registry after a return that lost nothing, want at most 3", after-before)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a storm of writes when the store comes back.
+func TestFinderSpreadsWritesAfterStoreCopy(t *testing.T) {
+	var times []time.Duration
+	for range 20 {
+		w := &fakeDeps{streams: 1, notSweeper: true}
+		w.setEpoch(1)
+		runFinder(t, w, func(cfg discover.Config) {
+			time.Sleep(10 * time.Second)
+			start := time.Now()
+			w.restore()
+			for !w.registered("self") && time.Since(start) < 2*cfg.RestoreSpread {
+				time.Sleep(10 * time.Millisecond)
+			}
+			times = append(times, time.Since(start))
+			time.Sleep(2 * cfg.RestoreSpread)
+			if e := w.entry("self"); e.Epoch != 2 {
+				t.Errorf("stored %+v, want epoch 2", e)
+			}
+		})
+	}
+	slices.Sort(times)
+	if limit := discover.DefaultConfig().RestoreSpread; times[len(times)-1] > limit+50*time.Millisecond || times[len(times)-1]-times[0] < limit/2 {
+		t.Errorf("entries written %s to %s after the return, want them spread over %s", times[0], times[len(times)-1], limit)
+	}
+}
+
+// Guards against a withdrawal that is forgotten since the daemon that confirmed it had ended
+// when the store came back without it.
+func TestFinderStoresAdvisoriesOfEndedDaemonsAfterStoreCopy(t *testing.T) {
+	of := advisory.Advisory{Kind: advisory.Withdrawn, Subject: "i-other", Number: 20}
+	for name, sweepsAfter := range map[string]time.Duration{"sweeper": 0, "sweeper later": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			w := &fakeDeps{streams: 1, notSweeper: sweepsAfter > 0}
+			w.setEpoch(1)
+			runFinder(t, w, func(discover.Config) {
+				time.Sleep(10 * time.Second)
+				w.book.Merge([]advisory.Aged{{Advisory: of}})
+				time.Sleep(time.Second)
+				w.restore()
+				time.Sleep(sweepsAfter)
+				w.mu.Lock()
+				w.notSweeper = false
+				w.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				if e := w.entry("self"); len(e.Advisories) != 1 || e.Advisories[0].Advisory != of {
+					t.Errorf("stored %+v, want the advisory of the other daemon", e)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a starting daemon that takes what it reads for complete although the store
+// has lost advisories that no daemon could write again, and against an entry that says so to
+// its next start.
+func TestFinderTakesAdvisoriesForDoubtfulAfterStoreCopy(t *testing.T) {
+	for name, entries := range map[string][]discover.Entry{
+		"own entry of an earlier epoch": {newEntry("self", "10.0.0.1:1")}, "own entry lost": {newEntry("other", "10.0.0.2:1")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range entries {
+				entries[i].Epoch, entries[i].Domain = 1, "cairo-a"
+			}
+			w := &fakeDeps{streams: 1, entries: entries}
+			w.setEpoch(2)
+			runFinder(t, w, func(cfg discover.Config) {
+				time.Sleep(10 * time.Second)
+				if c := w.book.Completeness(); c != advisory.Doubtful {
+					t.Errorf("advisories are %s, want doubtful", c)
+				}
+				if e := w.entry("self"); e.Epoch > 1 {
+					t.Errorf("stored %+v, want an earlier epoch", e)
+				}
+				w.book.SetCompleteness(advisory.Complete)
+				time.Sleep(2 * cfg.RestoreSpread)
+				if e := w.entry("self"); e.Epoch != 2 {
+					t.Errorf("stored %+v once a peer has sent all advisories, want epoch 2", e)
+				}
+			})
+		})
+	}
+	w := &fakeDeps{streams: 1, entries: []discover.Entry{newEntry("other", "10.0.0.2:1")}}
+	w.entries[0].Epoch = 2
+	w.setEpoch(2)
+	runFinder(t, w, func(discover.Config) {
+		time.Sleep(10 * time.Second)
+		if c := w.book.Completeness(); c != advisory.Complete {
+			t.Errorf("advisories are %s beside entries of the current epoch, want complete", c)
+		}
+	})
+}
--- a/mesh/revision/epochs.go
+++ b/mesh/revision/epochs.go
@@ -48,7 +48,7 @@
 // error if ctx ends first.
 func (e *Epochs) AwaitAfter(ctx context.Context, epoch uint64) (uint64, error) {
 	for {
-		latest, risen := e.watch()
+		latest, risen := e.Watch()
 		if latest > epoch {
 			return latest, nil
 		}
@@ -60,8 +60,8 @@
 	}
 }
 
-// watch returns the latest epoch and a channel that is closed when it rises.
-func (e *Epochs) watch() (uint64, <-chan struct{}) {
+// Watch returns the latest epoch and a channel that is closed when it rises.
+func (e *Epochs) Watch() (uint64, <-chan struct{}) {
 	if e == nil {
 		return 0, nil
 	}
