Return the refusal of a body that has no room as such

Cause: the sending goroutine interrupted the connection and asked only then whether the exchange had ended before. The reading goroutine, woken by the interruption, could end the exchange in between, so the refusal was dropped for the error of the read.

Now it asks first.

--- a/adapters/httpconn/continue.go
+++ b/adapters/httpconn/continue.go
@@ -70,8 +70,10 @@
 func sendAskedBody(ctx context.Context, c *conn, req *fasthttp.Request, before func(context.Context) error) error {
 	if before != nil {
 		if err := before(ctx); err != nil {
+			// The interruption ends the exchange, too.
+			ended := context.Cause(ctx) == errExchangeEnded
 			c.interrupt()
-			if context.Cause(ctx) == errExchangeEnded {
+			if ended {
 				return errExchangeEnded
 			}
 			return err
