Bring the store of the soak back from older copies

In six of ten runs the store is away for 0.4 s and comes back from a copy that is up to 4 s old, beside all other faults; what operators wrote since is written again at once or up to half a second later.

--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -48,6 +48,8 @@
 	LowerAllowance Kind = "lower-allowance"
 	Rollout        Kind = "rollout"
 	BadRollout     Kind = "bad-rollout"
+	// StoreCopy brings the store back from a copy that was made at the event's time.
+	StoreCopy Kind = "store-copy"
 )
 
 var kinds = []Kind{
@@ -100,6 +102,10 @@
 	minRolloutLength = 18 * time.Second
 	rolloutAt        = 3 * time.Second
 	rolloutLimit     = 9 * time.Second
+	// copyShare is the share of the runs in which the store comes back from older
+	// copies, one or several times.
+	copyShare   = 0.6
+	meanCopyGap = 5 * time.Second
 )
 
 // Generate returns the events of a schedule, ordered by time. Bursts begin early
@@ -124,6 +130,7 @@
 		}
 	}
 	events = append(events, operations(seed, hosts, length)...)
+	events = append(events, storeCopies(seed, hosts, length)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
@@ -144,6 +151,22 @@
 	return events
 }
 
+// storeCopies returns the returns of the store from older copies, which have a random
+// sequence of their own. The copies are up to maxEventLength old.
+func storeCopies(seed uint64, hosts int, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(^seed, uint64(hosts)))
+	if rng.Float64() >= copyShare {
+		return nil
+	}
+	var events []Event
+	for at := time.Duration(rng.Float64() * float64(length/2)); at < length-maxEventLength; at += time.Duration(rng.ExpFloat64() * float64(meanCopyGap)) {
+		e := Event{At: at, Kind: StoreCopy, Hosts: pickHosts(rng, StoreCopy, hosts)}
+		e.Length = minEventLength + time.Duration(rng.Float64()*float64(maxEventLength-minEventLength))
+		events = append(events, e)
+	}
+	return events
+}
+
 // pickHosts picks the random hosts that an event of kind k affects.
 func pickHosts(rng *rand.Rand, k Kind, hosts int) []int {
 	shuffled := rng.Perm(hosts)
--- a/soak/runner/faults.go
+++ b/soak/runner/faults.go
@@ -29,6 +29,10 @@
 	drainTime = 3 * time.Second
 	// rollGap is the pause between two restarts of a rolling restart.
 	rollGap = 300 * time.Millisecond
+	// copyDowntime is how long the store is away before it comes back from a copy,
+	// maxRewriteDelay the longest time until operators have written again what it lost.
+	copyDowntime    = 400 * time.Millisecond
+	maxRewriteDelay = 500 * time.Millisecond
 )
 
 // storeFaults maps kinds of events to faults of the platform's store.
@@ -57,6 +61,8 @@
 	case plan.StoreForgets:
 		r.markStoreDisturbed(0)
 		r.store.DropHistory()
+	case plan.StoreCopy:
+		r.playStoreCopy(ctx, e.Length)
 	case plan.Change:
 		r.operator.writeVersion()
 	case plan.ChangeStorm:
@@ -90,6 +96,20 @@
 	}
 }
 
+// playStoreCopy copies the store, and brings it back from the copy after a time. What
+// operators wrote since is written again at once or a little later.
+func (r *Runner) playStoreCopy(ctx context.Context, age time.Duration) {
+	c := r.store.Copy()
+	_ = wait.For(ctx, age)
+	r.markStoreDisturbed(copyDowntime)
+	r.store.SetFault(platformtest.Reset)
+	_ = wait.For(ctx, copyDowntime)
+	rewrite := r.store.RestoreBeforeRewrite(c)
+	r.store.SetFault(platformtest.NoFault)
+	_ = wait.For(ctx, age%maxRewriteDelay)
+	rewrite()
+}
+
 // playHostEvent carries out an event that affects a single host.
 func (r *Runner) playHostEvent(ctx context.Context, h *host.Host, e plan.Event) {
 	if fault, ok := peerFaults[e.Kind]; ok {
