Adopt an order only if it is the latest that daemons follow (EXPOSURE)

After the store came back, a daemon that had been cut off and still followed an order of the earlier epoch could decide for the fleet: an order given anew for its release was completed at once, and an order that had ended since counted as superseded, so that no daemon was sent a direction.

Cause: the controller looked for any count of an earlier epoch in place of the latest order that daemons follow. Counts of classes, which name no release, could be taken for an order for another one.

--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -221,22 +221,19 @@
 // adopt finds out the number and the age of an order that the controller did not see begin.
 // It reports whether the order has a number.
 func (c *Controller) adopt(r *controlled, counts []Count, covered float64, now time.Duration) bool {
-	if r.order.isSupersededBy(counts) && (r.order.Status.Final() || now < r.adoptBy) {
+	latest := latestFollowed(counts)
+	if r.order.isSupersededBy(latest) && (r.order.Status.Final() || now < r.adoptBy) {
 		if !r.superseded {
-			c.logger.Warnf("service %s: not following the order for release %s, which the store has as %s: daemons follow a later one that the store has lost",
-				r.order.Service, r.order.Release, r.order.Status)
+			c.logger.Warnf("service %s: not following the order for release %s, which the store has as %s: daemons follow a later one that the store has lost, %s for release %s",
+				r.order.Service, r.order.Release, r.order.Status, latest.Order, latest.Target)
 		}
 		r.superseded = true
 		return false
 	}
 	r.superseded = false
-	for i := range counts {
-		if r.order.isFollowedBy(&counts[i]) {
-			r.number = revision.Latest(r.number, counts[i].Order)
-		}
-	}
 	switch {
-	case !r.number.IsZero():
+	case r.order.isFollowedBy(latest):
+		r.number = latest.Order
 		c.logger.Infof("service %s: going on with order %s for release %s, which the store has as %s", r.order.Service, r.number, r.order.Release, r.written)
 	case now < r.adoptBy && covered < minCovered:
 		return false
@@ -248,22 +245,33 @@
 	return true
 }
 
-// isFollowedBy reports whether daemons follow the order. One without a status may have had
-// one before the store came back from an older copy; its number is of an earlier epoch then.
-func (o *Order) isFollowedBy(n *Count) bool {
-	if n.Target != o.Release || n.Order.After(o.Revision) {
+// latestFollowed returns what daemons say of the latest order that one of them follows, or
+// nil. Daemons that were cut off may follow an earlier one.
+func latestFollowed(counts []Count) *Count {
+	var latest *Count
+	for i := range counts {
+		if n := &counts[i]; n.Class == "" && (latest == nil || n.Order.After(latest.Order)) {
+			latest = n
+		}
+	}
+	return latest
+}
+
+// isFollowedBy reports whether the latest order that daemons follow is this one. One without
+// a status may have had one before the store came back from an older copy; its number is of
+// an earlier epoch then.
+func (o *Order) isFollowedBy(latest *Count) bool {
+	if latest == nil || latest.Target != o.Release || latest.Order.After(o.Revision) {
 		return false
 	}
-	return o.Status != 0 || n.Order == o.Revision || n.Order.Epoch < o.Revision.Epoch
+	return o.Status != 0 || latest.Order == o.Revision || latest.Order.Epoch < o.Revision.Epoch
 }
 
-// isSupersededBy reports whether daemons follow an order of an earlier epoch for another
-// release although the order has a status: the store came back from a copy of the time
-// before theirs, which the operator has not written again yet.
-func (o *Order) isSupersededBy(counts []Count) bool {
-	return o.Status != 0 && slices.ContainsFunc(counts, func(n Count) bool {
-		return n.Target != o.Release && n.Order.Epoch < o.Revision.Epoch
-	})
+// isSupersededBy reports whether the latest order that daemons follow is one of an earlier
+// epoch for another release, although this one has a status: the store came back from a copy
+// of the time before theirs, which the operator has not written again yet.
+func (o *Order) isSupersededBy(latest *Count) bool {
+	return latest != nil && o.Status != 0 && latest.Target != o.Release && latest.Order.Epoch < o.Revision.Epoch
 }
 
 func (c *Controller) takeStep(r *controlled, now time.Duration) {
--- a/mesh/rollout/epoch_test.go
+++ b/mesh/rollout/epoch_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"fescuehoist.example/mesh/member"
+	"fescuehoist.example/mesh/revision"
 )
 
 // withControllers runs a test with a fleet in which one controller stays, and with one in
@@ -151,3 +154,40 @@
 		}
 	})
 }
+
+// Guards against a daemon that was cut off, whose order of an earlier epoch is taken for the
+// one that all others follow, or for a new one for the same release.
+func TestDaemonThatFollowsOrderOfEarlierEpochDecidesNothing(t *testing.T) {
+	withControllers(t, func(f *fleet, replace func()) {
+		f.answer = flawless
+		copied := f.orders.copy()
+		f.orderAt(40, "v2")
+		f.run(timeLimit)
+		f.expectStatus(Completed)
+		late := f.servers[0]
+		late.cutOff = true
+		f.orders.restore(copied)
+		f.order("v1")
+		f.run(timeLimit)
+		f.expectStatus(Completed)
+		replace()
+		late.cutOff = false
+		f.run(3 * time.Second)
+		if a := late.Current().Of("lookup"); a.Release != "v1" || a.State != Completed {
+			f.t.Errorf("the daemon that was cut off follows release %s, %s; want v1, completed", a.Release, a.State)
+		}
+		late.cutOff = true
+		late.Follower = NewFollower(f.now, func() (member.Record, bool) { return late.record, true }, func() int { return 0 })
+		late.Apply([]Direction{{Share: 1}, {Service: "lookup", Release: "v2", State: Completed, Order: revision.Revision{Epoch: 1, Number: 40}}})
+		late.cutOff = false
+		f.answer = func(release, _ string, _ time.Duration, _ float64) (time.Duration, bool) {
+			return 30 * time.Millisecond, release == "v2"
+		}
+		replace()
+		f.exposed = 0
+		f.order("v2")
+		f.run(timeLimit)
+		f.expectStatus(RolledBack)
+		f.expectExposure()
+	})
+}
