--- a/fescuehoistd/daemon/daemon.go
+++ b/fescuehoistd/daemon/daemon.go
@@ -328,6 +328,7 @@
 	g.Go(func() error { return d.router.Run(controlCtx) })
 	g.Go(func() error { return d.collection.collector.Run(controlCtx) })
 	if d.rollouts != nil {
+		g.Go(func() error { return d.rollouts.follower.Run(controlCtx) })
 		g.Go(func() error { return d.rollouts.controller.Run(controlCtx) })
 	}
 	g.Go(func() error { return d.cfg.Policy.Unreachable.Run(controlCtx, d.forwarder) })
--- a/fescuehoistd/daemon/rollout_test.go
+++ b/fescuehoistd/daemon/rollout_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fescuehoist.example/adapters/settings"
+	"fescuehoist.example/fescuehoistd/daemon"
 	"fescuehoist.example/platform/platformtest"
 )
 
@@ -177,3 +178,37 @@
 		}
 	}
 }
+
+// Guards against requests to a release that was rolled back, through daemons that were all
+// killed and know servers of no other release when they start again.
+func TestRolledBackVersionGetsNoRequestsOfStartingDaemons(t *testing.T) {
+	f := startRolloutFleet(t)
+	f.call(t, true)
+	f.order()
+	already := executions(f.new)
+	await(t, "the canary", func() bool { return executions(f.new) > already+1 })
+	for _, h := range f.new {
+		h.backend.SetFail(true)
+	}
+	await(t, "the state rolled back", func() bool { return f.status(t) == "rolled_back" })
+	f.stopCalls()
+	end(t, daemon.ErrAborted, append(f.old, f.new...)...)
+	exposed := executions(f.new)
+	for _, h := range f.new {
+		h.startDaemon(t)
+		h.report(t)
+	}
+	for n := range 200 {
+		sendRequest(t, f.new[n%2], "GET", "/search/x", fmt.Sprint("starting-", n))
+	}
+	for _, h := range f.old {
+		h.startDaemon(t)
+		h.report(t)
+	}
+	for _, h := range f.new {
+		await(t, "the first route after a restart", respondsWith(t, h, "/search/x", 200))
+	}
+	if more := executions(f.new) - exposed; more > 0 {
+		t.Errorf("%d requests reached the bad version after its rollback and a restart of all daemons, want 0", more)
+	}
+}
--- a/fescuehoistd/daemon/rollouts.go
+++ b/fescuehoistd/daemon/rollouts.go
@@ -36,6 +36,7 @@
 		follower:   rollout.NewFollower(boottime.Now, own, load),
 		controller: rollout.NewController(cfg, orders, &rolloutFleet{configs: d.configs, members: d.members}, d.partLogger("rollout"), boottime.Now),
 	}
+	r.follower.Orders = orders
 	d.rollouts = r
 	d.collection.collector.Releases, d.collection.collector.Judge = r.follower, r.controller
 }
--- a/mesh/rollout/follower.go
+++ b/mesh/rollout/follower.go
@@ -38,6 +38,9 @@
 // Follower holds the newest directions of a daemon, and counts the calls to the server
 // beside it while there is an order for its service. It is safe for concurrent use.
 type Follower struct {
+	// Orders are read at the start; nil means that there are none. It must be set before Run.
+	Orders Orders
+
 	now Clock
 	// own returns the record of the server beside the daemon, load its calls.
 	own  func() (member.Record, bool)
@@ -47,6 +50,8 @@
 	// confirmedAt is when the newest list of directions was issued by a controller that knew
 	// all orders; 0 before one.
 	confirmedAt atomic.Int64
+	// started means that Run has read the orders, or given up.
+	started atomic.Bool
 
 	mu sync.Mutex
 	// listedAt is when the newest complete list was issued.
@@ -116,19 +121,27 @@
 		return
 	}
 	f.listedAt = issued
-	if list[marker].Share >= 1 {
+	confirmed := list[marker].Share >= 1
+	if confirmed {
 		f.confirmedAt.Store(int64(issued))
 	}
-	if next := f.merge(list); next != nil {
-		f.directions.Store(next)
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
+	f.follow(f.merge(list, confirmed))
 	f.followOwnServer()
 }
 
-// merge returns the directions after a list, or nil if only the age of them changes.
-func (f *Follower) merge(list []Direction) *Directions {
+// follow applies other directions; nil means that they are the same.
+func (f *Follower) follow(next *Directions) {
+	if next == nil {
+		return
+	}
+	f.directions.Store(next)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// merge returns the directions after a list, or nil if only the age of them changes. A
+// confirmed list replaces all that were assumed.
+func (f *Follower) merge(list []Direction, confirmed bool) *Directions {
 	next := &Directions{byService: maps.Clone(f.Current().byService), follower: f}
 	changed := false
 	for _, d := range list {
@@ -145,6 +158,10 @@
 		next.byService[d.Service] = f.activate(d, held, at)
 		changed = true
 	}
+	if before := len(next.byService); confirmed {
+		maps.DeleteFunc(next.byService, func(_ string, a *Active) bool { return a.assumed() })
+		changed = changed || len(next.byService) < before
+	}
 	if !changed {
 		return nil
 	}
@@ -154,6 +171,9 @@
 func (f *Follower) activate(d Direction, held *Active, at time.Duration) *Active {
 	a := &Active{Direction: d, issuedAt: &atomic.Int64{}, now: f.now}
 	a.issuedAt.Store(int64(at))
+	if held != nil && held.assumed() {
+		held = nil
+	}
 	if held != nil && held.Order == d.Order && at-held.lastFull() < reopenAfter {
 		a.fullSince, a.fullAt = held.fullSince, held.lastFull()
 	}
@@ -173,7 +193,7 @@
 func (f *Follower) followOwnServer() {
 	own, known := f.own()
 	a := f.Current().Of(own.Service)
-	if !known || a == nil {
+	if !known || a == nil || a.assumed() {
 		return
 	}
 	now := f.now()
@@ -214,6 +234,10 @@
 	return slices.SortedFunc(maps.Values(d.byService), func(a, b *Active) int { return cmp.Compare(a.Service, b.Service) })
 }
 
+// Started reports whether the daemon knows which releases stored orders are about, or cannot
+// read them.
+func (d *Directions) Started() bool { return d.follower.Orders == nil || d.follower.started.Load() }
+
 // Settled reports whether a release that appeared in a service at a time of the clock may
 // be used: directions issued later have arrived, or none did for settleTime.
 func (d *Directions) Settled(appeared time.Duration) bool {
@@ -270,7 +294,7 @@
 func (f *Follower) Counts() []Count {
 	own, known := f.own()
 	a := f.Current().Of(own.Service)
-	if !known || a == nil {
+	if !known || a == nil || a.assumed() {
 		return nil
 	}
 	f.mu.Lock()
--- a/mesh/route/split.go
+++ b/mesh/route/split.go
@@ -92,7 +92,8 @@
 // holdBack leaves the releases out that appeared beside others so lately that there may be
 // an order for them which this daemon has not heard of. Where there is one release, or a
 // direction, nothing is left out. A starting daemon may so be without servers of a service
-// with several releases, until the first directions come or a time without any has passed.
+// with several releases, until the first directions come or a time without any has passed;
+// and of any service as long as it has neither read the orders nor heard of directions.
 func (s *Service) holdBack(previous *Service, directions *rollout.Directions) {
 	appeared := map[string]time.Duration{}
 	if previous != nil {
@@ -107,12 +108,13 @@
 			s.appeared[r.Release] = now
 		}
 	}
-	if s.split != nil || len(s.appeared) < 2 {
+	started := directions.Started()
+	if s.split != nil || (started && len(s.appeared) < 2) {
 		return
 	}
 	isNew := maps.Clone(s.appeared)
 	maps.DeleteFunc(isNew, func(_ string, at time.Duration) bool { return directions.Settled(at) })
-	if len(isNew) == len(s.appeared) {
+	if started && len(isNew) == len(s.appeared) {
 		delete(isNew, usedAlone(s.appeared))
 	}
 	if len(isNew) == 0 {
--- a/mesh/route/split_test.go
+++ b/mesh/route/split_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -122,3 +123,48 @@
 	f.now += 2 * time.Second
 	f.expect(t, "no collector", "v1", "v2", "v3")
 }
+
+// storedOrders is an Orders port that is only read.
+type storedOrders []rollout.Order
+
+func (o storedOrders) List(context.Context) ([]rollout.Order, revision.Revision, error) {
+	return o, revision.Revision{Number: 1}, nil
+}
+
+func (storedOrders) Next(context.Context, revision.Revision, time.Duration) ([]rollout.Order, revision.Revision, error) {
+	return nil, revision.Revision{}, rollout.ErrCompacted
+}
+
+func (storedOrders) WriteStatus(context.Context, rollout.Order, rollout.State) (revision.Revision, error) {
+	return revision.Revision{}, rollout.ErrChanged
+}
+
+// Guards against requests to a release that was rolled back, from a starting daemon that
+// knows servers of no other.
+func TestStartingDaemonReadsOrdersBeforeItUsesOnlyRelease(t *testing.T) {
+	for _, c := range []struct {
+		stored     storedOrders
+		alone, all []string
+	}{
+		{nil, []string{"v2"}, []string{"v2"}},
+		{storedOrders{{Name: "lookup", Service: "lookup", Release: "v2", Status: rollout.RolledBack}}, []string{"none"}, []string{"v1"}},
+		{storedOrders{{Name: "lookup", Service: "lookup", Release: "v2"}}, []string{"none"}, []string{"v1"}},
+		{storedOrders{{Name: "lookup", Service: "lookup", Release: "v2", Status: rollout.Completed}}, []string{"v2"}, []string{"v2"}},
+	} {
+		f := newReleaseFleet()
+		f.follower.Orders = c.stored
+		f.add("v2", 2)
+		f.expect(t, "before the orders are read", "none")
+		f.now += time.Second
+		f.add("v1", 2)
+		f.expect(t, "another release before the orders are read", "none")
+		f.members = member.NewTable("self")
+		f.add("v2", 2)
+		if err := f.follower.Run(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.expect(t, fmt.Sprintf("one release, orders %+v", c.stored), c.alone...)
+		f.add("v1", 2)
+		f.expect(t, fmt.Sprintf("another release, orders %+v", c.stored), c.all...)
+	}
+}
