Send confirmations that come during a batch of records

Cause: the task that sends on a stream waited with a batch of records for up to 20 ms, then asked for a new channel of confirmations. One that came meanwhile had closed the old channel and was sent with the next heartbeat only.

Why this works: the task compares the confirmation with what it has sent each time before it waits, after it has asked for the channel.

--- a/mesh/gossip/confirmation_test.go
+++ b/mesh/gossip/confirmation_test.go
@@ -79,3 +79,27 @@
 		}
 	})
 }
+
+// Guards against a confirmation that is not sent before the next heartbeat, since it came
+// while a stream waited with a batch of updates.
+func TestConfirmationDuringBatchIsSentWithIt(t *testing.T) {
+	runInBubble(t, 2, 1, func(f *fleet) {
+		time.Sleep(time.Minute)
+		sender, receiver := f.daemons[0], f.daemons[1]
+		record, _ := sender.table.Get(sender.id)
+		for range 10 {
+			for range 2 {
+				record.Sequence++
+				sender.node.Announce(record)
+				time.Sleep(f.cfg.BatchInterval / 4)
+			}
+			sender.configs.ConfirmFromSource(confirmedAt, time.Now())
+			want := sender.configs.Confirmation().Number
+			time.Sleep(4 * f.cfg.BatchInterval)
+			if got := receiver.configs.Confirmation().Number; got != want {
+				t.Errorf("%s after confirmation %d the peer has number %d", 4*f.cfg.BatchInterval, want, got)
+			}
+			time.Sleep(f.cfg.HeartbeatInterval)
+		}
+	})
+}
--- a/mesh/gossip/stream.go
+++ b/mesh/gossip/stream.go
@@ -244,10 +244,6 @@
 	defer graftTimer.Stop()
 	graftScheduled, antiEntropyDue := true, false
 	var lastFlush time.Time
-	// A confirmation that came before this loop signals nothing in it.
-	if err := n.sendConfirmation(p, heartbeat); err != nil {
-		return err
-	}
 	for {
 		changed, confirmed := n.configs.Changed(), n.configs.Confirmed()
 		sent, err := n.flush(p)
@@ -257,6 +253,9 @@
 		if sent {
 			lastFlush = time.Now()
 		}
+		if err := n.sendConfirmation(p, heartbeat); err != nil {
+			return err
+		}
 		var slot chan<- struct{}
 		if antiEntropyDue = antiEntropyDue || p.takeAntiEntropyDue(); antiEntropyDue {
 			slot = n.initiatorSlot
@@ -279,7 +278,6 @@
 		case <-heartbeat.C:
 			err = p.link.Send(n.heartbeat(p))
 		case <-confirmed:
-			err = n.sendConfirmation(p, heartbeat)
 		case <-antiEntropyTimer.C:
 			antiEntropyDue = true
 			n.pullFaulty(p)
